--- /dev/null
+++ b/Makefile
@@ -0,0 +1,65 @@
+# Front door. Every command a developer needs is here.
+GO         ?= go
+MODULES    := core siskinpathd siskinctl standin bench
+BIN        := $(CURDIR)/bin
+GOLANGCI   := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+SEEDS      ?= 200
+
+export GOFLAGS := -buildvcs=false
+
+.PHONY: build demo test unit lint format generate tools prove prove-processes bench bench-processes known-red clean
+
+build:
+	@mkdir -p $(BIN)
+	$(GO) build -o $(BIN)/ ./siskinpathd ./siskinctl ./standin ./bench
+
+demo: build
+	$(BIN)/standin demo --bin $(BIN)
+
+# test is the whole check: format, lint, tests with the race detector.
+test: lint known-red unit
+
+unit:
+	$(GO) test -race $(addprefix ./,$(addsuffix /...,$(MODULES)))
+
+lint: $(BIN)/golangci-lint
+	@out=$$(gofmt -l $(MODULES)); if [ -n "$$out" ]; then echo "not formatted, run make format: $$out"; exit 1; fi
+	$(GO) vet $(addprefix ./,$(addsuffix /...,$(MODULES)))
+	@for m in $(MODULES); do echo "lint $$m"; (cd $$m && $(BIN)/golangci-lint run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
+
+format:
+	gofmt -w $(MODULES)
+
+known-red:
+	@if [ -f KNOWN-RED.txt ]; then cat KNOWN-RED.txt; else echo "KNOWN-RED.txt: none"; fi
+
+tools: $(BIN)/golangci-lint $(BIN)/protoc-gen-go
+
+$(BIN)/golangci-lint:
+	@mkdir -p $(BIN)
+	GOWORK=off GOBIN=$(BIN) $(GO) install $(GOLANGCI)
+
+$(BIN)/protoc-gen-go:
+	@mkdir -p $(BIN)
+	cd tools && GOWORK=off $(GO) build -o $(BIN)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+
+# generate needs protoc (Debian package protobuf-compiler).
+generate: $(BIN)/protoc-gen-go
+	PATH=$(BIN):$$PATH protoc --go_out=. --go_opt=module=siskinpath siskinpathd/peer/peerpb/peer.proto
+
+# prove drives the decisions as a fleet in virtual time, many seeds.
+prove:
+	SISKINPATH_SEEDS=$(SEEDS) $(GO) test -count=1 -run 'Prove' -v ./core/...
+
+# prove-processes does the same with real processes; timing can sway it, so CI leaves it out.
+prove-processes: build
+	$(BIN)/standin prove --bin $(BIN)
+
+bench: build
+	$(BIN)/bench policies --out $(CURDIR)/out
+
+bench-processes: build
+	$(BIN)/standin bench --bin $(BIN)
+
+clean:
+	rm -rf $(BIN) out
--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,4 @@
+// Command bench measures the policies of siskinpath.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/member/types.go
@@ -0,0 +1,78 @@
+// Package member decides which hosts are there, which of them owns which
+// upstream, and whether this host may use an upstream right now. It is a plain
+// state machine without goroutines, sockets or wall clock.
+//
+// What is agreed between hosts is one row, the assignment, in the platform's
+// table service. See docs/design-ownership.md for the rules and why they hold.
+package member
+
+import "siskinpath/core/clock"
+
+// Incarnation is a random number drawn at each start of a host process.
+type Incarnation uint64
+
+// Host is a host as it describes itself.
+type Host struct {
+	ID               string      `json:"id"`
+	Incarnation      Incarnation `json:"incarnation"`
+	AvailabilityZone string      `json:"availability_zone"`
+	PeerAddress      string      `json:"peer_address"`
+	CallerAddress    string      `json:"caller_address"`
+	OperatorAddress  string      `json:"operator_address"`
+}
+
+// ListedHost is a host as the platform lists it. The list lags.
+type ListedHost struct {
+	ID               string
+	AvailabilityZone string
+	PeerAddress      string
+	CallerAddress    string
+	OperatorAddress  string
+	Leaving          bool
+}
+
+// Assignment is the agreed row: the members and who owns which upstream.
+type Assignment struct {
+	Epoch        uint64            `json:"-"` // version of the row in the table service
+	TableVersion uint64            `json:"table_version"`
+	Members      []Host            `json:"members"` // sorted by id
+	Owners       map[string]string `json:"owners"`  // "service/upstream" to host id
+}
+
+// Heartbeat is what a host tells another one at each turn.
+type Heartbeat struct {
+	From         Host
+	Sequence     uint64 // rises with each turn of the sender
+	Epoch        uint64 // newest assignment the sender knows
+	TableVersion uint64 // newest table the sender has in force
+	KeyWindow    uint32 // the sender's current window for idempotency keys
+	Leaving      bool
+	PlatformAge  clock.Millis // age of the sender's last good read of the platform; -1 when none
+	Known        []Known      // what the sender last heard of others
+	Dead         []Death      // incarnations proven dead
+}
+
+// Known is second-hand news of a host.
+type Known struct {
+	Host         Host
+	Sequence     uint64
+	Epoch        uint64
+	TableVersion uint64
+	KeyWindow    uint32
+	Leaving      bool
+	Age          clock.Millis // since the sender heard it, at first or second hand
+}
+
+// Death says that a process has ended for certain: its port refuses
+// connections, or another incarnation runs in its place.
+type Death struct {
+	ID          string
+	Incarnation Incarnation
+}
+
+// Right is what this host may do with one upstream.
+type Right struct {
+	Service  string
+	Upstream string
+	Full     bool // the whole of its limits, and probing; otherwise one slot and no probing
+}
--- /dev/null
+++ b/siskinctl/main.go
@@ -0,0 +1,4 @@
+// Command siskinctl is the operators' command line client of siskinpath.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin plays the platform, the upstreams and the callers of siskinpath.
+package main
+
+func main() {}
