--- /dev/null
+++ b/core/admit/budget.go
@@ -0,0 +1,34 @@
+package admit
+
+// Budget allows extra work in proportion to ordinary work: each Earn adds
+// Ratio, each Spend takes one. It has no notion of time, so a service without
+// traffic earns nothing.
+type Budget struct {
+	Ratio float64 // extra work for each piece of ordinary work
+	Burst float64 // most that is kept for later
+
+	kept float64
+}
+
+// Earn counts one piece of ordinary work.
+func (b *Budget) Earn() {
+	b.kept = min(b.Burst, b.kept+b.Ratio)
+}
+
+// Ready tells whether Spend would succeed.
+func (b *Budget) Ready() bool { return b.Ratio > 0 && b.kept >= 1 }
+
+// Spend takes one piece of extra work, and tells whether the budget had it.
+func (b *Budget) Spend() bool {
+	if !b.Ready() {
+		return false
+	}
+	b.kept--
+	return true
+}
+
+// Kept returns the extra work that could be done now.
+func (b *Budget) Kept() float64 { return b.kept }
+
+// Fill brings the budget to its burst, for a start without any work done yet.
+func (b *Budget) Fill() { b.kept = b.Burst }
--- /dev/null
+++ b/core/route/place.go
@@ -0,0 +1,162 @@
+package route
+
+import "siskinpath/core/clock"
+
+// place finds a request its upstream, its host, its place in the queue or its
+// refusal.
+func (s *Shard) place(now clock.Millis, r *request) {
+	c := s.choose(now, r)
+	if u := s.pick(now, c, s.queue.len()); u != nil {
+		s.send(now, r, u)
+		return
+	}
+	if s.spill(now, r) {
+		return
+	}
+	switch {
+	case !s.hasGood():
+		s.placeLast(now, r, c.last)
+	case !s.inTime(now, r):
+		s.giveUp(now, r, ReasonOverloaded)
+	default:
+		s.enqueue(now, r)
+	}
+}
+
+// placeLast places a request where no upstream is in good standing: at another
+// owner, or else at what there is.
+func (s *Shard) placeLast(now clock.Millis, r *request, last *upstream) {
+	switch {
+	case s.freest(now, r, false) != nil || !s.hasUpstream():
+		s.passOn(now, r)
+	case last != nil:
+		s.send(now, r, last)
+	case !s.inTime(now, r):
+		s.giveUp(now, r, ReasonOverloaded)
+	default:
+		s.enqueue(now, r)
+	}
+}
+
+// hasGood tells whether any upstream here is in good standing.
+func (s *Shard) hasGood() bool {
+	for _, u := range s.upstreams {
+		if u.inUse() && u.standing == good {
+			return true
+		}
+	}
+	return false
+}
+
+// hasUpstream tells whether any upstream here may take work.
+func (s *Shard) hasUpstream() bool {
+	for _, u := range s.upstreams {
+		if u.inUse() && u.standing != ejected {
+			return true
+		}
+	}
+	return false
+}
+
+// inTime tells whether a request that joins the queue can be answered before
+// its deadline.
+func (s *Shard) inTime(now clock.Millis, r *request) bool {
+	if s.Tuning.NoAdmission || !s.latencies.trusted() {
+		return true
+	}
+	typical := clock.Millis(s.latencies.p50)
+	return now+s.waitFor(s.queue.len())+typical < r.Deadline
+}
+
+func (s *Shard) enqueue(now clock.Millis, r *request) {
+	s.counters.Queued++
+	r.arrived = now
+	s.queue.push(r)
+	s.arm(&r.deadline, max(now+1, r.Deadline-s.leastService()))
+}
+
+// leastService is the time left below which a request is not worth sending.
+func (s *Shard) leastService() clock.Millis {
+	if s.Tuning.NoAdmission {
+		return 0
+	}
+	return clock.Millis(s.latencies.p50 / 2)
+}
+
+// send starts an attempt of r at u.
+func (s *Shard) send(now clock.Millis, r *request, u *upstream) {
+	s.queue.remove(r)
+	u.rate.Take(now)
+	a := s.newAttempt(now, r, u)
+	u.add(a)
+	r.attempts++
+	r.running = append(r.running, a)
+	s.counters.Sent++
+	s.arm(&r.deadline, r.Deadline)
+	s.armHedge(now, r, a)
+	s.emit(Action{Kind: Send, Request: r.ID, Attempt: a.id, Upstream: u.Name})
+}
+
+// dispatch gives free slots to queued requests.
+func (s *Shard) dispatch(now clock.Millis) {
+	for s.queue.len() > 0 {
+		if !s.hasUpstream() {
+			s.passQueueOn(now)
+			return
+		}
+		if !s.dispatchOne(now) {
+			return
+		}
+	}
+}
+
+func (s *Shard) dispatchOne(now clock.Millis) bool {
+	for i := 0; i < min(queueLook, s.queue.len()); i++ {
+		r := s.queue.items[i]
+		c := s.choose(now, r)
+		u := s.pick(now, c, s.queue.len())
+		if u == nil && !s.hasGood() {
+			u = c.last
+		}
+		if u != nil {
+			s.send(now, r, u)
+			return true
+		}
+		if len(r.tried) == 0 {
+			return false
+		}
+	}
+	return false
+}
+
+// expire handles a timer that is due.
+func (s *Shard) expire(now clock.Millis, t *timer) {
+	r := t.request
+	if t.attempt != nil {
+		s.hedge(now, r, t.attempt)
+		return
+	}
+	if r.forwarded {
+		return
+	}
+	s.giveUp(now, r, ReasonDeadline)
+}
+
+// giveUp ends a request without an answer. Whether it may have run decides
+// which end it is.
+func (s *Shard) giveUp(now clock.Millis, r *request, reason Reason) {
+	if len(r.running) > 0 {
+		r.mayHaveRun = true
+	}
+	after := max(s.spread.Refuse(now, s.waitFor(s.queue.len()), s.Rand), r.retryAfter)
+	kind := Refuse
+	if r.mayHaveRun {
+		kind = Unknown
+		s.counters.Unknown++
+	} else {
+		s.counters.countRefusal(reason)
+	}
+	id := r.ID
+	s.forget(r)
+	s.emit(Action{Kind: kind, Request: id, Reason: reason, RetryAfter: after})
+}
--- /dev/null
+++ b/core/route/request.go
@@ -0,0 +1,146 @@
+package route
+
+import "siskinpath/core/clock"
+
+// request is a request that has not had its final action yet.
+type request struct {
+	Request
+	order      uint64 // of arrival
+	key        int64  // order in the queue, smallest first
+	queueIndex int
+	arrived    clock.Millis
+	deadline   timer
+	running    []*attempt
+	tried      []*upstream // where an attempt failed
+	triedHosts []string    // hosts it was forwarded to in vain
+	attempts   int
+	hedged     bool
+	forwarded  bool
+	mayHaveRun bool         // an attempt ended without telling that it did not run
+	retryAfter clock.Millis // longest told by another host
+}
+
+func (r *request) before(other *request) bool {
+	if r.key != other.key {
+		return r.key < other.key
+	}
+	return r.order < other.order
+}
+
+func (r *request) place() *int { return &r.queueIndex }
+
+func (r *request) hasTried(u *upstream) bool {
+	for _, t := range r.tried {
+		if t == u {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *request) runsAt(u *upstream) bool {
+	for _, a := range r.running {
+		if a.upstream == u {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *request) drop(a *attempt) {
+	for i, other := range r.running {
+		if other == a {
+			r.running = append(r.running[:i], r.running[i+1:]...)
+			return
+		}
+	}
+}
+
+// attempt is one sending of a request. It outlives its request when it was
+// cancelled, since it holds its slot until its end is told.
+type attempt struct {
+	id         AttemptID
+	request    *request // nil once the request is settled
+	upstream   *upstream
+	started    clock.Millis
+	hedge      timer
+	prev, next *attempt // in the upstream's order of start
+}
+
+// timer is a point in time at which a request wants attention.
+type timer struct {
+	at      clock.Millis
+	index   int
+	request *request
+	attempt *attempt // nil for the request's deadline
+}
+
+func (t *timer) before(other *timer) bool { return t.at < other.at }
+
+func (t *timer) place() *int { return &t.index }
+
+func (s *Shard) newRequest(req Request) *request {
+	var r *request
+	if n := len(s.freeRequests); n > 0 {
+		r = s.freeRequests[n-1]
+		s.freeRequests = s.freeRequests[:n-1]
+		*r = request{running: r.running[:0], tried: r.tried[:0], triedHosts: r.triedHosts[:0]}
+	} else {
+		r = &request{}
+	}
+	s.lastOrder++
+	r.Request = req
+	r.order = s.lastOrder
+	r.key = int64(s.lastOrder)
+	if s.Tuning.EarliestFirst {
+		r.key = int64(req.Deadline)
+	}
+	r.queueIndex = -1
+	r.deadline = timer{index: -1, request: r}
+	s.requests[req.ID] = r
+	return r
+}
+
+func (s *Shard) newAttempt(now clock.Millis, r *request, u *upstream) *attempt {
+	var a *attempt
+	if n := len(s.freeAttempts); n > 0 {
+		a = s.freeAttempts[n-1]
+		s.freeAttempts = s.freeAttempts[:n-1]
+	} else {
+		a = &attempt{}
+	}
+	s.lastAttempt++
+	*a = attempt{id: s.lastAttempt, request: r, upstream: u, started: now}
+	a.hedge = timer{index: -1, request: r, attempt: a}
+	s.attempts[a.id] = a
+	return a
+}
+
+func (s *Shard) recycleAttempt(a *attempt) {
+	a.request = nil
+	a.upstream = nil
+	s.freeAttempts = append(s.freeAttempts, a)
+}
+
+// forget removes a request that needs no further action, and cancels what runs
+// for it.
+func (s *Shard) forget(r *request) {
+	for _, a := range r.running {
+		s.timers.remove(&a.hedge)
+		a.request = nil
+		s.emit(Action{Kind: Cancel, Request: r.ID, Attempt: a.id, Upstream: a.upstream.Name})
+	}
+	s.queue.remove(r)
+	s.timers.remove(&r.deadline)
+	delete(s.requests, r.ID)
+	s.freeRequests = append(s.freeRequests, r)
+}
+
+func (s *Shard) emit(a Action) { s.out = append(s.out, a) }
+
+// arm sets the timer of a request's deadline.
+func (s *Shard) arm(t *timer, at clock.Millis) {
+	s.timers.remove(t)
+	t.at = at
+	s.timers.push(t)
+}
--- /dev/null
+++ b/core/route/shard_test.go
@@ -0,0 +1,93 @@
+package route
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"siskinpath/core/clock"
+)
+
+func testShard(seed uint64) *Shard {
+	return &Shard{Rand: rand.New(rand.NewPCG(seed, 1))}
+}
+
+func testUpstreams(n, share int) []Upstream {
+	var list []Upstream
+	for i := range n {
+		list = append(list, Upstream{
+			Name:             string(rune('a' + i)),
+			AvailabilityZone: "near",
+			Weight:           100,
+			Share:            share,
+			ProbeAllowed:     true,
+		})
+	}
+	return list
+}
+
+func testConfig(n, share int, owners ...string) Config {
+	return Config{
+		Self:             "self",
+		AvailabilityZone: "near",
+		Upstreams:        testUpstreams(n, share),
+		Owners:           owners,
+		HedgePercent:     10,
+	}
+}
+
+// only returns the actions of one kind.
+func only(actions []Action, kind ActionKind) []Action {
+	var found []Action
+	for _, a := range actions {
+		if a.Kind == kind {
+			found = append(found, a)
+		}
+	}
+	return found
+}
+
+// shouldHave asserts that actions holds one action of a kind and returns it.
+func shouldHave(actions []Action, kind ActionKind) Action {
+	found := only(actions, kind)
+	convey.So(found, convey.ShouldHaveLength, 1)
+	return found[0]
+}
+
+func request1(id RequestID, deadline clock.Millis) Request {
+	return Request{ID: id, Deadline: deadline, Idempotent: true}
+}
+
+func TestPath(t *testing.T) {
+	convey.Convey("a request is sent, and its answer is the request's", t, func() {
+		s := testShard(1)
+		s.Configure(1000, testConfig(2, 4))
+		sent := shouldHave(s.Arrive(1000, request1(1, 2000)), Send)
+		done := shouldHave(s.Finished(1020, Result{Attempt: sent.Attempt}), Finish)
+		convey.So(done.Request, convey.ShouldEqual, RequestID(1))
+		convey.So(done.Attempt, convey.ShouldEqual, sent.Attempt)
+		convey.So(s.State().Requests, convey.ShouldEqual, 0)
+	})
+	convey.Convey("a request waits until a slot is free", t, func() {
+		s := testShard(1)
+		s.Configure(1000, testConfig(1, 1))
+		first := shouldHave(s.Arrive(1000, request1(1, 2000)), Send)
+		convey.So(s.Arrive(1001, request1(2, 2000)), convey.ShouldBeEmpty)
+		actions := s.Finished(1020, Result{Attempt: first.Attempt})
+		convey.So(shouldHave(actions, Send).Request, convey.ShouldEqual, RequestID(2))
+	})
+	convey.Convey("a host that owns nothing passes a request to an owner", t, func() {
+		s := testShard(1)
+		s.Configure(1000, Config{Self: "self", Owners: []string{"h1", "h2"}})
+		sent := shouldHave(s.Arrive(1000, request1(1, 2000)), Forward)
+		convey.So(sent.Host, convey.ShouldBeIn, "h1", "h2")
+	})
+	convey.Convey("without upstream and owner a request is refused at once", t, func() {
+		s := testShard(1)
+		s.Configure(1000, Config{Self: "self"})
+		refused := shouldHave(s.Arrive(1000, request1(1, 2000)), Refuse)
+		convey.So(refused.Reason, convey.ShouldEqual, ReasonNoUpstream)
+		convey.So(refused.RetryAfter, convey.ShouldBeGreaterThan, clock.Millis(0))
+	})
+}
--- /dev/null
+++ b/core/route/spill.go
@@ -0,0 +1,263 @@
+package route
+
+import (
+	"slices"
+	"strings"
+
+	"siskinpath/core/clock"
+)
+
+const (
+	digestsPerSecond = 20.0 // most digests of one shard
+	digestBurst      = 5.0
+	digestInterval   = clock.Second       // longest time between two digests
+	digestTrusted    = 3 * digestInterval // age from which a digest says nothing
+	digestChange     = 2                  // slots by which free must differ to be worth telling
+	unheardFree      = 1                  // free slots assumed of an owner not heard of
+)
+
+// owner is another host that owns upstreams of the service.
+type owner struct {
+	digest Digest
+	at     clock.Millis
+	heard  bool
+	sent   int // requests passed there since its digest
+}
+
+// free estimates the owner's free slots.
+func (o *owner) free() int {
+	if !o.heard {
+		return unheardFree - o.sent
+	}
+	return o.digest.Free - o.sent
+}
+
+func (s *Shard) configureOwners(hosts []string) {
+	old := s.owners
+	s.owners = nil
+	for _, h := range hosts {
+		if h == s.cfg.Self {
+			continue
+		}
+		i := slices.IndexFunc(old, func(o *owner) bool { return o.digest.Host == h })
+		if i >= 0 {
+			s.owners = append(s.owners, old[i])
+			continue
+		}
+		s.owners = append(s.owners, &owner{digest: Digest{Host: h}})
+	}
+	slices.SortFunc(s.owners, func(a, b *owner) int { return strings.Compare(a.digest.Host, b.digest.Host) })
+}
+
+// Digest takes in news of another owner, and passes queued requests to it when
+// it has slots free.
+func (s *Shard) Digest(now clock.Millis, d Digest) []Action {
+	s.begin()
+	s.start(now)
+	o := s.heardOf(now, d)
+	if o != nil && !s.Tuning.NoPull {
+		s.pushTo(now, o)
+	}
+	s.tell(now)
+	return s.out
+}
+
+func (s *Shard) heardOf(now clock.Millis, d Digest) *owner {
+	for _, o := range s.owners {
+		if o.digest.Host != d.Host {
+			continue
+		}
+		o.digest = d
+		o.at = now
+		o.heard = true
+		o.sent = 0
+		return o
+	}
+	return nil
+}
+
+// pushTo passes queued requests to o, this host's part of its free slots.
+func (s *Shard) pushTo(now clock.Millis, o *owner) {
+	if s.queue.len() == 0 || o.digest.Free <= 0 {
+		return
+	}
+	waiting := s.queue.len()
+	for _, other := range s.owners {
+		if other != o && other.digest.Queued > 0 && now-other.at < digestTrusted {
+			waiting += other.digest.Queued
+		}
+	}
+	part := float64(o.digest.Free) * float64(s.queue.len()) / float64(waiting)
+	n := int(part + s.Rand.Float64())
+	for i := 0; n > 0 && i < s.queue.len(); {
+		r := s.queue.items[i]
+		if !s.mayForward(r, o) {
+			i++
+			continue
+		}
+		s.counters.Pulled++
+		s.forward(r, o)
+		n--
+	}
+}
+
+func (s *Shard) mayForward(r *request, o *owner) bool {
+	if r.Hops >= maxHops {
+		return false
+	}
+	if r.mayHaveRun && !r.Idempotent {
+		return false
+	}
+	return !slices.Contains(r.triedHosts, o.digest.Host)
+}
+
+// spill passes a request that found no slot here to the owner with most free
+// slots, and tells whether it did.
+func (s *Shard) spill(now clock.Millis, r *request) bool {
+	if s.Tuning.NoSpill {
+		return false
+	}
+	o := s.freest(now, r, true)
+	if o == nil || o.free() <= 0 {
+		return false
+	}
+	s.counters.Spilled++
+	s.forward(r, o)
+	return true
+}
+
+// passOn sends a request to the best owner, since no upstream here takes it.
+func (s *Shard) passOn(now clock.Millis, r *request) {
+	o := s.freest(now, r, false)
+	if o == nil {
+		s.giveUp(now, r, ReasonNoUpstream)
+		return
+	}
+	s.forward(r, o)
+}
+
+func (s *Shard) passQueueOn(now clock.Millis) {
+	for s.queue.len() > 0 {
+		r := s.queue.items[0]
+		s.queue.remove(r)
+		s.passOn(now, r)
+	}
+}
+
+// freest returns the owner with most free slots by estimate. With trusted set
+// it leaves out those whose news is old.
+func (s *Shard) freest(now clock.Millis, r *request, trusted bool) *owner {
+	var best *owner
+	same := 0
+	for _, o := range s.owners {
+		if !s.mayForward(r, o) {
+			continue
+		}
+		if trusted && (!o.heard || now-o.at >= digestTrusted) {
+			continue
+		}
+		switch {
+		case best == nil || o.free() > best.free():
+			best = o
+			same = 1
+		case o.free() == best.free():
+			same++
+			if s.Rand.IntN(same) == 0 {
+				best = o
+			}
+		}
+	}
+	return best
+}
+
+func (s *Shard) forward(r *request, o *owner) {
+	s.queue.remove(r)
+	s.timers.remove(&r.deadline)
+	r.forwarded = true
+	o.sent++
+	s.counters.Forwarded++
+	s.emit(Action{Kind: Forward, Request: r.ID, Host: o.digest.Host})
+}
+
+// Forwarded takes in the end of a Forward. The driver ends each Forward by the
+// request's deadline; when NotRun is false it has answered the caller itself.
+func (s *Shard) Forwarded(now clock.Millis, f ForwardResult) []Action {
+	s.begin()
+	if f.Digest != nil {
+		s.heardOf(now, *f.Digest)
+	}
+	r := s.requests[f.Request]
+	if r == nil || !r.forwarded {
+		return s.out
+	}
+	r.forwarded = false
+	switch {
+	case !f.NotRun:
+		s.counters.AnsweredElsewhere++
+		s.forget(r)
+	case now >= r.Deadline:
+		s.giveUp(now, r, ReasonDeadline)
+	default:
+		r.triedHosts = append(r.triedHosts, f.Host)
+		r.retryAfter = max(r.retryAfter, f.RetryAfter)
+		s.placeAgain(now, r)
+	}
+	s.tell(now)
+	return s.out
+}
+
+// placeAgain finds another place for a request that another host did not run.
+func (s *Shard) placeAgain(now clock.Millis, r *request) {
+	if !s.retries.Spend() {
+		s.giveUp(now, r, ReasonOverloaded)
+		return
+	}
+	s.place(now, r)
+}
+
+// digestWanted returns when the next digest is due.
+func (s *Shard) digestWanted() clock.Millis {
+	if s.digestDue {
+		return s.digests.NextAt(s.digestAt)
+	}
+	return s.digestAt + digestInterval
+}
+
+// tell sends a digest when there is something worth telling.
+func (s *Shard) tell(now clock.Millis) {
+	if len(s.owners) == 0 || len(s.cfg.Upstreams) == 0 {
+		return
+	}
+	d := s.digest(now)
+	s.digestDue = s.worthTelling(now, d)
+	if !s.digestDue || !s.digests.Take(now) {
+		return
+	}
+	s.digestDue = false
+	s.digestSent = d
+	s.digestAt = now
+	s.counters.Digests++
+	s.emit(Action{Kind: SendDigest, Digest: d})
+}
+
+func (s *Shard) digest(now clock.Millis) Digest {
+	d := Digest{Host: s.cfg.Self, Queued: s.queue.len(), Slots: s.slots()}
+	if d.Queued == 0 {
+		d.Free = s.spare(now)
+	}
+	return d
+}
+
+func (s *Shard) worthTelling(now clock.Millis, d Digest) bool {
+	last := s.digestSent
+	switch {
+	case now-s.digestAt >= digestInterval:
+		return true
+	case (d.Free > 0) != (last.Free > 0), (d.Queued > 0) != (last.Queued > 0):
+		return true
+	default:
+		return abs(d.Free-last.Free) > max(digestChange, last.Free/2) || abs(d.Slots-last.Slots) > digestChange
+	}
+}
+
+func abs(n int) int { return max(n, -n) }
--- a/core/route/types.go
+++ b/core/route/types.go
@@ -38,6 +38,7 @@
 	Deadline   clock.Millis // point in time after which the answer is worthless
 	Idempotent bool         // may be sent more than once
 	Hops       int          // hosts it has passed through before this one
+	Depth      int          // calls nested above this one; above 0 an errored or lost attempt is not retried
 }
 
 // Status is how an attempt ended.
--- /dev/null
+++ b/core/route/upstream.go
@@ -0,0 +1,148 @@
+package route
+
+import (
+	"siskinpath/core/admit"
+	"siskinpath/core/clock"
+)
+
+const (
+	latencyWeight  = 0.1 // weight of the newest latency in an upstream's mean
+	successWeight  = 0.1 // weight of the newest end in an upstream's success share
+	remotePenalty  = 1.3 // how much slower a near upstream may be and still go first
+	leastSuccess   = 0.05
+	coldWindow     = 1.0
+	windowCut      = 0.5
+	unknownLatency = 1.0 // ms, of an upstream without any success
+)
+
+// upstream is an upstream and what its own traffic has told.
+type upstream struct {
+	Upstream
+	near     bool
+	present  bool // in the current Config
+	inFlight int
+	oldest   *attempt
+	newest   *attempt
+	rate     admit.RateWindow
+	bucketAt clock.Millis // when the rate has room again; 0 when it has
+
+	window    float64 // requests in flight that its successes have earned it
+	latency   float64 // ms, mean of recent successes
+	success   float64 // share of recent attempts that succeeded
+	samples   int
+	failures  int // in a row
+	ejections int
+	standing  standing
+	until     clock.Millis // end of the standing
+	wake      clock.Millis // when watch is wanted; 0 for never
+	heard     clock.Millis // last end of an attempt or probe
+	drainSeen clock.Millis // first report of draining in a row
+	drainLies int          // new work served in spite of such reports
+	probing   bool
+	probedAt  clock.Millis
+}
+
+// standing is how far an upstream is trusted with work.
+type standing int
+
+const (
+	good     standing = iota // takes work
+	lastUsed                 // takes work only when nothing else does
+	ejected                  // takes no work
+)
+
+func (st standing) String() string {
+	switch st {
+	case lastUsed:
+		return "last_used"
+	case ejected:
+		return "ejected"
+	default:
+		return "good"
+	}
+}
+
+func newUpstream(now clock.Millis, w Upstream) *upstream {
+	u := &upstream{Upstream: w, success: 1, window: coldWindow, heard: now}
+	u.wake = now + idleProbeAfter
+	return u
+}
+
+func (u *upstream) configure(w Upstream, availabilityZone string) {
+	u.Upstream = w
+	u.present = true
+	u.near = w.AvailabilityZone == availabilityZone
+	u.rate.PerSecond = w.RatePerSecond
+	u.bucketAt = 0
+	if u.wake == 0 {
+		u.wake = u.heard + idleProbeAfter
+	}
+}
+
+func (u *upstream) idleAndGone() bool { return !u.present && u.inFlight == 0 }
+
+// inUse tells whether the operators want work to go there.
+func (u *upstream) inUse() bool {
+	return u.present && !u.Leaving && u.Weight > 0 && u.Share > 0
+}
+
+// limit returns how many requests may be in flight there now.
+func (u *upstream) limit(t *Tuning) int {
+	if t.NoColdStart {
+		return u.Share
+	}
+	return max(1, min(u.Share, int(u.window)))
+}
+
+// free returns the slots free there for new work.
+func (u *upstream) free(t *Tuning) int {
+	if !u.inUse() || u.standing != good {
+		return 0
+	}
+	return max(0, u.limit(t)-u.inFlight)
+}
+
+func (u *upstream) add(a *attempt) {
+	u.inFlight++
+	a.prev = u.newest
+	if u.newest != nil {
+		u.newest.next = a
+	} else {
+		u.oldest = a
+	}
+	u.newest = a
+}
+
+func (u *upstream) remove(a *attempt) {
+	u.inFlight--
+	if a.prev != nil {
+		a.prev.next = a.next
+	} else {
+		u.oldest = a.next
+	}
+	if a.next != nil {
+		a.next.prev = a.prev
+	} else {
+		u.newest = a.prev
+	}
+	a.prev, a.next = nil, nil
+}
+
+// oldestAge returns how long the oldest request has been in flight, 0 for none.
+func (u *upstream) oldestAge(now clock.Millis) clock.Millis {
+	if u.oldest == nil {
+		return 0
+	}
+	return now - u.oldest.started
+}
+
+// cost orders upstreams with a free slot: the lowest is used first.
+func (u *upstream) cost(t *Tuning) float64 {
+	taken := float64(u.inFlight+1) / float64(u.limit(t))
+	success := max(leastSuccess, u.success)
+	cost := taken * max(unknownLatency, u.latency) / (success * success * float64(u.Weight))
+	if !u.near && !t.NoNearZone {
+		cost *= remotePenalty
+	}
+	return cost
+}
