bench: policies side by side in virtual time; properties of the shard

bench policies runs random, round robin, least in flight, power of two, a probing pool and the real route.Shard on the same seeds, with small fake upstreams; bench failures brings faults about. Properties (rapid) found that an upstream taken out of the Config and put back started its rate anew: it is remembered for a while now.

--- /dev/null
+++ b/bench/cmd_policies.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"siskinpath/bench/policy"
+	"siskinpath/bench/report"
+	"siskinpath/bench/sim"
+)
+
+// policiesCommand runs every policy on every deployment at every load.
+type policiesCommand struct {
+	Out      string    `required:"" help:"Folder for policies.csv, policies.md and the plots."`
+	Seeds    int       `default:"3" help:"Seeds for each setting."`
+	Seconds  int       `default:"20" help:"Virtual seconds measured in each run."`
+	Quick    bool      `help:"One seed of five seconds."`
+	Workers  int       `default:"4" help:"Runs at once."`
+	Services []string  `help:"Only these services."`
+	Policies []string  `help:"Only these policies."`
+	Loads    []float64 `default:"0.5,0.7,0.85,0.95,2" help:"Loads, as parts of what all slots can do."`
+	Calm     bool      `default:"true" negatable:"" help:"Runs without stragglers too."`
+}
+
+const (
+	quickSeeds   = 1
+	quickSeconds = 5
+)
+
+// Run runs the command.
+func (c *policiesCommand) Run() (err error) {
+	defer func() { err = errors.WithMessage(err, "bench policies") }()
+	if c.Quick {
+		c.Seeds, c.Seconds = quickSeeds, quickSeconds
+	}
+	rows := runAll(c.Workers, c.Seeds, c.scenarios())
+	if err := report.WriteCSV(c.Out, "policies", rows); err != nil {
+		return err
+	}
+	if err := report.WriteTables(c.Out, "policies", rows); err != nil {
+		return err
+	}
+	if err := report.WritePlots(c.Out, rows); err != nil {
+		return err
+	}
+	fmt.Println("wrote", c.Out)
+	return nil
+}
+
+func (c *policiesCommand) scenarios() []sim.Scenario {
+	var list []sim.Scenario
+	for _, d := range sim.Deployments() {
+		if !wanted(c.Services, d.Service) {
+			continue
+		}
+		for _, stragglers := range c.conditions() {
+			for _, load := range c.Loads {
+				list = append(list, c.policies(d, stragglers, load)...)
+			}
+		}
+	}
+	return list
+}
+
+func (c *policiesCommand) conditions() []bool {
+	if c.Calm {
+		return []bool{false, true}
+	}
+	return []bool{true}
+}
+
+func (c *policiesCommand) policies(d sim.Deployment, stragglers bool, load float64) []sim.Scenario {
+	var list []sim.Scenario
+	for _, p := range allPolicies() {
+		if !wanted(c.Policies, p.Name) {
+			continue
+		}
+		list = append(list, sim.Scenario{
+			Deployment: d, Load: load, Stragglers: stragglers, Policy: p,
+			Length: sim.Micros(c.Seconds) * sim.Second,
+		})
+	}
+	return list
+}
+
+func allPolicies() []sim.Policy {
+	list := append(policy.Baselines(), policy.Ours())
+	return append(list, policy.Variants()...)
+}
+
+func wanted(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return len(names) == 0
+}
--- /dev/null
+++ b/bench/failures.go
@@ -0,0 +1,43 @@
+package main
+
+import "siskinpath/bench/sim"
+
+const (
+	failureLength = 15 * sim.Second
+	failureFrom   = 5 * sim.Second
+	failureUntil  = 10 * sim.Second
+)
+
+// failure is a named set of faults.
+type failure struct {
+	name       string
+	faults     []sim.Fault
+	stragglers bool
+}
+
+func during(kind sim.FaultKind, count int, slow float64) sim.Fault {
+	return sim.Fault{Kind: kind, From: failureFrom, Until: failureUntil, Count: count, Slow: slow}
+}
+
+// failures are what the failures command brings about: five seconds of each in
+// the middle of fifteen, but for the availability zone, which stays lost.
+func failures() []failure {
+	lost := sim.Fault{Kind: sim.ZoneLost, From: failureFrom, Count: 1}
+	failFast := during(sim.FailFast, 3, 0)
+	cold := during(sim.ColdStart, 8, 5)
+	drain := during(sim.Drain, 5, 0)
+	doubled := during(sim.LoadDoubled, 0, 0)
+	return []failure{
+		{name: "none"},
+		{name: "fail_fast_3", faults: []sim.Fault{failFast}},
+		{name: "slow_8_upstreams_5x", faults: []sim.Fault{cold}},
+		{name: "drain_5", faults: []sim.Fault{drain}},
+		{name: "reports_lie_5", faults: []sim.Fault{during(sim.DrainLie, 5, 0)}},
+		{name: "reports_lie_all", faults: []sim.Fault{during(sim.DrainLie, 25, 0)}},
+		{name: "zone_lost", faults: []sim.Fault{lost}},
+		{name: "load_doubled", faults: []sim.Fault{doubled}},
+		{name: "zone_lost_and_stragglers", faults: []sim.Fault{lost}, stragglers: true},
+		{name: "fail_fast_and_load_doubled", faults: []sim.Fault{failFast, doubled}},
+		{name: "drain_and_stragglers", faults: []sim.Fault{drain}, stragglers: true},
+	}
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -1,4 +1,18 @@
-// Command bench measures the policies of siskinpath.
+// Command bench measures the policies of siskinpath in virtual time.
 package main
 
-func main() {}
+import (
+	"github.com/alecthomas/kong"
+)
+
+// commands are all commands, in the order in which the help shows them.
+type commands struct {
+	Policies policiesCommand `cmd:"" help:"Run policies side by side on the same seeds."`
+	Failures failuresCommand `cmd:"" help:"Run failures against the project's own policy and power of two choices."`
+}
+
+func main() {
+	var cli commands
+	ctx := kong.Parse(&cli, kong.Name("bench"), kong.Description("Measures policies in virtual time."), kong.UsageOnError())
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- /dev/null
+++ b/bench/policy/ours.go
@@ -0,0 +1,47 @@
+package policy
+
+import (
+	"fmt"
+
+	"siskinpath/bench/sim"
+	"siskinpath/core/route"
+)
+
+// DefaultOwners is the number of hosts that own upstreams of a service.
+const DefaultOwners = 6
+
+// Ours is the project's own policy as it ships.
+func Ours() sim.Policy { return sim.Policy{Name: "siskinpath", Owners: DefaultOwners} }
+
+// Variants returns the project's own policy with one part changed in each.
+func Variants() []sim.Policy {
+	list := []sim.Policy{
+		without("no_hedge", route.Tuning{NoHedge: true}),
+		without("no_pass_over", route.Tuning{NoPassOver: true}),
+		without("no_spill", route.Tuning{NoSpill: true}),
+		without("no_pull", route.Tuning{NoPull: true}),
+		without("no_spill_no_pull", route.Tuning{NoSpill: true, NoPull: true}),
+		without("no_admission", route.Tuning{NoAdmission: true}),
+		without("no_near_zone", route.Tuning{NoNearZone: true}),
+		without("earliest_first", route.Tuning{EarliestFirst: true}),
+	}
+	for _, n := range []int{1, 2, 4, 8, 12, 22} {
+		list = append(list, sim.Policy{Name: fmt.Sprintf("owners_%d", n), Owners: n})
+	}
+	return list
+}
+
+// Unprotected returns the project's own policy without one of the parts that
+// failures are met with.
+func Unprotected() []sim.Policy {
+	return []sim.Policy{
+		without("no_eject", route.Tuning{NoEject: true}),
+		without("no_cold_start", route.Tuning{NoColdStart: true}),
+		without("no_admission", route.Tuning{NoAdmission: true}),
+		without("no_spill_no_pull", route.Tuning{NoSpill: true, NoPull: true}),
+	}
+}
+
+func without(name string, tuning route.Tuning) sim.Policy {
+	return sim.Policy{Name: name, Owners: DefaultOwners, Tuning: tuning}
+}
--- /dev/null
+++ b/bench/policy/probing_pool.go
@@ -0,0 +1,62 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"siskinpath/bench/sim"
+	"siskinpath/core/clock"
+)
+
+// hotQuantile divides probed upstreams into hot and cold ones by requests in
+// flight.
+const hotQuantile = 0.84
+
+// ProbingPool chooses among the probes kept: the cold one with the lowest
+// latency, or the one with fewest in flight when all are hot.
+type ProbingPool struct{ Rand *rand.Rand }
+
+// Choose returns the index of the upstream whose probe is best, or any while
+// there are too few probes.
+func (p ProbingPool) Choose(_ clock.Millis, candidates []sim.Candidate) int {
+	pool := candidates[0].Pool
+	if len(pool.Kept) < 2 {
+		return p.Rand.IntN(len(candidates))
+	}
+	i := best(pool.Kept)
+	k := pool.Kept[i].Index
+	pool.Use(i)
+	return k
+}
+
+func best(kept []sim.Kept) int {
+	hot := hotFrom(kept)
+	best := 0
+	for i, k := range kept {
+		if better(k, kept[best], hot) {
+			best = i
+		}
+	}
+	return best
+}
+
+func hotFrom(kept []sim.Kept) int {
+	inFlight := make([]int, len(kept))
+	for i, k := range kept {
+		inFlight[i] = k.InFlight
+	}
+	slices.Sort(inFlight)
+	return inFlight[int(hotQuantile*float64(len(inFlight)-1))]
+}
+
+func better(a, b sim.Kept, hot int) bool {
+	aHot, bHot := a.InFlight > hot, b.InFlight > hot
+	switch {
+	case aHot != bHot:
+		return bHot
+	case aHot:
+		return a.InFlight < b.InFlight
+	default:
+		return a.Latency < b.Latency
+	}
+}
--- /dev/null
+++ b/bench/report/row.go
@@ -0,0 +1,41 @@
+// Package report writes what the bench measured: CSV, Markdown and plots.
+package report
+
+import "siskinpath/bench/sim"
+
+// Row is one setting with the results of all its seeds.
+type Row struct {
+	Scenario sim.Scenario
+	Fault    string // name of the failure, if any
+	Seeds    int
+	Result   *sim.Result
+}
+
+// setting is what rows share that are compared with each other.
+type setting struct {
+	service    string
+	stragglers bool
+	load       float64
+	fault      string
+}
+
+func (r Row) setting() setting {
+	return setting{r.Scenario.Deployment.Service, r.Scenario.Stragglers, r.Scenario.Load, r.Fault}
+}
+
+// find returns the result of a policy at the same setting as r, or nil.
+func find(rows []Row, r Row, policy string) *sim.Result {
+	for _, other := range rows {
+		if other.setting() == r.setting() && other.Scenario.Policy.Name == policy {
+			return other.Result
+		}
+	}
+	return nil
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
--- /dev/null
+++ b/bench/report/table.go
@@ -0,0 +1,102 @@
+package report
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// WriteTables writes rows as Markdown to name.md in folder: a table for each
+// service and condition, a line for each policy, a column for each load.
+func WriteTables(folder, name string, rows []Row) (err error) {
+	path := filepath.Join(folder, name+".md")
+	defer func() { err = errors.WithMessage(err, path) }()
+	var b strings.Builder
+	for _, g := range groups(rows) {
+		g.write(&b)
+	}
+	return os.WriteFile(path, []byte(b.String()), 0o644)
+}
+
+// group is the rows of one service and condition.
+type group struct {
+	title    string
+	loads    []string
+	policies []string
+	cells    map[[2]string]Row
+	rows     []Row
+}
+
+func groups(rows []Row) []*group {
+	var list []*group
+	byTitle := make(map[string]*group)
+	for _, r := range rows {
+		title := r.Scenario.Deployment.Service + ", calm"
+		if r.Scenario.Stragglers {
+			title = r.Scenario.Deployment.Service + ", stragglers"
+		}
+		g := byTitle[title]
+		if g == nil {
+			g = &group{title: title, cells: make(map[[2]string]Row), rows: rows}
+			byTitle[title] = g
+			list = append(list, g)
+		}
+		g.add(r)
+	}
+	return list
+}
+
+func (g *group) add(r Row) {
+	load, name := number(r.Scenario.Load), r.Scenario.Policy.Name
+	g.loads = addNew(g.loads, load)
+	g.policies = addNew(g.policies, name)
+	g.cells[[2]string{load, name}] = r
+}
+
+func addNew(list []string, s string) []string {
+	for _, old := range list {
+		if old == s {
+			return list
+		}
+	}
+	return append(list, s)
+}
+
+func (g *group) write(b *strings.Builder) {
+	fmt.Fprintf(b, "\n**%s**\n\n| policy |", g.title)
+	for _, load := range g.loads {
+		fmt.Fprintf(b, " load %s |", load)
+	}
+	b.WriteString("\n|---|" + strings.Repeat("---|", len(g.loads)) + "\n")
+	for _, name := range g.policies {
+		fmt.Fprintf(b, "| %s |", name)
+		for _, load := range g.loads {
+			fmt.Fprintf(b, " %s |", g.cell(load, name))
+		}
+		b.WriteString("\n")
+	}
+}
+
+// cell is p50 / p99 / p99.9 in ms, the p99 as a ratio to random, and the parts
+// refused and late in percent where there are any.
+func (g *group) cell(load, name string) string {
+	r, ok := g.cells[[2]string{load, name}]
+	if !ok {
+		return "not run"
+	}
+	res := r.Result
+	text := fmt.Sprintf("%.0f / %.0f / %.0f", res.Quantile(0.5), res.Quantile(0.99), res.Quantile(0.999))
+	if base := find(g.rows, r, "random"); base != nil {
+		text += fmt.Sprintf(" (%.2f)", ratio(res.Quantile(0.99), base.Quantile(0.99)))
+	}
+	if res.Refused > 0 {
+		text += fmt.Sprintf(" r%.2f%%", 100*res.Part(res.Refused))
+	}
+	if res.Late > 0 {
+		text += fmt.Sprintf(" l%.2f%%", 100*res.Part(res.Late))
+	}
+	return text
+}
--- /dev/null
+++ b/bench/sim/deployment.go
@@ -0,0 +1,65 @@
+package sim
+
+// Deployment is one service as it is deployed.
+type Deployment struct {
+	Service    string
+	Zones      int     // availability zones
+	Link       Micros  // one way between availability zones
+	Near       Micros  // one way within an availability zone
+	Upstreams  int     // spread over the availability zones in turn
+	Slots      int     // of each upstream
+	Hosts      int     // spread over the availability zones in turn
+	Idempotent float64 // part of the requests that may be sent more than once
+	Mean       Micros  // service time
+	Deadline   Micros  // time that callers give a request
+}
+
+const (
+	meanService  = 20 * Millisecond
+	deadline     = 2 * Second
+	nearLink     = Millisecond / 10
+	ghanaLink    = 3 * Millisecond / 2
+	bavariaLink  = Millisecond
+	ghanaZones   = 3
+	bavariaZones = 4
+	entryHosts   = 22
+)
+
+// Deployments returns the services measured.
+func Deployments() []Deployment {
+	return []Deployment{
+		ghana("booking", 25, 4, 0.8),
+		ghana("payments", 6, 4, 0.3),
+		bavaria("organisation-desk", 30, 6, 0.8),
+		bavaria("rent-ledger", 8, 6, 0.5),
+	}
+}
+
+func ghana(service string, upstreams, slots int, idempotent float64) Deployment {
+	return Deployment{
+		Service: service, Zones: ghanaZones, Link: ghanaLink, Near: nearLink,
+		Upstreams: upstreams, Slots: slots, Hosts: entryHosts,
+		Idempotent: idempotent, Mean: meanService, Deadline: deadline,
+	}
+}
+
+func bavaria(service string, upstreams, slots int, idempotent float64) Deployment {
+	d := ghana(service, upstreams, slots, idempotent)
+	d.Zones = bavariaZones
+	d.Link = bavariaLink
+	return d
+}
+
+// PerSecond returns the requests a second that make the load: 1 keeps every
+// slot busy.
+func (d Deployment) PerSecond(load float64) float64 {
+	return load * float64(d.Upstreams*d.Slots) * float64(Second) / float64(d.Mean)
+}
+
+// link returns the time one way between two availability zones.
+func (d Deployment) link(a, b int) Micros {
+	if a == b {
+		return d.Near
+	}
+	return d.Link
+}
--- /dev/null
+++ b/bench/sim/plain_host.go
@@ -0,0 +1,75 @@
+package sim
+
+import (
+	"math/rand/v2"
+
+	"siskinpath/core/admit"
+	"siskinpath/core/route"
+)
+
+// plainHost sends each request at once to the upstream that a baseline policy
+// chooses.
+type plainHost struct {
+	w          *world
+	zone       int
+	policy     admit.Policy[Candidate]
+	candidates []Candidate
+	pool       *Pool
+}
+
+func (w *world) makePlainHosts() {
+	for i := range w.sc.Deployment.Hosts {
+		rnd := rand.New(rand.NewPCG(w.sc.Seed, uint64(1000+i)))
+		h := &plainHost{w: w, zone: w.zoneOfHost(i), policy: w.sc.Policy.Baseline(rnd)}
+		if w.sc.Policy.Probing {
+			h.pool = newPool(w, h.zone, rnd)
+		}
+		for k := range w.upstreams {
+			h.candidates = append(h.candidates, Candidate{Index: k, Pool: h.pool})
+		}
+		w.hosts = append(w.hosts, h)
+	}
+}
+
+func (h *plainHost) take(c *call) {
+	if h.pool != nil {
+		h.pool.onRequest()
+	}
+	k := h.policy.Choose(h.w.now.Millis(), h.candidates)
+	u := h.w.upstreams[k]
+	h.candidates[k].InFlight++
+	h.w.result.Attempts++
+	link := h.w.sc.Deployment.link(h.zone, u.zone)
+	open := true
+	end := func(o outcome) {
+		if open {
+			open = false
+			h.candidates[k].InFlight--
+			c.end(o)
+		}
+	}
+	j := &job{deadline: c.deadline}
+	j.answer = func(status route.Status, _ *route.LoadReport) {
+		h.w.after(link, func() { end(outcomeOf(status)) })
+	}
+	h.w.after(link, func() { u.arrive(j) })
+	h.w.at(c.deadline, func() {
+		if open {
+			u.cancel(j)
+			end(unknown)
+		}
+	})
+}
+
+func outcomeOf(status route.Status) outcome {
+	switch status {
+	case route.Succeeded:
+		return answered
+	case route.Errored:
+		return errored
+	case route.Refused, route.NotSent:
+		return refused
+	default:
+		return unknown
+	}
+}
--- /dev/null
+++ b/bench/sim/scenario.go
@@ -0,0 +1,60 @@
+package sim
+
+import (
+	"math/rand/v2"
+
+	"siskinpath/core/admit"
+	"siskinpath/core/route"
+)
+
+// Scenario is everything that one run depends on.
+type Scenario struct {
+	Deployment Deployment
+	Load       float64 // 1 keeps every slot busy
+	Stragglers bool    // upstreams slow down now and then
+	Seed       uint64
+	Length     Micros  // measured; the warm-up comes before
+	Policy     Policy  // on the hosts
+	Faults     []Fault // beside stragglers
+}
+
+// Policy says what runs on the hosts: a baseline, or shards.
+type Policy struct {
+	Name     string
+	Baseline func(rnd *rand.Rand) admit.Policy[Candidate] // nil for shards
+	Probing  bool                                         // the baseline keeps a pool of probes
+	Owners   int                                          // hosts that own upstreams, for shards
+	Tuning   route.Tuning
+}
+
+// Candidate is an upstream as a baseline sees it.
+type Candidate struct {
+	Index    int
+	InFlight int // of this host's own requests
+	Pool     *Pool
+}
+
+// Fault makes something fail during a run.
+type Fault struct {
+	Kind  FaultKind
+	From  Micros // after the warm-up
+	Until Micros
+	Count int     // upstreams it meets, the first ones; or the number of the availability zone
+	Slow  float64 // for ColdStart
+}
+
+// FaultKind names a fault.
+type FaultKind int
+
+// Faults.
+const (
+	FailFast    FaultKind = iota // upstreams answer everything with an error at once
+	Drain                        // upstreams refuse new requests and say so
+	ColdStart                    // upstreams restart: at first slow, then full speed
+	ZoneLost                     // hosts and upstreams of an availability zone are gone
+	LoadDoubled                  // twice the load
+	DrainLie                     // upstreams say that they drain, and go on
+	SlowHalf                     // upstreams are slow for the whole time
+)
+
+const warmUp = 3 * Second
--- /dev/null
+++ b/bench/sim/shard_host.go
@@ -0,0 +1,183 @@
+package sim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/route"
+)
+
+const probeWork = 6 * Millisecond
+
+// shardHost drives a route.Shard as the daemon does.
+type shardHost struct {
+	w          *world
+	index      int
+	zone       int
+	name       string
+	shard      *route.Shard
+	calls      map[route.RequestID]*call
+	attempts   map[route.AttemptID]*sending
+	lastID     route.RequestID
+	tickAt     Micros
+	owned      []*upstream
+	down       bool
+	lastStatus route.Status   // of the attempt whose end is being handled
+	measured   route.Counters // at the end of the warm-up
+}
+
+// sending is an attempt under way.
+type sending struct {
+	id       route.AttemptID
+	upstream *upstream
+	job      *job
+	over     bool
+}
+
+func hostName(i int) string { return fmt.Sprintf("h%02d", i) }
+
+func (w *world) makeShardHosts() {
+	for i := range w.sc.Deployment.Hosts {
+		h := &shardHost{
+			w: w, index: i, zone: w.zoneOfHost(i), name: hostName(i),
+			calls:    make(map[route.RequestID]*call),
+			attempts: make(map[route.AttemptID]*sending),
+		}
+		h.shard = &route.Shard{Rand: rand.New(rand.NewPCG(w.sc.Seed, uint64(1000+i))), Tuning: w.sc.Policy.Tuning}
+		w.hosts = append(w.hosts, h)
+	}
+	w.assign()
+	w.at(warmUp, func() {
+		for _, h := range w.hosts {
+			s := h.(*shardHost)
+			s.measured = s.shard.State().Counters
+		}
+	})
+}
+
+// assign gives each upstream to the owner in its availability zone that has the
+// fewest, or to any owner where its zone has none.
+func (w *world) assign() {
+	owners := w.owners()
+	for _, h := range w.hosts {
+		h.(*shardHost).owned = nil
+	}
+	for _, u := range w.upstreams {
+		best := owners[0]
+		for _, o := range owners {
+			if ownerRank(o, u) < ownerRank(best, u) {
+				best = o
+			}
+		}
+		best.owned = append(best.owned, u)
+	}
+	for _, h := range w.hosts {
+		s := h.(*shardHost)
+		if !s.down {
+			s.apply(s.shard.Configure(w.now.Millis(), s.config(owners)))
+		}
+	}
+}
+
+// ownerRank is lower for a better owner of u.
+func ownerRank(h *shardHost, u *upstream) int {
+	const otherZone = 1
+	rank := 2 * len(h.owned)
+	if h.zone != u.zone {
+		rank += otherZone
+	}
+	return rank
+}
+
+func (w *world) owners() []*shardHost {
+	var owners []*shardHost
+	for _, h := range w.hosts {
+		s := h.(*shardHost)
+		if !s.down && len(owners) < min(w.sc.Policy.Owners, w.sc.Deployment.Upstreams) {
+			owners = append(owners, s)
+		}
+	}
+	return owners
+}
+
+func (h *shardHost) config(owners []*shardHost) route.Config {
+	cfg := route.Config{Self: h.name, AvailabilityZone: fmt.Sprint(h.zone), HedgePercent: hedgePercent}
+	for _, u := range h.owned {
+		cfg.Upstreams = append(cfg.Upstreams, route.Upstream{
+			Name: u.name, AvailabilityZone: fmt.Sprint(u.zone), Weight: 100, Share: u.slots, ProbeAllowed: true,
+		})
+	}
+	for _, o := range owners {
+		if o != h {
+			cfg.Owners = append(cfg.Owners, o.name)
+		}
+	}
+	return cfg
+}
+
+const hedgePercent = 5
+
+func (h *shardHost) now() clock.Millis { return h.w.now.Millis() }
+
+func (h *shardHost) take(c *call) {
+	h.lastID++
+	h.calls[h.lastID] = c
+	h.apply(h.shard.Arrive(h.now(), route.Request{
+		ID: h.lastID, Deadline: c.deadline.Millis(), Idempotent: c.idempotent, Hops: c.hops,
+	}))
+}
+
+func (h *shardHost) apply(actions []route.Action) {
+	for _, a := range actions {
+		h.do(a)
+	}
+	next := h.shard.NextTick()
+	if next == 0 {
+		return
+	}
+	at := max(fromMillis(next), h.w.now)
+	if h.tickAt > h.w.now && h.tickAt <= at {
+		return
+	}
+	h.tickAt = at
+	h.w.at(at, func() {
+		if h.tickAt == at && !h.down {
+			h.tickAt = 0
+			h.apply(h.shard.Tick(h.now()))
+		}
+	})
+}
+
+func (h *shardHost) do(a route.Action) {
+	switch a.Kind {
+	case route.Send:
+		h.send(a)
+	case route.Cancel:
+		h.cancel(a)
+	case route.Forward:
+		h.forward(a)
+	case route.Finish:
+		h.end(a.Request, h.outcomeOfAttempt(a))
+	case route.Refuse:
+		h.end(a.Request, refused)
+	case route.Unknown:
+		h.end(a.Request, unknown)
+	case route.SendDigest:
+		h.tell(a.Digest)
+	case route.Probe:
+		h.probe(a.Upstream)
+	}
+}
+
+func (h *shardHost) end(id route.RequestID, o outcome) {
+	c := h.calls[id]
+	delete(h.calls, id)
+	c.end(o)
+}
+
+func (h *shardHost) upstreamNamed(name string) *upstream {
+	i := slices.IndexFunc(h.w.upstreams, func(u *upstream) bool { return u.name == name })
+	return h.w.upstreams[i]
+}
--- a/core/admit/rate.go
+++ b/core/admit/rate.go
@@ -28,14 +28,13 @@
 	return w.total < w.PerSecond
 }
 
-// Take counts one event, and tells whether it was allowed.
+// Take counts one event, and tells whether it was allowed. Events are counted
+// without a limit too, so that one set later holds from its first second on.
 func (w *RateWindow) Take(now clock.Millis) bool {
-	if w.PerSecond <= 0 {
-		return true
-	}
 	if !w.Ready(now) {
 		return false
 	}
+	w.forget(now)
 	w.counts[w.slot%rateKept]++
 	w.total++
 	return true
--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -9,40 +9,50 @@
 	queueLook       = 8 // queued requests looked at for a free upstream
 )
 
-// choice is the best upstream of each kind for one request.
+// candidates are the upstreams with a free slot for one request.
+type candidates struct {
+	good       []*upstream
+	stragglers []*upstream // passed over while the queue is short
+	last       []*upstream // failing or draining
+}
+
+// choice is the best upstream of each kind, nil for none.
 type choice struct {
-	good      *upstream // ordinary
-	straggler *upstream // passed over while the queue is short
-	last      *upstream // failing or draining
+	good      *upstream
+	straggler *upstream
+	last      *upstream
 }
 
 // choose looks for a free slot for r.
-func (s *Shard) choose(now clock.Millis, r *request) choice {
-	var c choice
-	var costs [3]float64
+func (s *Shard) choose(now clock.Millis, r *request) (c choice) {
+	s.gather(now, r)
+	if list := s.found.good; len(list) > 0 {
+		c.good = list[s.policy.Choose(now, list)]
+	}
+	if list := s.found.stragglers; len(list) > 0 {
+		c.straggler = list[youngest{}.Choose(now, list)]
+	}
+	if list := s.found.last; len(list) > 0 {
+		c.last = list[s.policy.Choose(now, list)]
+	}
+	return c
+}
+
+// gather sorts the upstreams that could take r now by kind.
+func (s *Shard) gather(now clock.Millis, r *request) {
+	f := &s.found
+	f.good, f.stragglers, f.last = f.good[:0], f.stragglers[:0], f.last[:0]
 	for _, u := range s.upstreams {
-		if !s.takes(now, u) || r.hasTried(u) && s.otherThan(r) || r.runsAt(u) {
-			continue
-		}
-		cost := u.cost(&s.Tuning)
 		switch {
+		case !s.takes(now, u), r.runsAt(u), r.hasTried(u) && s.otherThan(r):
 		case u.standing == lastUsed:
-			better(s, &c.last, &costs[0], u, cost)
+			f.last = append(f.last, u)
 		case s.straggling(now, u):
-			better(s, &c.straggler, &costs[1], u, float64(u.oldestAge(now)))
+			f.stragglers = append(f.stragglers, u)
 		default:
-			better(s, &c.good, &costs[2], u, cost)
+			f.good = append(f.good, u)
 		}
 	}
-	return c
-}
-
-// better replaces *best by u when u costs less, and at times when it costs the same.
-func better(s *Shard, best **upstream, least *float64, u *upstream, cost float64) {
-	if *best == nil || cost < *least || cost == *least && s.Rand.Uint64()&1 == 0 {
-		*best = u
-		*least = cost
-	}
 }
 
 // takes tells whether u has a slot and a token free.
--- /dev/null
+++ b/core/route/policy.go
@@ -0,0 +1,46 @@
+package route
+
+import (
+	"math/rand/v2"
+
+	"siskinpath/core/clock"
+)
+
+// cheapest chooses the upstream with the lowest cost, at random among equals.
+type cheapest struct {
+	rand   *rand.Rand
+	tuning *Tuning
+}
+
+// Choose returns the index of the cheapest candidate.
+func (p *cheapest) Choose(_ clock.Millis, candidates []*upstream) int {
+	best, same := 0, 1
+	least := candidates[0].cost(p.tuning)
+	for i, u := range candidates[1:] {
+		cost := u.cost(p.tuning)
+		switch {
+		case cost < least:
+			best, same, least = i+1, 1, cost
+		case cost == least:
+			same++
+			if p.rand.IntN(same) == 0 {
+				best = i + 1
+			}
+		}
+	}
+	return best
+}
+
+// youngest chooses the upstream whose oldest request is the youngest.
+type youngest struct{}
+
+// Choose returns the index of the candidate with the youngest oldest request.
+func (youngest) Choose(now clock.Millis, candidates []*upstream) int {
+	best := 0
+	for i, u := range candidates {
+		if u.oldestAge(now) < candidates[best].oldestAge(now) {
+			best = i
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/core/route/property_test.go
@@ -0,0 +1,99 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"siskinpath/core/clock"
+)
+
+// TestProperties drives a shard with random events in random order; world
+// checks after each that shares, rates and budgets hold, that a request which
+// must run once is sent once, that nothing goes to leaving upstreams, and that
+// each request ends exactly once.
+func TestProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), t.Fatalf)
+		w.s.Tuning.EarliestFirst = rapid.Bool().Draw(t, "earliest_first")
+		w.configure(drawConfig(t))
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			step(t, w)
+		}
+		w.settle()
+	})
+}
+
+func step(t *rapid.T, w *world) {
+	switch kind := rapid.IntRange(0, 19).Draw(t, "event"); {
+	case kind < 7:
+		w.arrive(drawRequest(t, w.now))
+	case kind < 12 && len(w.order) > 0:
+		i := rapid.IntRange(0, len(w.order)-1).Draw(t, "attempt")
+		w.finish(i, drawStatus(t), drawLoad(t))
+	case kind < 14 && len(w.forwards) > 0:
+		i := rapid.IntRange(0, len(w.forwards)-1).Draw(t, "forward")
+		d := drawDigest(t, "h1")
+		w.endForward(i, rapid.Bool().Draw(t, "not_run"), &d)
+	case kind < 15:
+		w.digest(drawDigest(t, rapid.SampledFrom([]string{"h1", "h2", "nobody"}).Draw(t, "host")))
+	case kind < 16:
+		w.withdraw(RequestID(rapid.IntRange(0, int(w.lastID)+1).Draw(t, "withdrawn")))
+	case kind < 17 && len(w.probes) > 0:
+		w.endProbe(rapid.Bool().Draw(t, "probe_ok"), drawLoad(t))
+	case kind < 18:
+		w.configure(drawConfig(t))
+	default:
+		spans := []clock.Millis{1, 5, 20, 100, 1500, 6000}
+		w.advance(w.now + rapid.SampledFrom(spans).Draw(t, "span"))
+	}
+}
+
+func drawConfig(t *rapid.T) Config {
+	cfg := Config{Self: "self", AvailabilityZone: "near", HedgePercent: 10}
+	for i := range rapid.IntRange(0, 5).Draw(t, "upstreams") {
+		cfg.Upstreams = append(cfg.Upstreams, Upstream{
+			Name:             fmt.Sprintf("u%d", i),
+			AvailabilityZone: rapid.SampledFrom([]string{"near", "far"}).Draw(t, "zone"),
+			Weight:           rapid.SampledFrom([]int{0, 1, 100, 100, 1000}).Draw(t, "weight"),
+			Share:            rapid.IntRange(0, 4).Draw(t, "share"),
+			RatePerSecond:    rapid.SampledFrom([]int{0, 0, 3, 50}).Draw(t, "rate"),
+			Leaving:          rapid.IntRange(0, 4).Draw(t, "leaving") == 0,
+			ProbeAllowed:     rapid.Bool().Draw(t, "probe_allowed"),
+		})
+	}
+	cfg.Owners = rapid.SampledFrom([][]string{nil, {"h1"}, {"h1", "h2"}}).Draw(t, "owners")
+	cfg.RatePerSecond = rapid.SampledFrom([]int{0, 0, 20}).Draw(t, "service_rate")
+	return cfg
+}
+
+func drawRequest(t *rapid.T, now clock.Millis) Request {
+	return Request{
+		Deadline:   now + clock.Millis(rapid.IntRange(-5, 3000).Draw(t, "deadline")),
+		Idempotent: rapid.Bool().Draw(t, "idempotent"),
+		Hops:       rapid.IntRange(0, 2).Draw(t, "hops"),
+		Depth:      rapid.IntRange(0, 1).Draw(t, "depth"),
+	}
+}
+
+func drawStatus(t *rapid.T) Status {
+	all := []Status{Succeeded, Succeeded, Succeeded, Errored, Refused, NotSent, Lost, Cancelled}
+	return rapid.SampledFrom(all).Draw(t, "status")
+}
+
+func drawLoad(t *rapid.T) *LoadReport {
+	if rapid.Bool().Draw(t, "no_report") {
+		return nil
+	}
+	return &LoadReport{InFlight: rapid.IntRange(0, 9).Draw(t, "in_flight"), Draining: rapid.Bool().Draw(t, "draining")}
+}
+
+func drawDigest(t *rapid.T, host string) Digest {
+	return Digest{
+		Host:   host,
+		Free:   rapid.IntRange(0, 8).Draw(t, "free"),
+		Queued: rapid.IntRange(0, 8).Draw(t, "queued"),
+		Slots:  rapid.IntRange(0, 16).Draw(t, "slots"),
+	}
+}
--- a/core/route/shard.go
+++ b/core/route/shard.go
@@ -35,6 +35,8 @@
 	queue     heap[*request]
 	timers    heap[*timer]
 	latencies latencies
+	policy    admit.Policy[*upstream]
+	found     candidates
 
 	rate    admit.RateWindow
 	retries admit.Budget
@@ -122,7 +124,6 @@
 		r.drop(a)
 		s.settle(now, r, a, result.Status)
 	}
-	s.dropIdle(a.upstream)
 	s.recycleAttempt(a)
 	s.dispatch(now)
 	s.tell(now)
@@ -143,6 +144,7 @@
 	}
 	s.dispatch(now)
 	s.clearBuckets(now)
+	s.dropGone(now)
 	s.tell(now)
 	return s.out
 }
@@ -181,6 +183,7 @@
 		return
 	}
 	s.started = true
+	s.policy = &cheapest{rand: s.Rand, tuning: &s.Tuning}
 	s.requests = make(map[RequestID]*request)
 	s.attempts = make(map[AttemptID]*attempt)
 	s.retries = admit.Budget{Ratio: retryRatio, Burst: retryBurst}
@@ -193,6 +196,9 @@
 
 func (s *Shard) configureUpstreams(now clock.Millis, wanted []Upstream) {
 	for _, u := range s.upstreams {
+		if u.present {
+			u.gone = now
+		}
 		u.present = false
 	}
 	for _, w := range wanted {
@@ -203,7 +209,7 @@
 		}
 		u.configure(w, s.cfg.AvailabilityZone)
 	}
-	s.upstreams = slices.DeleteFunc(s.upstreams, (*upstream).idleAndGone)
+	s.dropGone(now)
 	slices.SortFunc(s.upstreams, func(a, b *upstream) int { return strings.Compare(a.Name, b.Name) })
 }
 
@@ -216,10 +222,11 @@
 	return nil
 }
 
-func (s *Shard) dropIdle(u *upstream) {
-	if u.idleAndGone() {
-		s.upstreams = slices.DeleteFunc(s.upstreams, (*upstream).idleAndGone)
-	}
+// dropGone forgets upstreams that left the Config a while ago and are idle.
+func (s *Shard) dropGone(now clock.Millis) {
+	s.upstreams = slices.DeleteFunc(s.upstreams, func(u *upstream) bool {
+		return !u.present && u.inFlight == 0 && now-u.gone >= goneKept
+	})
 }
 
 // sooner returns the earlier of two points in time, of which 0 means none.
--- a/core/route/upstream.go
+++ b/core/route/upstream.go
@@ -10,6 +10,7 @@
 	successWeight  = 0.1 // weight of the newest end in an upstream's success share
 	remotePenalty  = 1.3 // how much slower a near upstream may be and still go first
 	leastSuccess   = 0.05
+	goneKept       = 10 * clock.Second // for which an upstream that left is remembered: its rate still counts
 	coldWindow     = 1.0
 	windowCut      = 0.5
 	unknownLatency = 1.0 // ms, of an upstream without any success
@@ -19,7 +20,8 @@
 type upstream struct {
 	Upstream
 	near     bool
-	present  bool // in the current Config
+	present  bool         // in the current Config
+	gone     clock.Millis // when it left the Config
 	inFlight int
 	oldest   *attempt
 	newest   *attempt
@@ -79,8 +81,6 @@
 	}
 }
 
-func (u *upstream) idleAndGone() bool { return !u.present && u.inFlight == 0 }
-
 // inUse tells whether the operators want work to go there.
 func (u *upstream) inUse() bool {
 	return u.present && !u.Leaving && u.Weight > 0 && u.Share > 0
