--- a/core/route/spill.go
+++ b/core/route/spill.go
@@ -13,6 +13,8 @@
 	digestInterval   = clock.Second       // longest time between two digests
 	digestTrusted    = 3 * digestInterval // age from which a digest says nothing
 	digestChange     = 2                  // slots by which free must differ to be worth telling
+	queueWorth       = 0.5                // queued requests for each slot from which another queue is weighed
+	queueRatio       = 2                  // times by which the other queue must be shorter
 	unheardFree      = 1                  // free slots assumed of an owner not heard of
 )
 
@@ -32,6 +34,19 @@
 	return o.digest.Free - o.sent
 }
 
+// betterThan tells whether a request had better go to o than to other.
+func (o *owner) betterThan(other *owner) bool {
+	if o.free() > 0 || other.free() > 0 {
+		return o.free() > other.free()
+	}
+	return o.queuePerSlot() < other.queuePerSlot()
+}
+
+// queuePerSlot estimates how many requests wait there for each slot.
+func (o *owner) queuePerSlot() float64 {
+	return float64(max(0, o.digest.Queued+o.sent-o.digest.Free)) / float64(max(1, o.digest.Slots))
+}
+
 func (s *Shard) configureOwners(hosts []string) {
 	old := s.owners
 	s.owners = nil
@@ -118,7 +133,10 @@
 		return false
 	}
 	o := s.freest(now, r, true)
-	if o == nil || o.free() <= 0 {
+	if o == nil {
+		return false
+	}
+	if o.free() <= 0 && !s.shorter(o) {
 		return false
 	}
 	s.counters.Spilled++
@@ -126,6 +144,13 @@
 	return true
 }
 
+// shorter tells whether the queue of o, for its slots, is so much shorter than
+// the one here that a request had better wait there.
+func (s *Shard) shorter(o *owner) bool {
+	here := float64(s.queue.len()) / float64(max(1, s.slots()))
+	return here > queueWorth && o.queuePerSlot()*queueRatio < here
+}
+
 // passOn sends a request to the best owner, since no upstream here takes it.
 func (s *Shard) passOn(now clock.Millis, r *request) {
 	o := s.freest(now, r, false)
@@ -157,10 +182,10 @@
 			continue
 		}
 		switch {
-		case best == nil || o.free() > best.free():
+		case best == nil || o.betterThan(best):
 			best = o
 			same = 1
-		case o.free() == best.free():
+		case !best.betterThan(o):
 			same++
 			if s.Rand.IntN(same) == 0 {
 				best = o
@@ -255,6 +280,8 @@
 		return true
 	case (d.Free > 0) != (last.Free > 0), (d.Queued > 0) != (last.Queued > 0):
 		return true
+	case d.Queued > queueRatio*last.Queued+digestChange, last.Queued > queueRatio*d.Queued+digestChange:
+		return true
 	default:
 		return abs(d.Free-last.Free) > max(digestChange, last.Free/2) || abs(d.Slots-last.Slots) > digestChange
 	}
