--- a/bench/policy/ours.go
+++ b/bench/policy/ours.go
@@ -7,11 +7,12 @@
 	"siskinpath/core/route"
 )
 
-// DefaultOwners is the number of hosts that own upstreams of a service.
-const DefaultOwners = 6
+// OwnersPerZone is the number of hosts in each availability zone that own
+// upstreams of a service.
+const OwnersPerZone = 1
 
 // Ours is the project's own policy as it ships.
-func Ours() sim.Policy { return sim.Policy{Name: "siskinpath", Owners: DefaultOwners} }
+func Ours() sim.Policy { return sim.Policy{Name: "siskinpath", PerZone: OwnersPerZone} }
 
 // Variants returns the project's own policy with one part changed in each.
 func Variants() []sim.Policy {
@@ -25,10 +26,10 @@
 		without("no_near_zone", route.Tuning{NoNearZone: true}),
 		without("earliest_first", route.Tuning{EarliestFirst: true}),
 	}
-	for _, n := range []int{1, 2, 3, 4, 5, 8, 12, 22} {
+	for _, n := range []int{1, 2, 6, 8, 12, 22} {
 		list = append(list, sim.Policy{Name: fmt.Sprintf("owners_%d", n), Owners: n})
 	}
-	return list
+	return append(list, sim.Policy{Name: "per_zone_2", PerZone: 2}, sim.Policy{Name: "per_zone_3", PerZone: 3})
 }
 
 // Unprotected returns the project's own policy without one of the parts that
@@ -43,5 +44,5 @@
 }
 
 func without(name string, tuning route.Tuning) sim.Policy {
-	return sim.Policy{Name: name, Owners: DefaultOwners, Tuning: tuning}
+	return sim.Policy{Name: name, PerZone: OwnersPerZone, Tuning: tuning}
 }
--- a/bench/sim/scenario.go
+++ b/bench/sim/scenario.go
@@ -23,7 +23,8 @@
 	Name     string
 	Baseline func(rnd *rand.Rand) admit.Policy[Candidate] // nil for shards
 	Probing  bool                                         // the baseline keeps a pool of probes
-	Owners   int                                          // hosts that own upstreams, for shards
+	PerZone  int                                          // hosts in each availability zone that own upstreams, for shards
+	Owners   int                                          // the same in all; goes before PerZone when set
 	Tuning   route.Tuning
 }
 
--- a/bench/sim/shard_host.go
+++ b/bench/sim/shard_host.go
@@ -92,10 +92,15 @@
 }
 
 func (w *world) owners() []*shardHost {
+	wanted := w.sc.Policy.Owners
+	if wanted == 0 {
+		wanted = w.sc.Policy.PerZone * w.sc.Deployment.Zones
+	}
+	wanted = min(wanted, w.sc.Deployment.Upstreams)
 	var owners []*shardHost
 	for _, h := range w.hosts {
 		s := h.(*shardHost)
-		if !s.down && len(owners) < min(w.sc.Policy.Owners, w.sc.Deployment.Upstreams) {
+		if !s.down && len(owners) < wanted {
 			owners = append(owners, s)
 		}
 	}
--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -6,7 +6,10 @@
 	// stragglerFactor times the 90th percentile is the age from which a request
 	// in flight makes its upstream a straggler.
 	stragglerFactor = 2.5
-	queueLook       = 8 // queued requests looked at for a free upstream
+	// stragglerWait times the mean is the wait from which a straggler's slot is
+	// used all the same: its slots are part of the service's capacity.
+	stragglerWait = 0.5
+	queueLook     = 8 // queued requests looked at for a free upstream
 )
 
 // candidates are the upstreams with a free slot for one request.
@@ -87,13 +90,12 @@
 	return float64(u.oldestAge(now)) > stragglerFactor*s.latencies.p90
 }
 
-// pick settles which of a choice is used, when n requests wait: a straggler
-// only when waiting would take longer than it has taken already.
+// pick settles which of a choice is used, when n requests wait.
 func (s *Shard) pick(now clock.Millis, c choice, n int) *upstream {
 	if c.good != nil {
 		return c.good
 	}
-	if c.straggler != nil && s.waitFor(n) > c.straggler.oldestAge(now) {
+	if c.straggler != nil && float64(s.waitFor(n)) > stragglerWait*s.latencies.mean {
 		return c.straggler
 	}
 	return nil
