--- /dev/null
+++ b/core/admit/admit_test.go
@@ -0,0 +1,114 @@
+package admit
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"siskinpath/core/clock"
+)
+
+func TestTokenBucket(t *testing.T) {
+	convey.Convey("a bucket allows its burst, then its rate", t, func() {
+		var b TokenBucket
+		b.Set(1000, 10, 3)
+		for range 3 {
+			convey.So(b.Take(1000), convey.ShouldBeTrue)
+		}
+		convey.So(b.Take(1000), convey.ShouldBeFalse)
+		next := b.NextAt(1000)
+		convey.So(next, convey.ShouldBeBetweenOrEqual, clock.Millis(1100), clock.Millis(1101))
+		convey.So(b.Take(next), convey.ShouldBeTrue)
+	})
+	convey.Convey("the zero value allows everything", t, func() {
+		var b TokenBucket
+		convey.So(b.Take(1), convey.ShouldBeTrue)
+		convey.So(b.Take(1), convey.ShouldBeTrue)
+	})
+}
+
+func TestBudget(t *testing.T) {
+	convey.Convey("a budget follows work", t, func() {
+		b := Budget{Ratio: 0.1, Burst: 2}
+		convey.So(b.Spend(), convey.ShouldBeFalse)
+		for range 100 {
+			b.Earn()
+		}
+		convey.So(b.Spend(), convey.ShouldBeTrue)
+		convey.So(b.Spend(), convey.ShouldBeTrue)
+		convey.So(b.Spend(), convey.ShouldBeFalse)
+	})
+}
+
+// TestRateWindow checks that no second, whenever it begins, sees more events
+// than the rate, that Take succeeds when NextAt says so, and that little of the
+// rate stays unused.
+func TestRateWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := RateWindow{PerSecond: rapid.IntRange(1, 50).Draw(t, "rate")}
+		now := clock.Millis(rapid.IntRange(0, 5000).Draw(t, "start"))
+		var taken []clock.Millis
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			now += clock.Millis(rapid.SampledFrom([]int{0, 0, 1, 7, 30, 500, 3000}).Draw(t, "gap"))
+			if !w.Take(now) {
+				next := w.NextAt(now)
+				if next <= now || next > now+clock.Second+2*rateSlot {
+					t.Fatalf("next at %d, now %d", next, now)
+				}
+				now = next
+				if !w.Take(now) {
+					t.Fatalf("nothing at %d though promised", now)
+				}
+			}
+			taken = append(taken, now)
+			if n := within(taken, now); n > w.PerSecond {
+				t.Fatalf("%d events within a second, the rate is %d", n, w.PerSecond)
+			}
+		}
+	})
+}
+
+func within(taken []clock.Millis, now clock.Millis) int {
+	n := 0
+	for _, at := range taken {
+		if at > now-clock.Second {
+			n++
+		}
+	}
+	return n
+}
+
+func TestSpread(t *testing.T) {
+	convey.Convey("times told differ, and grow with the overload", t, func() {
+		rnd := rand.New(rand.NewPCG(1, 1))
+		light := mean(&Spread{Least: 20, Most: 10_000}, 10, 1, rnd)
+		heavy := mean(&Spread{Least: 20, Most: 10_000}, 10, 9, rnd)
+		convey.So(heavy, convey.ShouldBeGreaterThan, 3*light)
+	})
+	convey.Convey("they stay within bounds", t, func() {
+		rnd := rand.New(rand.NewPCG(1, 1))
+		s := Spread{Least: 20, Most: 100}
+		for range 100 {
+			s.Offered(1000)
+			after := s.Refuse(1000, 5000, rnd)
+			convey.So(after, convey.ShouldBeBetweenOrEqual, clock.Millis(20), clock.Millis(100))
+		}
+	})
+}
+
+// mean returns the mean time told when refused of offered requests are refused.
+func mean(s *Spread, offered, refused int, rnd *rand.Rand) float64 {
+	var sum, n float64
+	for range 100 {
+		for i := range offered {
+			s.Offered(1000)
+			if i < refused {
+				sum += float64(s.Refuse(1000, 200, rnd))
+				n++
+			}
+		}
+	}
+	return sum / n
+}
--- a/core/admit/bucket.go
+++ b/core/admit/bucket.go
@@ -16,9 +16,12 @@
 // Set changes the rate and the burst. Tokens already there are kept up to the
 // new burst; a bucket that is new starts full.
 func (b *TokenBucket) Set(now clock.Millis, perSecond, burst float64) {
-	b.refill(now)
+	if b.started {
+		b.refill(now)
+	}
 	b.PerSecond = perSecond
 	b.Burst = burst
+	b.refill(now)
 	b.tokens = min(b.tokens, b.burst())
 }
 
--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -6,8 +6,8 @@
 	// stragglerFactor times the 90th percentile is the age from which a request
 	// in flight makes its upstream a straggler.
 	stragglerFactor = 2.5
-	// stragglerWait times the mean is the wait from which a straggler's slot is
-	// used all the same: its slots are part of the service's capacity.
+	// stragglerWait is the number of waiting requests, for each slot that is not
+	// at a straggler, from which a straggler's slot is used all the same.
 	stragglerWait = 0.5
 	queueLook     = 8 // queued requests looked at for a free upstream
 )
@@ -95,12 +95,24 @@
 	if c.good != nil {
 		return c.good
 	}
-	if c.straggler != nil && float64(s.waitFor(n)) > stragglerWait*s.latencies.mean {
+	if c.straggler != nil && s.waitsLong(now, n) {
 		return c.straggler
 	}
 	return nil
 }
 
+// waitsLong tells whether n requests wait long for the slots that are not at
+// stragglers.
+func (s *Shard) waitsLong(now clock.Millis, n int) bool {
+	slots := 0
+	for _, u := range s.upstreams {
+		if u.inUse() && u.standing == good && !s.straggling(now, u) {
+			slots += u.limit(&s.Tuning)
+		}
+	}
+	return float64(n+1) > stragglerWait*float64(slots)
+}
+
 // slots returns the slots of upstreams that take work, used or not.
 func (s *Shard) slots() int {
 	n := 0
--- a/core/route/settle.go
+++ b/core/route/settle.go
@@ -25,6 +25,8 @@
 		s.finish(r, a)
 	case status == NotSent && now >= r.Deadline:
 		s.giveUp(now, r, ReasonDeadline)
+	case status == Lost, status == Cancelled:
+		s.giveUp(now, r, ReasonLost)
 	default:
 		s.giveUp(now, r, ReasonRefused)
 	}
--- a/core/route/types.go
+++ b/core/route/types.go
@@ -95,13 +95,14 @@
 // Reason says why a request was refused. It is part of the callers' interface.
 type Reason string
 
-// Reasons for a refusal.
+// Reasons for a refusal, or for an unknown outcome.
 const (
 	ReasonOverloaded Reason = "overloaded"       // no slot will be free in time
 	ReasonDeadline   Reason = "deadline"         // the deadline passed before it was sent
 	ReasonNoUpstream Reason = "no_upstream"      // no upstream takes work
 	ReasonRate       Reason = "rate_limited"     // the service's rate is used up
 	ReasonRefused    Reason = "upstream_refused" // every upstream tried refused it
+	ReasonLost       Reason = "connection_lost"  // the connection failed after the first byte; only with Unknown
 )
 
 // Action is something the driver of a Shard must do.
--- a/core/route/world_test.go
+++ b/core/route/world_test.go
@@ -318,3 +318,56 @@
 	}
 	return fmt.Sprint(int(k))
 }
+
+// upstreamState returns what the shard shows of an upstream.
+func (w *world) upstreamState(name string) UpstreamState {
+	for _, u := range w.s.State().Upstreams {
+		if u.Name == name {
+			return u
+		}
+	}
+	return UpstreamState{}
+}
+
+// serve sends n requests together, answers them all, and counts attempts by
+// upstream. A failing upstream answers at once, with errors.
+func (w *world) serve(n int, failing string) map[string]int {
+	counts := make(map[string]int)
+	for range n {
+		w.arrive(Request{Deadline: w.now + clock.Second, Idempotent: true})
+		w.endAt(failing, Errored, counts)
+	}
+	w.advance(w.now + 20)
+	for len(w.order) > 0 {
+		w.endAt(failing, Errored, counts)
+		if len(w.order) > 0 {
+			counts[w.attempts[w.order[0]].upstream]++
+			w.finish(0, Succeeded, nil)
+		}
+	}
+	return counts
+}
+
+// endAt ends all that is in flight at an upstream.
+func (w *world) endAt(name string, status Status, counts map[string]int) {
+	for i := 0; i < len(w.order); {
+		if w.attempts[w.order[i]].upstream != name {
+			i++
+			continue
+		}
+		counts[name]++
+		w.finish(i, status, nil)
+		i = 0
+	}
+}
+
+// serveMany calls serve several times.
+func (w *world) serveMany(times, n int, failing string) map[string]int {
+	total := make(map[string]int)
+	for range times {
+		for name, k := range w.serve(n, failing) {
+			total[name] += k
+		}
+	}
+	return total
+}
