route, bench: an upstream that answers nothing is ejected

Cause: a request cancelled at its deadline said nothing about its upstream, so one that takes requests and answers nothing stayed in work. An attempt older than a straggler at its request's deadline now counts as a failure. Test TestNoAnswers fails without it.

--- a/bench/sim/plain_host.go
+++ b/bench/sim/plain_host.go
@@ -52,7 +52,13 @@
 	j.answer = func(status route.Status, _ *route.LoadReport) {
 		h.w.after(link, func() { end(outcomeOf(status)) })
 	}
-	h.w.after(link, func() { u.arrive(j) })
+	h.w.after(link, func() {
+		if u.down {
+			h.w.after(connectTimeout, func() { end(refused) })
+			return
+		}
+		u.arrive(j)
+	})
 	h.w.at(c.deadline, func() {
 		if open {
 			u.cancel(j)
--- a/bench/sim/run.go
+++ b/bench/sim/run.go
@@ -26,6 +26,7 @@
 	lost      []bool // hosts that are gone
 	callers   []caller
 	load      float64
+	ended     int // measured calls that have ended
 	result    *Result
 }
 
@@ -176,6 +177,7 @@
 func (w *world) note(c *call, o outcome) {
 	r := w.result
 	in := w.interval(c)
+	w.ended++
 	latency := w.now - c.arrived
 	switch {
 	case o == refused:
@@ -209,6 +211,7 @@
 }
 
 func (w *world) collect() {
+	w.result.Late += w.result.Arrived - w.ended // their host is gone
 	w.result.Seconds = float64(w.sc.Length) / float64(Second)
 	for _, u := range w.upstreams {
 		w.result.Overshoot = max(w.result.Overshoot, u.over)
--- a/bench/sim/shard_send.go
+++ b/bench/sim/shard_send.go
@@ -7,6 +7,10 @@
 	"siskinpath/core/route"
 )
 
+// connectTimeout is the time after which a connection to a lost upstream is
+// given up.
+const connectTimeout = 250 * Millisecond
+
 func (h *shardHost) send(a route.Action) {
 	u := h.upstreamNamed(a.Upstream)
 	c := h.calls[a.Request]
@@ -21,7 +25,7 @@
 	}
 	h.w.after(link, func() {
 		if u.down {
-			h.finished(s, route.NotSent, nil)
+			h.w.after(connectTimeout, func() { h.finished(s, route.NotSent, nil) })
 			return
 		}
 		u.arrive(s.job)
--- a/bench/sim/upstream.go
+++ b/bench/sim/upstream.go
@@ -40,6 +40,8 @@
 	failing  bool // answers every request with an error at once
 	draining bool // refuses new requests and says so
 	lies     bool // says that it drains though it does not
+	silent   bool // takes requests and answers nothing
+	cold     bool // its requests share the speed of one slot
 	down     bool // gone without a word
 
 	over int    // most requests at once beyond its slots
@@ -54,7 +56,7 @@
 // arrive takes a request in.
 func (u *upstream) arrive(j *job) {
 	switch {
-	case u.down:
+	case u.down, u.silent:
 		return
 	case u.failing:
 		u.reply(j, refuseAfter, route.Errored)
@@ -89,6 +91,7 @@
 		j.since = u.e.now
 		u.running = append(u.running, j)
 		u.schedule(j)
+		u.share()
 	}
 }
 
@@ -155,6 +158,7 @@
 	same := func(other *job) bool { return other == j }
 	u.running = slices.DeleteFunc(u.running, same)
 	u.queue = slices.DeleteFunc(u.queue, same)
+	u.share()
 	if !u.down {
 		u.start()
 	}
@@ -173,6 +177,13 @@
 	}
 }
 
+// share lets a cold upstream's requests slow each other down.
+func (u *upstream) share() {
+	if u.cold {
+		u.setSlow(float64(max(1, len(u.running))))
+	}
+}
+
 // stop ends the upstream without a word: nothing under way is answered.
 func (u *upstream) stop() {
 	u.down = true
--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -84,10 +84,13 @@
 // straggling tells whether u's oldest request has been in flight for longer
 // than the service's own latencies explain.
 func (s *Shard) straggling(now clock.Millis, u *upstream) bool {
-	if s.Tuning.NoPassOver || !s.latencies.trusted() {
-		return false
-	}
-	return float64(u.oldestAge(now)) > stragglerFactor*s.latencies.p90
+	return !s.Tuning.NoPassOver && s.straggled(u.oldestAge(now))
+}
+
+// straggled tells whether an attempt of this age has been in flight for longer
+// than the service's own latencies explain.
+func (s *Shard) straggled(age clock.Millis) bool {
+	return s.latencies.trusted() && float64(age) > stragglerFactor*s.latencies.p90
 }
 
 // pick settles which of a choice is used, when n requests wait.
--- a/core/route/eject_test.go
+++ b/core/route/eject_test.go
@@ -68,6 +68,21 @@
 	})
 }
 
+func TestNoAnswers(t *testing.T) {
+	convey.Convey("an upstream that answers nothing is ejected once deadlines have passed there", t, func() {
+		w := newWarmWorld(t, 4, 4)
+		for range 100 {
+			for range 14 {
+				w.arrive(Request{Deadline: w.now + 10*serviceTime})
+			}
+			w.advance(w.now + serviceTime)
+			w.endAllBut("a")
+		}
+		convey.So(w.upstreamState("a").Ejected, convey.ShouldBeTrue)
+		convey.So(w.s.State().Counters.Unknown, convey.ShouldBeLessThan, 30)
+	})
+}
+
 func TestColdStart(t *testing.T) {
 	convey.Convey("a new upstream starts with one request and rises with successes", t, func() {
 		w := newWorld(1, t.Fatalf)
--- a/core/route/learn.go
+++ b/core/route/learn.go
@@ -31,7 +31,10 @@
 		s.latencies.add(age)
 		s.succeeded(now, u, float64(age))
 	case Cancelled:
-		s.learnCancelled(age)
+		s.learnCancelled(a, age)
+		if a.timedOut && s.straggled(age) {
+			s.failed(now, u)
+		}
 	case NotSent:
 		if a.request != nil && now >= a.request.Deadline {
 			return
@@ -67,9 +70,11 @@
 }
 
 // learnCancelled counts a cancelled attempt that was slow already: leaving it
-// out would make the service look faster than it is.
-func (s *Shard) learnCancelled(age clock.Millis) {
-	if s.latencies.trusted() && float64(age) > s.latencies.p95 {
+// out would make the service look faster than it is. One that was in flight at
+// its deadline may be at an upstream that answers nothing, and counts as a failure
+// instead.
+func (s *Shard) learnCancelled(a *attempt, age clock.Millis) {
+	if !a.timedOut && s.latencies.trusted() && float64(age) > s.latencies.p95 {
 		s.latencies.add(age)
 	}
 }
--- a/core/route/place.go
+++ b/core/route/place.go
@@ -163,7 +163,8 @@
 // giveUp ends a request without an answer. Whether it may have run decides
 // which end it is.
 func (s *Shard) giveUp(now clock.Millis, r *request, reason Reason) {
-	if len(r.running) > 0 {
+	for _, a := range r.running {
+		a.timedOut = true
 		r.mayHaveRun = true
 	}
 	after := max(s.spread.Refuse(now, s.waitFor(s.queue.len()), s.Rand), r.retryAfter)
--- a/core/route/request.go
+++ b/core/route/request.go
@@ -62,6 +62,7 @@
 	request    *request // nil once the request is settled
 	upstream   *upstream
 	started    clock.Millis
+	timedOut   bool // its request's deadline passed while it was in flight
 	hedge      timer
 	prev, next *attempt // in the upstream's order of start
 }
--- a/core/route/world_test.go
+++ b/core/route/world_test.go
@@ -371,3 +371,20 @@
 	}
 	return total
 }
+
+// endAllBut ends what was cancelled, and answers the rest but for one upstream.
+func (w *world) endAllBut(name string) {
+	for i := 0; i < len(w.order); {
+		a := w.attempts[w.order[i]]
+		switch {
+		case w.requests[a.request].final > 0:
+			w.finish(i, Cancelled, nil)
+			i = 0
+		case a.upstream != name:
+			w.finish(i, Succeeded, nil)
+			i = 0
+		default:
+			i++
+		}
+	}
+}
