route: five digests a second

Cause: digests between owners were the largest part of the control traffic: 122 a second for booking at 20 a second for each owner. Conclusion: kept, since the answers of forwarded requests carry a digest anyhow.

--- a/core/route/spill.go
+++ b/core/route/spill.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	digestsPerSecond = 20.0 // most digests of one shard
+	digestsPerSecond = 5.0 // most digests of one shard
 	digestBurst      = 5.0
 	digestInterval   = clock.Second       // longest time between two digests
 	digestTrusted    = 3 * digestInterval // age from which a digest says nothing
