standin: platform, upstreams, callers and the check that compares them

New code: the platform (transactional rows, objects, lagging host list, faults while it runs), upstreams (slots, queue, load reports, drain, cold start, cancellation, a record of every run), open-loop callers that check each answer, and check, which compares what callers were told with what ran. go test -race ./standin/... passes.

--- /dev/null
+++ b/standin/caller/addresses.go
@@ -0,0 +1,109 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// askTimeout bounds one question for addresses.
+const askTimeout = time.Second
+
+// Address is one address at which a service may be called.
+type Address struct {
+	Address          string `json:"address"`
+	AvailabilityZone string `json:"availability_zone"`
+	KeyPrefix        string `json:"key_prefix"`
+}
+
+type addressesBody struct {
+	Service   string    `json:"service"`
+	TTLMs     int64     `json:"ttl_ms"`
+	Addresses []Address `json:"addresses"`
+}
+
+// Addresses asks for the addresses of one service and keeps the answer for its
+// time to live. Fields are set before first use.
+type Addresses struct {
+	Service          string
+	AvailabilityZone string
+	Hosts            []string // whom to ask, in this order
+	Pool             *Pool
+	Counts           *Counts
+
+	mu      sync.Mutex
+	kept    []Address
+	until   time.Time
+	next    int // whom to ask next
+	suspect map[string]time.Time
+}
+
+// suspectFor is how long an address that failed is tried last.
+const suspectFor = 2 * time.Second
+
+// Get returns the addresses, best first, those that failed lately last.
+func (a *Addresses) Get() ([]Address, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if time.Now().After(a.until) {
+		if err := a.ask(); err != nil {
+			return nil, err
+		}
+	}
+	var good, bad []Address
+	for _, k := range a.kept {
+		if time.Since(a.suspect[k.Address]) < suspectFor {
+			bad = append(bad, k)
+			continue
+		}
+		good = append(good, k)
+	}
+	return append(good, bad...), nil
+}
+
+// Suspect notes that address failed.
+func (a *Addresses) Suspect(address string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.suspect == nil {
+		a.suspect = map[string]time.Time{}
+	}
+	a.suspect[address] = time.Now()
+}
+
+// ask asks one host after the other until one answers.
+func (a *Addresses) ask() error {
+	for range a.Hosts {
+		host := a.Hosts[a.next%len(a.Hosts)]
+		body, err := a.askHost(host)
+		if err == nil && len(body.Addresses) > 0 {
+			a.kept = body.Addresses
+			a.until = time.Now().Add(time.Duration(body.TTLMs) * time.Millisecond)
+			return nil
+		}
+		a.Counts.AskFailed.Add(1)
+		a.next++
+	}
+	return errors.Errorf("no host gives addresses of %s", a.Service)
+}
+
+func (a *Addresses) askHost(host string) (body addressesBody, err error) {
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + host + "/v1/addresses/" + url.PathEscape(a.Service) +
+		"?availability_zone=" + url.QueryEscape(a.AvailabilityZone))
+	a.Counts.Asked.Add(1)
+	if err := a.Pool.Exchange(host, req, resp, time.Now().Add(askTimeout)); err != nil {
+		return body, err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return body, errors.Errorf("status %d", resp.StatusCode())
+	}
+	return body, json.Unmarshal(resp.Body(), &body)
+}
--- /dev/null
+++ b/standin/caller/load.go
@@ -0,0 +1,178 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"siskinpath/standin/answer"
+	"siskinpath/standin/figure"
+)
+
+// Mix is the load on one service.
+type Mix struct {
+	Service       string
+	RatePerSecond float64 // requests begun a second, at random times
+	OnceShare     float64 // part of the requests that must happen once
+	Unprefixed    float64 // part of those whose key begins with no host's prefix
+	SlowShare     float64 // part of the requests that ask for SlowMs of work
+	SlowMs        int
+	DeadlineMs    int
+}
+
+// Load sends requests at times that don't depend on the answers. Fields are set
+// before Run.
+type Load struct {
+	Hosts             []string // callers' addresses of hosts that may be asked first
+	AvailabilityZones []string
+	Callers           int // each keeps its own answers
+	Organisations     int
+	Mixes             []Mix
+	Duration          time.Duration
+	MaxRequests       int
+	MaxOpen           int // requests open at a time; more are skipped and counted
+	Attempts          int // sendings of one request
+	Seed              uint64
+
+	Ledger Ledger
+	Counts Counts
+
+	pool    Pool
+	latency histograms
+	open    chan struct{}
+}
+
+type histograms struct {
+	whole figure.Histogram // from the time planned to the final answer, answered requests
+	added figure.Histogram // of each answered attempt, less what the upstream says it took
+}
+
+// Run sends until Duration, MaxRequests or the end of ctx, and waits for the
+// requests that are open.
+func (l *Load) Run(ctx context.Context) {
+	l.open = make(chan struct{}, l.MaxOpen)
+	var wg sync.WaitGroup
+	defer l.pool.Close()
+	for i, mix := range l.Mixes {
+		wg.Go(func() { l.generate(ctx, i, mix) })
+	}
+	wg.Wait()
+}
+
+// generate draws one service's requests.
+func (l *Load) generate(ctx context.Context, index int, mix Mix) {
+	r := rand.New(rand.NewPCG(l.Seed, uint64(index)))
+	s := &sender{pool: &l.pool, ledger: &l.Ledger, counts: &l.Counts, attempts: l.Attempts, latency: &l.latency}
+	callers := l.addresses(r, mix.Service)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	end := time.Now().Add(l.Duration)
+	at := time.Now()
+	for n := range l.MaxRequests {
+		at = at.Add(time.Duration(r.ExpFloat64() / mix.RatePerSecond * float64(time.Second)))
+		if at.After(end) || !sleepUntil(ctx, at) {
+			return
+		}
+		j := l.draw(r, mix, n*len(l.Mixes)+index, at)
+		j.addresses = callers[r.IntN(len(callers))]
+		l.begin(&wg, func() { s.run(j) })
+	}
+}
+
+func (l *Load) begin(wg *sync.WaitGroup, run func()) {
+	select {
+	case l.open <- struct{}{}:
+	default:
+		l.Counts.Skipped.Add(1)
+		return
+	}
+	wg.Go(func() {
+		defer func() { <-l.open }()
+		run()
+	})
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	d := time.Until(at)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (l *Load) addresses(r *rand.Rand, service string) []*Addresses {
+	list := make([]*Addresses, 0, l.Callers)
+	for i := range l.Callers {
+		hosts := append([]string(nil), l.Hosts...)
+		r.Shuffle(len(hosts), func(a, b int) { hosts[a], hosts[b] = hosts[b], hosts[a] })
+		list = append(list, &Addresses{
+			Service:          service,
+			AvailabilityZone: l.AvailabilityZones[i%len(l.AvailabilityZones)],
+			Hosts:            hosts,
+			Pool:             &l.pool,
+			Counts:           &l.Counts,
+		})
+	}
+	return list
+}
+
+// maxDrawnBytes bounds the length of an answer asked for.
+const maxDrawnBytes = 4096
+
+func (l *Load) draw(r *rand.Rand, mix Mix, id int, at time.Time) job {
+	j := job{
+		id:           id,
+		service:      mix.Service,
+		organisation: fmt.Sprintf("org-%d", r.IntN(l.Organisations)),
+		once:         r.Float64() < mix.OnceShare,
+		unprefixed:   r.Float64() < mix.Unprefixed,
+		size:         answer.DefaultBytes + r.IntN(maxDrawnBytes),
+		scheduled:    at,
+		deadline:     time.Duration(mix.DeadlineMs) * time.Millisecond,
+	}
+	if r.Float64() < mix.SlowShare {
+		j.workMs = mix.SlowMs
+	}
+	return j
+}
+
+// AnyAnswered tells whether any request was answered.
+func (l *Load) AnyAnswered() bool { return l.latency.whole.Count() > 0 }
+
+// Figures returns what the callers saw.
+func (l *Load) Figures() []figure.Figure {
+	entries := l.Ledger.Entries()
+	count := func(o Outcome) float64 {
+		n := 0
+		for _, e := range entries {
+			if e.Final == o {
+				n++
+			}
+		}
+		return float64(n)
+	}
+	figures := []figure.Figure{
+		{Name: "requests_sent", Value: float64(len(entries))},
+		{Name: "requests_skipped", Value: float64(l.Counts.Skipped.Load())},
+		{Name: "answered", Value: count(Answered)},
+		{Name: "refused_not_run", Value: count(NotRun)},
+		{Name: "outcome_unknown", Value: count(Unknown) + count(NoReply)},
+		{Name: "no_reply", Value: count(NoReply)},
+		{Name: "not_sent", Value: count(NotSent)},
+		{Name: "malformed", Value: count(Rejected)},
+		{Name: "retries", Value: float64(l.Counts.Retries.Load())},
+		{Name: "addresses_asked", Value: float64(l.Counts.Asked.Load())},
+		{Name: "addresses_failed", Value: float64(l.Counts.AskFailed.Load())},
+	}
+	figures = append(figures, l.latency.whole.Figures("latency_ms")...)
+	return append(figures, l.latency.added.Figures("added_ms")...)
+}
--- /dev/null
+++ b/standin/caller/request.go
@@ -0,0 +1,167 @@
+package caller
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"siskinpath/standin/answer"
+)
+
+// replyGrace is how long after the deadline a caller still reads the reply.
+const replyGrace = 500 * time.Millisecond
+
+// job is one request as drawn by the generator.
+type job struct {
+	id           int
+	service      string
+	organisation string
+	once         bool
+	unprefixed   bool // the key has no host's prefix
+	size         int
+	workMs       int
+	scheduled    time.Time
+	deadline     time.Duration
+	addresses    *Addresses
+}
+
+// sender carries out jobs.
+type sender struct {
+	pool     *Pool
+	ledger   *Ledger
+	counts   *Counts
+	attempts int
+	latency  *histograms
+}
+
+// run carries out j to its final outcome.
+func (s *sender) run(j job) {
+	e := Entry{Service: j.service, Organisation: j.organisation, Final: NotSent}
+	until := time.Now().Add(j.deadline)
+	for n := range s.attempts {
+		a, wait := s.attempt(&e, j, n, until)
+		e.Attempts = append(e.Attempts, a)
+		e.Final = a.Outcome
+		if !again(j, a) || time.Until(until) <= wait {
+			break
+		}
+		s.counts.Retries.Add(1)
+		time.Sleep(wait)
+	}
+	if e.Final == Answered {
+		s.latency.whole.Record(time.Since(j.scheduled).Microseconds())
+	}
+	s.ledger.Add(e)
+}
+
+// again tells whether a caller tries once more after a.
+func again(j job, a Attempt) bool {
+	switch a.Outcome {
+	case NotRun:
+		return a.Status != fasthttp.StatusBadRequest && a.Status != fasthttp.StatusNotFound
+	case NoReply, NotSent:
+		return true
+	case Unknown:
+		return !j.once
+	}
+	return false
+}
+
+// noAddressPause is the wait after no host gave addresses.
+const noAddressPause = 100 * time.Millisecond
+
+func (s *sender) attempt(e *Entry, j job, n int, until time.Time) (a Attempt, wait time.Duration) {
+	list, err := j.addresses.Get()
+	if err != nil {
+		return Attempt{Outcome: NotSent, FailedHow: err.Error()}, noAddressPause
+	}
+	address := list[n%len(list)]
+	if j.once && e.Key == "" {
+		e.Key = key(j, address)
+	}
+	a = Attempt{Address: address.Address, Marker: fmt.Sprintf("%d.%d", j.id, n), SentMs: time.Now().UnixMilli()}
+	wait = s.exchange(&a, e, j, until)
+	a.EndedMs = time.Now().UnixMilli()
+	if a.Outcome == NoReply || a.Outcome == NotSent {
+		j.addresses.Suspect(a.Address)
+	}
+	return a, wait
+}
+
+func key(j job, a Address) string {
+	if j.unprefixed {
+		return fmt.Sprintf("order-%d-%d", j.scheduled.UnixNano(), j.id)
+	}
+	return a.KeyPrefix + strconv.Itoa(j.id)
+}
+
+func (s *sender) exchange(a *Attempt, e *Entry, j job, until time.Time) time.Duration {
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	left := time.Until(until)
+	build(req, a, e, j, left)
+	start := time.Now()
+	if err := s.pool.Exchange(a.Address, req, resp, until.Add(replyGrace)); err != nil {
+		a.Outcome = NoReply
+		a.FailedHow = err.Error()
+		if errors.Is(err, ErrNotSent) {
+			a.Outcome = NotSent
+		}
+		return 0
+	}
+	s.read(a, e, j, resp, time.Since(start))
+	ms, _ := strconv.Atoi(string(resp.Header.Peek("Siskin-Retry-After-Ms")))
+	return time.Duration(ms) * time.Millisecond
+}
+
+func build(req *fasthttp.Request, a *Attempt, e *Entry, j job, left time.Duration) {
+	uri := fmt.Sprintf("http://%s/v1/call/%s/slots/%d?marker=%s&size=%d", a.Address, j.service, j.id, a.Marker, j.size)
+	if j.workMs > 0 {
+		uri += "&work_ms=" + strconv.Itoa(j.workMs)
+	}
+	req.SetRequestURI(uri)
+	req.Header.Set("Siskin-Deadline-Ms", strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	req.Header.Set("Siskin-Organisation", j.organisation)
+	if !j.once {
+		return
+	}
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.Set("Idempotency-Key", e.Key)
+	req.SetBodyString("order " + strconv.Itoa(j.id))
+}
+
+func (s *sender) read(a *Attempt, e *Entry, j job, resp *fasthttp.Response, took time.Duration) {
+	a.Status = resp.StatusCode()
+	a.Host = string(resp.Header.Peek("Siskin-Host"))
+	a.Reason = string(resp.Header.Peek("Siskin-Reason"))
+	switch o := Outcome(resp.Header.Peek("Siskin-Outcome")); o {
+	case Answered:
+		a.Outcome = o
+		s.judge(a, e, j, resp, took)
+	case NotRun, Unknown:
+		a.Outcome = o
+	default:
+		a.Outcome = Rejected
+	}
+}
+
+func (s *sender) judge(a *Attempt, e *Entry, j job, resp *fasthttp.Response, took time.Duration) {
+	if a.Status != fasthttp.StatusOK {
+		return
+	}
+	marker := a.Marker
+	if j.once {
+		marker = e.Key
+	}
+	a.Verdict = answer.Judge(resp.Body(), j.organisation, marker, j.size)
+	upstream, err := strconv.ParseInt(string(resp.Header.Peek("Siskin-Took-Us")), 10, 64)
+	recorded := len(resp.Header.Peek("Siskin-Recorded")) > 0
+	if err == nil && !recorded {
+		s.latency.added.Record(took.Microseconds() - upstream)
+	}
+}
--- /dev/null
+++ b/standin/platform/server.go
@@ -0,0 +1,186 @@
+package platform
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/fasthttp/router"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"siskinpath/core/clock"
+)
+
+// maxBodyBytes bounds a transaction or an object.
+const maxBodyBytes = 64 << 20
+
+// Server plays the platform. Fields are set before Run.
+type Server struct {
+	Listen  string // address of the services and the control endpoints
+	Control string // address of the control endpoints alone; "" for none
+	Seed    uint64
+	Faults  Faults // at the start
+
+	store  Store
+	hosts  HostList
+	faults *faultState
+	counts counters
+	clock  *clock.System
+	door   door
+}
+
+// Run serves until ctx ends.
+func (s *Server) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.WithMessage(err, "platform") }()
+	if err := s.Faults.Validate(); err != nil {
+		return err
+	}
+	s.clock = clock.NewSystem()
+	s.faults = newFaultState(s.Faults, s.Seed)
+	s.door.address = s.Listen
+	s.door.server = newHTTPServer(s.routes().Handler)
+	s.door.server.ConnState = s.door.track
+	if err := s.door.open(); err != nil {
+		return err
+	}
+	defer s.door.close(nil)
+	if s.Control != "" {
+		stop, err := serveControl(s.Control, s.controlRoutes().Handler)
+		if err != nil {
+			return err
+		}
+		defer stop()
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func newHTTPServer(h fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:               h,
+		MaxRequestBodySize:    maxBodyBytes,
+		NoDefaultServerHeader: true,
+		Logger:                silentLogger{},
+	}
+}
+
+// silentLogger drops what the library says of broken connections.
+type silentLogger struct{}
+
+// Printf does nothing.
+func (silentLogger) Printf(string, ...any) {}
+
+func serveControl(address string, h fasthttp.RequestHandler) (stop func(), err error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.WithMessage(err, "control")
+	}
+	server := newHTTPServer(h)
+	go func() { _ = server.Serve(ln) }()
+	return func() { _ = ln.Close() }, nil
+}
+
+func (s *Server) routes() *router.Router {
+	r := s.controlRoutes()
+	r.POST("/v1/read", s.faulty(s.read))
+	r.POST("/v1/read_versions", s.faulty(s.readVersions))
+	r.POST("/v1/transaction", s.faulty(s.transaction))
+	r.GET("/v1/hosts", s.faulty(s.listHosts))
+	r.GET("/v1/objects/{name:*}", s.faulty(s.getObject))
+	r.PUT("/v1/objects/{name:*}", s.faulty(s.putObject))
+	return r
+}
+
+func (s *Server) controlRoutes() *router.Router {
+	r := router.New()
+	r.POST("/control/faults", s.controlFaults)
+	r.GET("/control/faults", s.showFaults)
+	r.POST("/control/hosts", s.controlHosts)
+	r.GET("/control/counts", s.controlCounts)
+	return r
+}
+
+// faulty wraps a handler of the services with the faults in force.
+func (s *Server) faulty(h fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		faults, changed := s.faults.get()
+		switch faults.Outage {
+		case OutageSilent:
+			s.counts.held.Add(1)
+			<-changed
+			hangUp(ctx)
+			return
+		case OutageRefuse:
+			hangUp(ctx)
+			return
+		case OutageError:
+			ctx.Error("outage", fasthttp.StatusServiceUnavailable)
+			return
+		}
+		faults.delay()
+		h(ctx)
+	}
+}
+
+// hangUp closes the connection without a reply.
+func hangUp(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(net.Conn) {})
+}
+
+// door is a listener that can be shut and opened again on the same address.
+type door struct {
+	address string
+	server  *fasthttp.Server
+
+	mu    sync.Mutex
+	ln    net.Listener
+	conns map[net.Conn]bool
+}
+
+func (d *door) open() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.ln != nil {
+		return nil
+	}
+	ln, err := net.Listen("tcp", d.address)
+	if err != nil {
+		return err
+	}
+	d.address = ln.Addr().String()
+	d.ln = ln
+	go func() { _ = d.server.Serve(ln) }()
+	return nil
+}
+
+// close refuses new connections and closes the open ones, except for keep.
+func (d *door) close(keep net.Conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.ln == nil {
+		return
+	}
+	_ = d.ln.Close()
+	d.ln = nil
+	for c := range d.conns {
+		if c != keep {
+			_ = c.Close()
+		}
+	}
+}
+
+func (d *door) track(c net.Conn, state fasthttp.ConnState) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch state {
+	case fasthttp.StateNew:
+		if d.conns == nil {
+			d.conns = map[net.Conn]bool{}
+		}
+		d.conns[c] = true
+	case fasthttp.StateClosed, fasthttp.StateHijacked:
+		delete(d.conns, c)
+	}
+}
--- /dev/null
+++ b/standin/platform/server_test.go
@@ -0,0 +1,144 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// started is a platform on free ports.
+type started struct {
+	service string
+	control string
+	client  http.Client
+	stop    func()
+}
+
+func start() *started {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{Listen: freeAddress(), Control: freeAddress()}
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	p := &started{service: "http://" + s.Listen, control: "http://" + s.Control}
+	p.client.Transport = &http.Transport{DisableKeepAlives: true}
+	p.stop = func() {
+		cancel()
+		<-done
+	}
+	for {
+		if _, err := p.get(p.control + "/control/counts"); err == nil {
+			return p
+		}
+	}
+}
+
+func freeAddress() string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func (p *started) get(url string) (string, error) {
+	resp, err := p.client.Get(url)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return string(b), err
+}
+
+func (p *started) post(url, body string) (int, string, error) {
+	resp, err := p.client.Post(url, "application/json", bytes.NewBufferString(body))
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b), err
+}
+
+// shouldPost posts body to the services and checks the whole reply.
+func (p *started) shouldPost(path, body string, status int, want string) {
+	got, reply, err := p.post(p.service+path, body)
+	So(err, ShouldBeNil)
+	So(reply, ShouldEqual, want)
+	So(got, ShouldEqual, status)
+}
+
+func (p *started) fault(body string) {
+	status, _, err := p.post(p.control+"/control/faults", body)
+	So(err, ShouldBeNil)
+	So(status, ShouldEqual, http.StatusOK)
+}
+
+// waitHeld returns once a silent outage holds a request.
+func (p *started) waitHeld() {
+	for {
+		counts, err := p.get(p.control + "/control/counts")
+		So(err, ShouldBeNil)
+		if !strings.Contains(counts, `"held":0`) {
+			return
+		}
+	}
+}
+
+func TestServer(t *testing.T) {
+	Convey("Given a running platform", t, func() {
+		p := start()
+		defer p.stop()
+		put := `{"checks":[{"key":"a","version":0}],"puts":[{"key":"a","value":"x"}]}`
+
+		Convey("rows are written once and read", func() {
+			p.shouldPost("/v1/transaction", put, 200, `{"committed":true,"rows":[{"key":"a","version":1}]}`)
+			p.shouldPost("/v1/transaction", put, 409, `{"committed":false,"rows":[{"key":"a","value":"x","version":1}]}`)
+			p.shouldPost("/v1/read", `{"keys":["b","a"]}`, 200, `{"rows":[{"key":"b","value":"","version":0},{"key":"a","value":"x","version":1}]}`)
+			p.shouldPost("/v1/read_versions", `{"keys":["a"]}`, 200, `{"rows":[{"key":"a","version":1}]}`)
+		})
+		Convey("a lost reply leaves the write applied", func() {
+			p.fault(`{"lose_replies":1}`)
+			_, _, err := p.post(p.service+"/v1/transaction", put)
+			So(err, ShouldNotBeNil)
+			p.shouldPost("/v1/read_versions", `{"keys":["a"]}`, 200, `{"rows":[{"key":"a","version":1}]}`)
+		})
+		Convey("an outage that refuses ends, and control works during it", func() {
+			p.fault(`{"outage":"refuse"}`)
+			_, _, err := p.post(p.service+"/v1/transaction", put)
+			So(err, ShouldNotBeNil)
+			p.fault(`{"outage":"none"}`)
+			p.shouldPost("/v1/read_versions", `{"keys":["a"]}`, 200, `{"rows":[{"key":"a","version":0}]}`)
+		})
+		Convey("a silent outage answers nobody and applies nothing", func() {
+			p.fault(`{"outage":"silent"}`)
+			answered := make(chan error, 1)
+			go func() {
+				_, _, err := p.post(p.service+"/v1/transaction", put)
+				answered <- err
+			}()
+			p.waitHeld()
+			p.fault(`{"outage":"none"}`)
+			So(<-answered, ShouldNotBeNil)
+			p.shouldPost("/v1/read_versions", `{"keys":["a"]}`, 200, `{"rows":[{"key":"a","version":0}]}`)
+		})
+		Convey("the host list takes hosts from its deployer", func() {
+			p.fault(`{"list_lag_ms":0}`)
+			_, _, err := p.post(p.control+"/control/hosts", `{"action":"add","id":"h","peer_address":"127.0.0.1:1"}`)
+			So(err, ShouldBeNil)
+			list, err := p.get(p.service + "/v1/hosts")
+			So(err, ShouldBeNil)
+			So(list, ShouldEqual, `{"hosts":[{"id":"h","availability_zone":"","state":"live","peer_address":"127.0.0.1:1","caller_address":"","operator_address":""}]}`)
+		})
+		Convey("garbage is answered 400", func() {
+			status, _, err := p.post(p.service+"/v1/read", "{")
+			So(err, ShouldBeNil)
+			So(status, ShouldEqual, 400)
+		})
+	})
+}
--- /dev/null
+++ b/standin/upstream/record.go
@@ -0,0 +1,36 @@
+package upstream
+
+import "sync"
+
+// Run is one request that an upstream began to run.
+type Run struct {
+	Upstream      string `json:"upstream"`
+	Organisation  string `json:"organisation"`
+	Key           string `json:"key"`    // the idempotency key; "" for none
+	Marker        string `json:"marker"` // the caller's name for the attempt
+	RequestID     string `json:"request_id"`
+	StartedUnixMs int64  `json:"started_unix_ms"`
+}
+
+// Record keeps every run in order. The zero value is empty and ready.
+type Record struct {
+	mu   sync.Mutex
+	runs []Run
+}
+
+// Add appends r.
+func (d *Record) Add(r Run) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.runs = append(d.runs, r)
+}
+
+// Runs returns the runs from the n-th on.
+func (d *Record) Runs(n int) []Run {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if n >= len(d.runs) {
+		return []Run{}
+	}
+	return append([]Run(nil), d.runs[n:]...)
+}
--- /dev/null
+++ b/standin/upstream/server.go
@@ -0,0 +1,275 @@
+package upstream
+
+import (
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"siskinpath/core/clock"
+	"siskinpath/standin/answer"
+)
+
+// coldFactor multiplies the service time at the beginning of a cold start.
+const coldFactor = 4
+
+// Upstream is one stand-in upstream. Fields are set before Start.
+type Upstream struct {
+	Name             string
+	Address          string
+	AvailabilityZone string
+	Behaviour        Behaviour
+	Record           *Record
+	Clock            clock.Clock
+	Seed             uint64
+
+	engine Engine
+	ln     net.Listener
+	mu     sync.Mutex // guards rand
+	rand   *rand.Rand
+}
+
+// Start listens and serves until Stop.
+func (u *Upstream) Start() (err error) {
+	defer func() { err = errors.WithMessagef(err, "upstream %s", u.Name) }()
+	u.rand = rand.New(rand.NewPCG(u.Seed, 1))
+	_, err = u.engine.Change(u.Clock.Now(), func(b *Behaviour) error {
+		*b = u.Behaviour
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	u.ln, err = net.Listen("tcp", u.Address)
+	if err != nil {
+		return err
+	}
+	u.Address = u.ln.Addr().String()
+	server := &fasthttp.Server{
+		Handler:               u.handle,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		Logger:                silentLogger{},
+	}
+	go func() { _ = server.Serve(&limitedListener{Listener: u.ln, engine: &u.engine}) }()
+	return nil
+}
+
+// Stop takes no more connections.
+func (u *Upstream) Stop() { _ = u.ln.Close() }
+
+type silentLogger struct{}
+
+// Printf does nothing.
+func (silentLogger) Printf(string, ...any) {}
+
+func (u *Upstream) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/siskin/probe":
+		u.probe(ctx)
+	case "/siskin/load":
+		u.engine.Count(func(s *Stats) { s.LoadReads++ })
+		u.report(ctx)
+	default:
+		u.serve(ctx)
+	}
+}
+
+func (u *Upstream) report(ctx *fasthttp.RequestCtx) {
+	ctx.Response.Header.Set("Siskin-Load", u.engine.Report(u.Clock.Now()).String())
+}
+
+func (u *Upstream) probe(ctx *fasthttp.RequestCtx) {
+	now := u.Clock.Now()
+	u.engine.CountProbe(now)
+	b, _ := u.engine.Behaviour(now)
+	time.Sleep(millis(b.ProbeMs))
+	u.report(ctx)
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// request is what the upstream needs to know of a request.
+type request struct {
+	organisation string
+	key          string
+	marker       string
+	requestID    string
+	size         int
+	work         time.Duration // 0 means as the behaviour says
+	arrived      time.Time
+	deadline     time.Time
+	gone         <-chan struct{}
+}
+
+func parse(ctx *fasthttp.RequestCtx) request {
+	h := &ctx.Request.Header
+	q := ctx.QueryArgs()
+	r := request{
+		organisation: string(h.Peek("Siskin-Organisation")),
+		key:          string(h.Peek("Idempotency-Key")),
+		marker:       string(q.Peek("marker")),
+		requestID:    string(h.Peek("Siskin-Request-Id")),
+		size:         answer.DefaultBytes,
+		arrived:      time.Now(),
+	}
+	if n, err := q.GetUint("size"); err == nil {
+		r.size = n
+	}
+	if n, err := q.GetUint("work_ms"); err == nil {
+		r.work = time.Duration(n) * time.Millisecond
+	}
+	r.deadline = r.arrived.Add(time.Hour)
+	if ms, err := strconv.Atoi(string(h.Peek("Siskin-Deadline-Ms"))); err == nil {
+		r.deadline = r.arrived.Add(time.Duration(ms) * time.Millisecond)
+	}
+	if c, ok := ctx.Conn().(*watchedConn); ok {
+		r.gone = c.gone
+	}
+	return r
+}
+
+func (u *Upstream) serve(ctx *fasthttp.RequestCtx) {
+	r := parse(ctx)
+	ctx.Response.Header.Set("Siskin-Request-Id", r.requestID)
+	t, refusal := u.engine.Arrive(u.Clock.Now())
+	if refusal != "" {
+		u.refuse(ctx, refusal)
+		return
+	}
+	end := u.run(r, t)
+	u.engine.Leave(u.Clock.Now(), t)
+	u.finish(ctx, r, end)
+}
+
+// ending is how a request ended.
+type ending int
+
+const (
+	ended ending = iota
+	endedError
+	endedCancelled
+	endedDeadline
+	endedCut
+)
+
+func (u *Upstream) run(r request, t *Ticket) ending {
+	late := time.NewTimer(time.Until(r.deadline))
+	defer late.Stop()
+	select {
+	case <-t.Ready:
+	case <-r.gone:
+		return endedCancelled
+	case <-late.C:
+		return endedDeadline
+	}
+	b, since := u.engine.Behaviour(u.Clock.Now())
+	if !b.DeadlineIgnored && time.Now().After(r.deadline) {
+		return endedDeadline
+	}
+	u.recordRun(r)
+	if b.FailFast == FailFastError {
+		return endedError
+	}
+	work := time.NewTimer(u.workTime(b, since, r.work))
+	defer work.Stop()
+	select {
+	case <-work.C:
+	case <-r.gone:
+		return endedCancelled
+	}
+	if b.CutAnswers > 0 && u.draw() < b.CutAnswers {
+		return endedCut
+	}
+	return ended
+}
+
+func (u *Upstream) recordRun(r request) {
+	u.engine.Count(func(s *Stats) { s.Runs++ })
+	u.Record.Add(Run{
+		Upstream:      u.Name,
+		Organisation:  r.organisation,
+		Key:           r.key,
+		Marker:        r.marker,
+		RequestID:     r.requestID,
+		StartedUnixMs: time.Now().UnixMilli(),
+	})
+}
+
+func (u *Upstream) draw() float64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.rand.Float64()
+}
+
+// workTime is how long a run takes, since after the last change of b.
+func (u *Upstream) workTime(b Behaviour, since clock.Millis, asked time.Duration) time.Duration {
+	ms := b.ServiceMs
+	if !b.Fixed {
+		u.mu.Lock()
+		ms *= u.rand.ExpFloat64()
+		u.mu.Unlock()
+	}
+	if asked > 0 {
+		ms = float64(asked) / float64(time.Millisecond)
+	}
+	if b.SlowFactor > 0 && int64(since) < b.SlowForMs {
+		ms *= b.SlowFactor
+	}
+	if int64(since) < b.ColdMs {
+		left := 1 - float64(since)/float64(b.ColdMs)
+		ms *= 1 + (coldFactor-1)*left
+	}
+	return millis(ms)
+}
+
+func (u *Upstream) finish(ctx *fasthttp.RequestCtx, r request, end ending) {
+	ctx.Response.Header.Set("Siskin-Took-Us", strconv.FormatInt(time.Since(r.arrived).Microseconds(), 10))
+	ctx.Response.Header.Set("Siskin-Upstream", u.Name)
+	switch end {
+	case endedCancelled:
+		u.engine.Count(func(s *Stats) { s.Cancelled++ })
+		ctx.SetConnectionClose()
+	case endedDeadline:
+		u.refuse(ctx, RefusedDeadline)
+	case endedError:
+		u.engine.Count(func(s *Stats) { s.Errors++ })
+		u.report(ctx)
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+	case endedCut:
+		u.cut(ctx, r)
+	default:
+		u.report(ctx)
+		ctx.SetBody(answer.Body(r.organisation, markerOf(r), r.size))
+	}
+}
+
+// markerOf returns what the body is derived from besides the organisation.
+func markerOf(r request) string {
+	if r.key != "" {
+		return r.key
+	}
+	return r.marker
+}
+
+func (u *Upstream) refuse(ctx *fasthttp.RequestCtx, refusal Refusal) {
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	ctx.Response.Header.Set("Siskin-Refused", string(refusal))
+	u.report(ctx)
+}
+
+// cut promises the whole body, sends half of it and closes the connection.
+func (u *Upstream) cut(ctx *fasthttp.RequestCtx, r request) {
+	body := answer.Body(r.organisation, markerOf(r), r.size)
+	head := "HTTP/1.1 200 OK\r\nSiskin-Request-Id: " + r.requestID +
+		"\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) {
+		_, _ = c.Write([]byte(head))
+		_, _ = c.Write(body[:len(body)/2])
+	})
+}
--- /dev/null
+++ b/standin/upstream/server_test.go
@@ -0,0 +1,123 @@
+package upstream
+
+import (
+	"bufio"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/valyala/fasthttp"
+
+	"siskinpath/core/clock"
+	"siskinpath/standin/answer"
+)
+
+func startUpstream(b Behaviour) *Upstream {
+	u := &Upstream{Name: "w", Address: "127.0.0.1:0", Behaviour: b, Record: &Record{}, Clock: clock.NewSystem()}
+	So(u.Start(), ShouldBeNil)
+	return u
+}
+
+// client is one connection to an upstream.
+type client struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func dial(u *Upstream) *client {
+	c, err := net.Dial("tcp", u.Address)
+	So(err, ShouldBeNil)
+	return &client{Conn: c, r: bufio.NewReader(c)}
+}
+
+func (c *client) send(path, key string) {
+	var req fasthttp.Request
+	req.SetRequestURI("http://w" + path)
+	req.Header.Set("Siskin-Organisation", "org")
+	req.Header.Set("Siskin-Request-Id", "r1")
+	req.Header.Set("Siskin-Deadline-Ms", "60000")
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	w := bufio.NewWriter(c)
+	So(req.Write(w), ShouldBeNil)
+	So(w.Flush(), ShouldBeNil)
+}
+
+func (c *client) receive() *fasthttp.Response {
+	var resp fasthttp.Response
+	So(resp.Read(c.r), ShouldBeNil)
+	return &resp
+}
+
+func waitStats(u *Upstream, done func(Stats) bool) {
+	for !done(u.engine.Stats()) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestUpstream(t *testing.T) {
+	Convey("An answer carries the request's id, the load, and a body that the caller can check", t, func() {
+		u := startUpstream(Behaviour{Slots: 1, Connections: 1, Fixed: true})
+		defer u.Stop()
+		c := dial(u)
+		defer c.Close()
+		c.send("/slots?marker=m&size=900", "k")
+		resp := c.receive()
+		So(resp.StatusCode(), ShouldEqual, 200)
+		So(string(resp.Header.Peek("Siskin-Request-Id")), ShouldEqual, "r1")
+		So(string(resp.Header.Peek("Siskin-Load")), ShouldEqual, "in_flight=0, queued=0, draining=false")
+		So(answer.Judge(resp.Body(), "org", "k", 900), ShouldEqual, answer.Whole)
+		runs := u.Record.Runs(0)
+		So(runs, ShouldHaveLength, 1)
+		So(runs[0].Key, ShouldEqual, "k")
+		So(runs[0].Organisation, ShouldEqual, "org")
+	})
+	Convey("Closing the connection cancels a run and a wait, and what waited never runs", t, func() {
+		u := startUpstream(Behaviour{Slots: 1, Queue: 1, Connections: 2, Fixed: true})
+		defer u.Stop()
+		first, second := dial(u), dial(u)
+		first.send("/x?work_ms=60000", "a")
+		waitStats(u, func(s Stats) bool { return s.Runs == 1 })
+		second.send("/x?work_ms=60000", "b")
+		waitStats(u, func(s Stats) bool { return s.PresentMax == 2 })
+		So(second.Close(), ShouldBeNil)
+		waitStats(u, func(s Stats) bool { return s.Cancelled == 1 })
+		So(first.Close(), ShouldBeNil)
+		waitStats(u, func(s Stats) bool { return s.Cancelled == 2 })
+		So(u.Record.Runs(0), ShouldHaveLength, 1)
+	})
+	Convey("Connections above the limit are closed", t, func() {
+		u := startUpstream(Behaviour{Slots: 1, Connections: 1})
+		defer u.Stop()
+		first := dial(u)
+		defer first.Close()
+		waitStats(u, func(s Stats) bool { return s.Open == 1 })
+		second := dial(u)
+		defer second.Close()
+		_, err := second.r.ReadByte()
+		So(err, ShouldNotBeNil)
+		So(u.engine.Stats().TurnedAway, ShouldEqual, 1)
+	})
+	Convey("A refusal says why and isn't recorded as a run", t, func() {
+		u := startUpstream(Behaviour{Slots: 1, Connections: 1, Draining: true})
+		defer u.Stop()
+		c := dial(u)
+		defer c.Close()
+		c.send("/x", "")
+		resp := c.receive()
+		So(resp.StatusCode(), ShouldEqual, 503)
+		So(string(resp.Header.Peek("Siskin-Refused")), ShouldEqual, "draining")
+		So(u.Record.Runs(0), ShouldBeEmpty)
+	})
+	Convey("A cut answer ends before its length", t, func() {
+		u := startUpstream(Behaviour{Slots: 1, Connections: 1, CutAnswers: 1})
+		defer u.Stop()
+		c := dial(u)
+		defer c.Close()
+		c.send("/x?size=600", "")
+		var resp fasthttp.Response
+		So(resp.Read(c.r), ShouldNotBeNil)
+	})
+}
