--- /dev/null
+++ b/siskinpathd/settings/listen.go
@@ -0,0 +1,42 @@
+package settings
+
+import (
+	"net"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// CheckListen binds each listen address for a moment. Its error is Faults, one
+// for each address that can't be bound.
+func CheckListen(s *Settings) error {
+	var faults Faults
+	for _, a := range s.listens() {
+		l, err := net.Listen("tcp", a.value)
+		if err != nil {
+			faults = append(faults, bindFault(s.path, a, err))
+			continue
+		}
+		_ = l.Close() // nothing was accepted
+	}
+	if len(faults) > 0 {
+		return faults
+	}
+	return nil
+}
+
+func bindFault(path string, a keyedAddress, err error) Fault {
+	f := Fault{File: path, Key: a.key, What: a.value + " can't be bound: " + err.Error(), Fix: "give an address of this machine and a free port"}
+	switch {
+	case errors.Is(err, syscall.EADDRINUSE):
+		f.What = a.value + " is in use by another process"
+		f.Fix = "stop that process or give another port"
+	case errors.Is(err, syscall.EADDRNOTAVAIL):
+		f.What = a.value + " is not an address of this machine"
+		f.Fix = "give one of this machine's IP numbers"
+	case errors.Is(err, syscall.EACCES):
+		f.What = a.value + " needs more rights than this process has"
+		f.Fix = "give a port above 1023"
+	}
+	return f
+}
