once: the keeper decides which requests may run here

Keys with this incarnation's prefix run here without a write; other keys are claimed in the table service, one row a key, by compare-and-set. What a host has given up it never sends.

--- /dev/null
+++ b/core/once/claim.go
@@ -0,0 +1,330 @@
+package once
+
+import (
+	"encoding/json"
+
+	"siskinpath/core/clock"
+)
+
+// MaxClaims is the largest number of claims of one transaction.
+const MaxClaims = 128
+
+// ClaimWrite is a row to write, if its version is still ExpectVersion.
+type ClaimWrite struct {
+	Record        RecordID
+	RowKey        string
+	Value         string
+	ExpectVersion uint64 // 0: the row must be absent
+}
+
+// ClaimRead is a row to read back, because a write's reply was lost.
+type ClaimRead struct {
+	Record RecordID
+	RowKey string
+}
+
+// ClaimKind says how the write or the read of a claim ended.
+type ClaimKind int
+
+// Ends of a claim's write or read.
+const (
+	ClaimCommitted ClaimKind = iota // the write was applied
+	ClaimTaken                      // the row has another version: Value and Version are what it holds
+	ClaimAbsent                     // a read found no row
+	ClaimLost                       // the write's reply was lost: it may have been applied, or be applied later
+	ClaimDown                       // the platform can't be reached
+	ClaimRetry                      // not applied for the sake of another row in the transaction
+)
+
+// ClaimOutcome is the end of a claim's write or read.
+type ClaimOutcome struct {
+	Kind    ClaimKind
+	Value   string // for ClaimTaken
+	Version uint64 // for ClaimTaken; for ClaimCommitted the new version, or 0
+}
+
+// claimRow is the value of a claim's row.
+type claimRow struct {
+	Host         string `json:"host"`
+	Incarnation  uint64 `json:"incarnation"`
+	Attempt      uint64 `json:"attempt"`
+	Organisation string `json:"organisation"`
+}
+
+// RowKey returns the key of the claim's row. Services and organisations have no
+// slash in their names, so two keys never share a row.
+func RowKey(service, organisation, key string) string {
+	return "claim/" + service + "/" + organisation + "/" + key
+}
+
+// beginClaim decides on a key without a prefix.
+func (k *Keeper) beginClaim(req Request, find Finder) Decision {
+	r := k.byName[nameOf(req)]
+	if r != nil && r.phase != idle {
+		return k.known(r, req)
+	}
+	unsentSince := uint64(0)
+	if r != nil {
+		if k.now >= req.Deadline {
+			return refuse(ReasonDeadline, spread(req.Key, retryAfterExpiry))
+		}
+		unsentSince = r.unsentSince
+		k.drop(r)
+	} else if d, ok := k.roomFor(req); !ok {
+		return d
+	}
+	next := k.add(req)
+	next.claimed = true
+	next.find = find
+	if r != nil && r.held {
+		next.attempt, next.unsentSince = r.attempt, unsentSince
+		next.held = true
+		next.phase = running
+		return Decision{Verdict: Run, Record: next.id}
+	}
+	k.attempts++
+	next.attempt = k.attempts
+	next.unsentSince = next.attempt
+	if r != nil {
+		next.unsentSince = unsentSince
+	}
+	next.phase = claimWanted
+	k.claims = append(k.claims, next)
+	return Decision{Verdict: Claim, Record: next.id}
+}
+
+// askedForClaim decides on a key for which another host found this host's claim.
+func (k *Keeper) askedForClaim(req Request) Decision {
+	r := k.byName[nameOf(req)]
+	if r == nil {
+		return unknown(ReasonClaimForgotten)
+	}
+	if r.phase == passing {
+		// The claim has moved on since the other host read it. Waiting here
+		// could make two hosts wait for each other.
+		return unknown(ReasonClaimMoved)
+	}
+	if r.phase != idle {
+		return k.known(r, req)
+	}
+	r.held = false
+	k.counts.ClaimsGivenUp++
+	return Decision{Verdict: Refuse, Reply: r.reply, GivenUp: true}
+}
+
+// ClaimsWanted returns the claims to write now, at most MaxClaims, all in one
+// transaction. Each must be followed by a ClaimResult.
+func (k *Keeper) ClaimsWanted(now clock.Millis) []ClaimWrite {
+	k.advance(now)
+	k.expireClaims()
+	var writes []ClaimWrite
+	for _, r := range k.claims {
+		if r.phase != claimWanted || len(writes) == MaxClaims {
+			continue
+		}
+		r.phase = claimWriting
+		writes = append(writes, ClaimWrite{
+			Record:        r.id,
+			RowKey:        RowKey(r.name.service, r.name.organisation, r.name.key),
+			Value:         k.rowValue(r),
+			ExpectVersion: r.expectVersion,
+		})
+	}
+	k.counts.ClaimWrites += len(writes)
+	if len(writes) > 0 {
+		k.counts.ClaimTransactions++
+	}
+	return writes
+}
+
+// ClaimReadsWanted returns the rows to read back now, at most MaxClaims. Each
+// must be followed by a ClaimResult: ClaimTaken with what the row holds,
+// ClaimAbsent or ClaimDown.
+func (k *Keeper) ClaimReadsWanted(now clock.Millis) []ClaimRead {
+	k.advance(now)
+	k.expireClaims()
+	var reads []ClaimRead
+	for _, r := range k.claims {
+		if r.phase != claimReading || len(reads) == MaxClaims {
+			continue
+		}
+		r.phase = claimReadOut
+		reads = append(reads, ClaimRead{
+			Record: r.id,
+			RowKey: RowKey(r.name.service, r.name.organisation, r.name.key),
+		})
+	}
+	k.counts.ClaimReads += len(reads)
+	return reads
+}
+
+// ClaimResult takes the end of a claim's write or read. A result for a claim
+// that was given up in the meantime changes nothing.
+func (k *Keeper) ClaimResult(now clock.Millis, rec RecordID, out ClaimOutcome) {
+	k.advance(now)
+	r := k.byID[rec]
+	if r == nil || !r.open() {
+		return
+	}
+	if k.now >= r.deadline {
+		k.giveUp(r, ReasonDeadline, retryAfterExpiry)
+		return
+	}
+	switch out.Kind {
+	case ClaimCommitted:
+		k.granted(r)
+	case ClaimTaken:
+		k.taken(r, out)
+	case ClaimAbsent:
+		k.absent(r)
+	case ClaimRetry:
+		r.phase = claimWanted
+	case ClaimLost:
+		k.counts.ClaimsLost++
+		r.phase = claimReading
+	case ClaimDown:
+		k.giveUp(r, ReasonPlatformDown, retryWhenDown)
+	}
+}
+
+// absent looks at a read that found no row. The lost write may still be applied,
+// so the very same one is tried again.
+func (k *Keeper) absent(r *record) {
+	if r.expectVersion != 0 {
+		k.settle(r, ReasonClaimForgotten)
+		return
+	}
+	r.phase = claimWanted
+}
+
+// granted lets a record run: the row names this host and attempt.
+func (k *Keeper) granted(r *record) {
+	r.held = true
+	r.phase = running
+	k.forgetClaim(r)
+}
+
+// taken looks at a row that is not as the write expected it.
+func (k *Keeper) taken(r *record, out ClaimOutcome) {
+	var row claimRow
+	if err := json.Unmarshal([]byte(out.Value), &row); err != nil || row.Incarnation == 0 {
+		k.counts.ClaimsUnreadable++
+		k.settle(r, ReasonClaimUnreadable)
+		return
+	}
+	if row.Incarnation != k.Incarnation {
+		k.takenElsewhere(r, row.Incarnation, out.Version)
+		return
+	}
+	switch {
+	case row.Attempt == r.attempt:
+		k.granted(r)
+	case row.Attempt >= r.unsentSince:
+		// An earlier attempt of ours that was given up without a byte sent.
+		r.expectVersion = out.Version
+		r.phase = claimWanted
+	default:
+		k.settle(r, ReasonClaimForgotten)
+	}
+}
+
+// takenElsewhere passes a request to the claimant, if it can be asked.
+func (k *Keeper) takenElsewhere(r *record, inc, version uint64) {
+	host, p := r.find(inc)
+	if p != Present {
+		k.settle(r, absenceReason(p))
+		return
+	}
+	r.host = host
+	r.expectVersion = version
+	r.phase = passing
+	k.forgetClaim(r)
+}
+
+// settle records that the outcome of a claimed key can't be told.
+func (k *Keeper) settle(r *record, reason string) {
+	k.forgetClaim(r)
+	k.record(r, Reply{Outcome: OutcomeUnknown, Reason: reason})
+	if reason == ReasonHostUnreachable || reason == ReasonHostNeverHeard {
+		// A later retry may find the claimant: only this request ends here.
+		delete(k.byName, r.name)
+	}
+}
+
+// TakeOver says that the claimant to which rec was passed answered that it never
+// sent the request and never will. The claim is then wanted again, on condition
+// that the row is still the one that was found.
+func (k *Keeper) TakeOver(now clock.Millis, rec RecordID) {
+	k.advance(now)
+	r := k.byID[rec]
+	if r == nil || r.phase != passing {
+		return
+	}
+	k.counts.TakeOvers++
+	r.phase = claimWanted
+	k.claims = append(k.claims, r)
+}
+
+// ClaimDecided returns what became of a claim: Run, Pass to the claimant, Unknown
+// or Refuse; false while it is open.
+func (k *Keeper) ClaimDecided(rec RecordID) (d Decision, ok bool) {
+	r := k.byID[rec]
+	switch {
+	case r == nil:
+		return unknown(ReasonClaimForgotten), true
+	case r.phase == running:
+		return Decision{Verdict: Run, Record: rec}, true
+	case r.phase == passing:
+		return Decision{Verdict: Pass, Record: rec, Host: r.host, Claimed: true}, true
+	case r.phase == idle:
+		return Decision{Verdict: Refuse, Record: rec, Reply: r.reply}, true
+	case r.phase == ended && r.reply.Outcome == OutcomeUnknown:
+		return Decision{Verdict: Unknown, Record: rec, Reply: r.reply}, true
+	case r.phase == ended:
+		return Decision{Verdict: Answer, Record: rec, Reply: r.reply}, true
+	}
+	return Decision{}, false
+}
+
+// giveUp ends a claim as not run. This host never sends on that attempt: a later
+// request for the key gets a new one.
+func (k *Keeper) giveUp(r *record, reason string, after clock.Millis) {
+	k.forgetClaim(r)
+	r.phase = idle
+	r.held = false
+	r.find = nil
+	r.endedAt = k.now
+	r.reply = Reply{Outcome: NotRun, Reason: reason, RetryAfter: spread(r.name.key, after)}
+}
+
+// expireClaims gives up the claims whose deadline has passed.
+func (k *Keeper) expireClaims() {
+	var due []*record
+	for _, r := range k.claims {
+		if k.now >= r.deadline {
+			due = append(due, r)
+		}
+	}
+	for _, r := range due {
+		k.giveUp(r, ReasonDeadline, retryAfterExpiry)
+	}
+}
+
+func (k *Keeper) forgetClaim(r *record) {
+	for i := range k.claims {
+		if k.claims[i] == r {
+			k.claims = append(k.claims[:i], k.claims[i+1:]...)
+			return
+		}
+	}
+}
+
+func (k *Keeper) rowValue(r *record) string {
+	b, _ := json.Marshal(claimRow{
+		Host:         k.Host,
+		Incarnation:  k.Incarnation,
+		Attempt:      r.attempt,
+		Organisation: r.name.organisation,
+	})
+	return string(b)
+}
--- /dev/null
+++ b/core/once/keeper_test.go
@@ -0,0 +1,192 @@
+package once
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"siskinpath/core/clock"
+)
+
+const testIncarnation = 0x8f00c2d1a3b4e5f6
+
+func newKeeper() *Keeper { return &Keeper{Incarnation: testIncarnation, Host: "gh-1"} }
+
+func nobody(uint64) (string, Presence) { return "", Never }
+
+// finder answers every question with host and p.
+func finder(host string, p Presence) Finder {
+	return func(uint64) (string, Presence) { return host, p }
+}
+
+func requestFor(key string) Request {
+	return Request{Service: "payments", Organisation: "farm", Key: key, Fingerprint: 7, Deadline: clock.Hour}
+}
+
+// begin asserts the verdict on a request and returns the decision.
+func begin(k *Keeper, now clock.Millis, req Request, find Finder, want Verdict) Decision {
+	d := k.Begin(now, req, find)
+	convey.So(d.Verdict, convey.ShouldEqual, want)
+	return d
+}
+
+// run asserts that a key is run to the end and returns its record.
+func run(k *Keeper, now clock.Millis, req Request) RecordID {
+	d := begin(k, now, req, nobody, Run)
+	convey.So(k.MaySend(now, d.Record), convey.ShouldBeTrue)
+	k.End(now, d.Record, Reply{Status: 200, Body: []byte("done")})
+	return d.Record
+}
+
+func TestOwnKeys(t *testing.T) {
+	convey.Convey("a key with this host's prefix", t, func() {
+		k := newKeeper()
+		now := 5 * clock.Minute
+		req := requestFor(k.Prefix(now) + "a1")
+
+		convey.Convey("runs once and is then answered from the record", func() {
+			run(k, now, req)
+			d := begin(k, now+1, req, nobody, Answer)
+			convey.So(string(d.Reply.Body), convey.ShouldEqual, "done")
+		})
+		convey.Convey("is waited for while it runs", func() {
+			d := begin(k, now, req, nobody, Run)
+			convey.So(begin(k, now, req, nobody, Wait).Record, convey.ShouldEqual, d.Record)
+		})
+		convey.Convey("is another key in another organisation", func() {
+			run(k, now, req)
+			req.Organisation = "other"
+			begin(k, now, req, nobody, Run)
+		})
+		convey.Convey("belongs to one request", func() {
+			run(k, now, req)
+			req.Fingerprint++
+			convey.So(begin(k, now, req, nobody, Invalid).Reply.Reason, convey.ShouldEqual, ReasonKeyReused)
+		})
+		convey.Convey("may run again after it did not run", func() {
+			d := begin(k, now, req, nobody, Run)
+			k.End(now, d.Record, Reply{Outcome: NotRun})
+			again := begin(k, now, req, nobody, Run)
+			convey.So(k.MaySend(now, d.Record), convey.ShouldBeFalse)
+			convey.So(k.MaySend(now, again.Record), convey.ShouldBeTrue)
+		})
+		convey.Convey("may not be sent twice, nor past its deadline", func() {
+			req.Deadline = now + 10
+			d := begin(k, now, req, nobody, Run)
+			convey.So(k.MaySend(now+10, d.Record), convey.ShouldBeFalse)
+			convey.So(k.MaySend(now+9, d.Record), convey.ShouldBeFalse)
+		})
+		convey.Convey("may be sent again when the attempt did not run", func() {
+			d := begin(k, now, req, nobody, Run)
+			convey.So(k.MaySend(now, d.Record), convey.ShouldBeTrue)
+			convey.So(k.MaySend(now, d.Record), convey.ShouldBeFalse)
+			k.NotSent(now, d.Record)
+			convey.So(k.MaySend(now, d.Record), convey.ShouldBeTrue)
+		})
+		convey.Convey("is unknown when it was sent and is said not to have run", func() {
+			d := begin(k, now, req, nobody, Run)
+			k.MaySend(now, d.Record)
+			convey.So(k.End(now, d.Record, Reply{Outcome: NotRun}).Outcome, convey.ShouldEqual, OutcomeUnknown)
+			begin(k, now, req, nobody, Unknown)
+		})
+	})
+}
+
+func TestKeyShapes(t *testing.T) {
+	convey.Convey("malformed keys are refused", t, func() {
+		k := newKeeper()
+		for _, key := range []string{"", " ", "a b", "a\n", "ä", strings.Repeat("k", MaxKeyBytes+1), k.Prefix(0)} {
+			d := begin(k, 0, requestFor(key), nobody, Invalid)
+			convey.So(d.Reply.Reason, convey.ShouldEqual, ReasonMalformedKey)
+		}
+	})
+	convey.Convey("a prefix has one spelling", t, func() {
+		inc, window, ok := Owner(prefix(testIncarnation, 42) + "k")
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(inc, convey.ShouldEqual, uint64(testIncarnation))
+		convey.So(window, convey.ShouldEqual, uint32(42))
+		for _, key := range []string{
+			"8F00c2d1a3b4e5f6-2a-k", "8f00c2d1a3b4e5f6-02a-k", "8f00c2d1a3b4e5f6-2A-k",
+			"8f00c2d1a3b4e5f6-2a", "8f00c2d1a3b4e5f6--k", "8f00c2d1a3b4e5f6-123456789-k", "+f00c2d1a3b4e5f6-2a-k",
+		} {
+			_, _, ok := Owner(key)
+			convey.So(ok, convey.ShouldBeFalse)
+		}
+	})
+}
+
+func TestKeysElsewhere(t *testing.T) {
+	convey.Convey("a key of another incarnation", t, func() {
+		k := newKeeper()
+		req := requestFor(prefix(1, 0) + "a1")
+
+		convey.Convey("passes to it while it can be asked", func() {
+			convey.So(begin(k, 0, req, finder("gh-2", Present), Pass).Host, convey.ShouldEqual, "gh-2")
+		})
+		convey.Convey("is unknown at once when it can't", func() {
+			for _, p := range []Presence{Gone, Unreachable, Never} {
+				begin(k, 0, req, finder("gh-2", p), Unknown)
+			}
+		})
+		convey.Convey("is never passed on twice", func() {
+			req.Mode = ModeDecide
+			begin(k, 0, req, finder("gh-2", Present), Unknown)
+		})
+	})
+}
+
+func TestRetention(t *testing.T) {
+	convey.Convey("a key is known as long as its window is", t, func() {
+		k := newKeeper()
+		k.RetainFor = 3 * clock.Minute
+		req := requestFor(k.Prefix(0) + "a1")
+		run(k, 0, req)
+
+		for now := clock.Millis(0); now < 4*clock.Minute; now += clock.Second {
+			k.Tick(now)
+			begin(k, now, req, nobody, Answer)
+		}
+		k.Tick(4 * clock.Minute)
+		convey.So(k.State().Records, convey.ShouldEqual, 0)
+		convey.So(k.State().RecordBytes, convey.ShouldEqual, 0)
+		convey.So(begin(k, 4*clock.Minute, req, nobody, Unknown).Reply.Reason, convey.ShouldEqual, ReasonKeyTooOld)
+	})
+	convey.Convey("a running key outlives its window", t, func() {
+		k := newKeeper()
+		req := requestFor(k.Prefix(0) + "a1")
+		d := begin(k, 0, req, nobody, Run)
+		k.Tick(30 * clock.Minute)
+		k.End(30*clock.Minute, d.Record, Reply{Status: 200})
+		k.Tick(31 * clock.Minute)
+		begin(k, 31*clock.Minute, req, nobody, Answer)
+		k.Tick(42 * clock.Minute)
+		begin(k, 42*clock.Minute, req, nobody, Unknown)
+	})
+	convey.Convey("a window that has not begun is refused", t, func() {
+		k := newKeeper()
+		begin(k, 0, requestFor(prefix(testIncarnation, 1)+"a"), nobody, Invalid)
+	})
+	convey.Convey("a full keeper refuses new keys and keeps the old", t, func() {
+		k := newKeeper()
+		k.MaxRecords = 2
+		a, b, c := requestFor(k.Prefix(0)+"a"), requestFor(k.Prefix(0)+"b"), requestFor(k.Prefix(0)+"c")
+		run(k, 0, a)
+		run(k, 0, b)
+		d := begin(k, 0, c, nobody, Refuse)
+		convey.So(d.Reply.Reason, convey.ShouldEqual, ReasonRecordsFull)
+		convey.So(d.Reply.RetryAfter, convey.ShouldBeGreaterThan, 0)
+		begin(k, 0, a, nobody, Answer)
+		begin(k, 0, b, nobody, Answer)
+	})
+	convey.Convey("an answer that does not fit is given once and then unknown", t, func() {
+		k := newKeeper()
+		k.MaxRecordBytes = 2000
+		req := requestFor(k.Prefix(0) + "a")
+		d := begin(k, 0, req, nobody, Run)
+		k.MaySend(0, d.Record)
+		reply := k.End(0, d.Record, Reply{Status: 200, Body: make([]byte, 3000)})
+		convey.So(len(reply.Body), convey.ShouldEqual, 3000)
+		convey.So(begin(k, 0, req, nobody, Unknown).Reply.Reason, convey.ShouldEqual, ReasonAnswerNotKept)
+	})
+}
--- /dev/null
+++ b/core/once/key.go
@@ -0,0 +1,60 @@
+package once
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Shape of a key's prefix: the incarnation in hexadecimal, a hyphen, the window
+// in hexadecimal without leading zeros, a hyphen.
+const (
+	incarnationDigits = 16
+	maxWindowDigits   = 8
+)
+
+func prefix(inc uint64, window uint32) string {
+	return fmt.Sprintf("%016x-%x-", inc, window)
+}
+
+// Owner parses the prefix out of a key: the incarnation that alone may run it,
+// and the window in which the prefix was given out. It returns false when the
+// key has no prefix. The same bytes give the same answer on every host.
+func Owner(key string) (inc uint64, window uint32, ok bool) {
+	if len(key) <= incarnationDigits || key[incarnationDigits] != '-' {
+		return 0, 0, false
+	}
+	head, rest := key[:incarnationDigits], key[incarnationDigits+1:]
+	digits, _, found := strings.Cut(rest, "-")
+	if !found || len(digits) > maxWindowDigits {
+		return 0, 0, false
+	}
+	inc, err := strconv.ParseUint(head, 16, 64)
+	if err != nil {
+		return 0, 0, false
+	}
+	w, err := strconv.ParseUint(digits, 16, 32)
+	if err != nil {
+		return 0, 0, false
+	}
+	// The one spelling that prefix writes counts; others are ordinary keys.
+	if !strings.HasPrefix(key, prefix(inc, uint32(w))) {
+		return 0, 0, false
+	}
+	return inc, uint32(w), true
+}
+
+// validKey reports whether key is 1 to MaxKeyBytes printable ASCII bytes without
+// spaces, and more than a bare prefix.
+func validKey(key string) bool {
+	if key == "" || len(key) > MaxKeyBytes {
+		return false
+	}
+	for i := range len(key) {
+		if key[i] <= ' ' || key[i] > '~' {
+			return false
+		}
+	}
+	inc, window, ok := Owner(key)
+	return !ok || len(key) > len(prefix(inc, window))
+}
--- /dev/null
+++ b/core/once/state.go
@@ -0,0 +1,72 @@
+package once
+
+// Counts are a Keeper's counters since its start.
+type Counts struct {
+	Requests          int `json:"requests"`
+	Runs              int `json:"runs"`
+	Waits             int `json:"waits"`
+	Answers           int `json:"answers"`
+	Passes            int `json:"passes"`
+	Claims            int `json:"claims"`
+	Unknowns          int `json:"unknowns"`
+	Refusals          int `json:"refusals"`
+	Invalids          int `json:"invalids"`
+	RefusedFull       int `json:"refused_full"`
+	Sends             int `json:"sends"`
+	SendsDenied       int `json:"sends_denied"`
+	AnswersNotKept    int `json:"answers_not_kept"`
+	Expired           int `json:"expired"`
+	ClaimWrites       int `json:"claim_writes"`
+	ClaimTransactions int `json:"claim_transactions"`
+	ClaimReads        int `json:"claim_reads"`
+	ClaimsLost        int `json:"claims_lost"`
+	ClaimsGivenUp     int `json:"claims_given_up"`
+	ClaimsUnreadable  int `json:"claims_unreadable"`
+	TakeOvers         int `json:"take_overs"`
+}
+
+func (c *Counts) verdict(v Verdict) {
+	switch v {
+	case Run:
+		c.Runs++
+	case Wait:
+		c.Waits++
+	case Answer:
+		c.Answers++
+	case Pass:
+		c.Passes++
+	case Claim:
+		c.Claims++
+	case Unknown:
+		c.Unknowns++
+	case Refuse:
+		c.Refusals++
+	case Invalid:
+		c.Invalids++
+	}
+}
+
+// State is a Keeper's state for people to read.
+type State struct {
+	Incarnation uint64 `json:"incarnation"`
+	Window      uint32 `json:"window"`
+	Floor       uint32 `json:"floor"` // oldest window of which every key is known
+	Records     int    `json:"records"`
+	RecordBytes int    `json:"record_bytes"`
+	OpenClaims  int    `json:"open_claims"`
+	Counts      Counts `json:"counts"`
+}
+
+// State returns the state as of the last event.
+func (k *Keeper) State() State {
+	k.init()
+	return State{
+		Incarnation: k.Incarnation,
+		Window:      k.Window(k.now),
+		Floor:       k.floor(),
+		Records:     len(k.byID),
+		RecordBytes: k.bytes,
+		OpenClaims:  len(k.claims),
+		Counts:      k.counts,
+	}
+}
--- a/core/once/types.go
+++ b/core/once/types.go
@@ -38,6 +38,26 @@
 	OutcomeUnknown                // it may have run
 )
 
+// Reasons given in replies. They are part of the callers' interface.
+const (
+	ReasonMalformedKey    = "malformed_key"       // empty, too long, or not printable ASCII
+	ReasonKeyReused       = "key_reused"          // the key belongs to another request
+	ReasonKeyFromFuture   = "key_from_future"     // its window has not begun
+	ReasonKeyTooOld       = "key_too_old"         // its window is no longer retained
+	ReasonRecordsFull     = "records_full"        // no room for a new key
+	ReasonDeadline        = "deadline"            // the deadline passed before it was sent
+	ReasonPlatformDown    = "platform_down"       // the claim could not be written
+	ReasonHostGone        = "host_gone"           // the incarnation that decides has ended
+	ReasonHostUnreachable = "host_unreachable"    // the incarnation that decides can't be asked
+	ReasonHostNeverHeard  = "host_never_heard"    // no host of that incarnation is known here
+	ReasonClaimUnreadable = "claim_unreadable"    // the claim's row is not a claim
+	ReasonClaimForgotten  = "claim_forgotten"     // claimed once, and no longer known
+	ReasonClaimMoved      = "claim_moved"         // claimed here once, and by another host since
+	ReasonSentNoAnswer    = "sent_without_answer" // sent, and its end is not known
+	ReasonAnswerNotKept   = "answer_not_kept"     // answered, and too large to retain
+	ReasonStillRunning    = "still_running"       // for a request whose deadline passes while it waits
+)
+
 // Reply is a recorded answer.
 type Reply struct {
 	Outcome    Outcome
@@ -47,3 +67,52 @@
 	Reason     string
 	RetryAfter clock.Millis
 }
+
+// Mode says where a request comes from.
+type Mode int
+
+// Modes of a request.
+const (
+	ModeCaller  Mode = iota // from a caller
+	ModeDecide              // from a host that found this host's prefix in the key
+	ModeClaimed             // from a host that found this host's claim
+)
+
+// Presence is what this host knows of an incarnation of a host.
+type Presence int
+
+// Presences.
+const (
+	Present     Presence = iota // it can be asked
+	Gone                        // it has ended for certain
+	Unreachable                 // it may live, but can't be asked
+	Never                       // it was never heard of here
+)
+
+// Finder tells which host runs as incarnation inc. The keeper calls it only
+// from within Begin and ClaimResult, the latter for claims of that request.
+type Finder func(inc uint64) (hostID string, p Presence)
+
+// Request is a request that carries a key.
+type Request struct {
+	Service      string
+	Organisation string
+	Key          string
+	Fingerprint  uint64       // of method, uri and body
+	Deadline     clock.Millis // point in time from which it may not be sent
+	Mode         Mode
+}
+
+// RecordID names one run of a key, or one try to get it, within one Keeper. The
+// zero value names none. A later run of the same key has another id.
+type RecordID uint64
+
+// Decision is the answer to a Request.
+type Decision struct {
+	Verdict Verdict
+	Record  RecordID // for Run, Wait, Claim, and Pass to a claimant
+	Reply   Reply    // for Answer, Unknown, Refuse and Invalid
+	Host    string   // for Pass: the id of the host to ask
+	Claimed bool     // for Pass: ask it with ModeClaimed rather than ModeDecide
+	GivenUp bool     // for ModeClaimed: this host never sent it and now never will
+}
