Daemon: filters, upstream connections, service runners, claims, hops between hosts

Cause: the path of one request needs its shell around the decision packages. Change: caller decode and answer, filter chain, own upstream connections, group commit of claims, hops.

--- /dev/null
+++ b/siskinpathd/call/call.go
@@ -0,0 +1,104 @@
+// Package call holds a request and its answer as they pass from filter to
+// filter. Both own all of their bytes: nothing in them belongs to a pooled
+// object of a library, so that an attempt which outlives its caller can never
+// read or write somebody else's request.
+package call
+
+import (
+	"hash/maphash"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/once"
+	"siskinpath/core/route"
+)
+
+// Call is one request on its way through a host.
+type Call struct {
+	Service      string
+	Organisation string
+	Key          string // idempotency key; empty when the request has none
+	Method       string
+	URI          string // path and query as the upstream sees them
+	Header       [][2]string
+	Body         []byte
+	Deadline     clock.Millis // point in time on this host's clock
+	Idempotent   bool         // may be sent more than once
+	Depth        int          // calls nested above this one
+	Hops         int          // hosts it has passed through before this one
+	Mode         once.Mode    // why it came here
+	Gone         <-chan struct{}
+
+	// Guard is asked right before the first byte of each attempt and of each
+	// hop; false means that the attempt must not start. Nil allows.
+	Guard func() bool
+	// NotSent is told when an attempt that Guard allowed ended for certain
+	// without running. Nil ignores it.
+	NotSent func()
+}
+
+// Answer is the final answer to a Call: the recorded form, so that a retry can
+// be given the same.
+type Answer struct {
+	once.Reply
+	Recorded bool          // it was recorded earlier
+	GivenUp  bool          // a claim of this host was given up on request
+	Digest   *route.Digest // for a request that came from another host
+}
+
+var seed = maphash.MakeSeed()
+
+// Fingerprint tells two requests apart that carry the same key. It is valid
+// within this process.
+func (c *Call) Fingerprint() uint64 {
+	var h maphash.Hash
+	h.SetSeed(seed)
+	h.WriteString(c.Method)
+	h.WriteByte(0)
+	h.WriteString(c.URI)
+	h.WriteByte(0)
+	h.Write(c.Body)
+	return h.Sum64()
+}
+
+// NotRun is the answer to a request that was given up before any byte of it
+// reached an upstream. The caller may come back after retryAfter.
+func NotRun(reason string, retryAfter clock.Millis) Answer {
+	status := statusUnavailable
+	switch reason {
+	case string(route.ReasonRate):
+		status = statusTooMany
+	case ReasonUnknownService:
+		status = statusNotFound
+	}
+	return Answer{Reply: once.Reply{Outcome: once.NotRun, Status: status, Reason: reason, RetryAfter: retryAfter}}
+}
+
+// BadRequest is the answer to a malformed request.
+func BadRequest(reason string) Answer {
+	return Answer{Reply: once.Reply{Outcome: once.NotRun, Status: statusBadRequest, Reason: reason}}
+}
+
+// Unknown is the answer to a request that may have run.
+func Unknown(reason string) Answer {
+	return Answer{Reply: once.Reply{Outcome: once.OutcomeUnknown, Status: statusBadGateway, Reason: reason}}
+}
+
+// HTTP statuses of answers that no upstream gave.
+const (
+	statusBadRequest  = 400
+	statusNotFound    = 404
+	statusTooMany     = 429
+	statusBadGateway  = 502
+	statusUnavailable = 503
+)
+
+// Reasons that a host gives besides those of route and once.
+const (
+	ReasonUnknownService  = "unknown_service"
+	ReasonNoTable         = "no_table"
+	ReasonBusy            = "host_busy"
+	ReasonDeadlineTooLong = "deadline_too_long"
+	ReasonLost            = "outcome_unknown"
+	ReasonLoop            = "too_many_hops"
+	ReasonCallerGone      = "caller_gone"
+)
--- /dev/null
+++ b/siskinpathd/caller/gone.go
@@ -0,0 +1,62 @@
+package caller
+
+import (
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"siskinpath/core/clock"
+)
+
+// watchAfter is how long a request runs before its caller's connection is
+// watched: most are answered sooner, and watching costs a goroutine.
+const watchAfter = 10 * clock.Millisecond
+
+// watch closes gone when the caller closes its connection while its request is
+// running. stop ends the watch and returns once the connection is untouched
+// again, so that the library can read the next request from it.
+func watch(nc net.Conn) (gone <-chan struct{}, stop func()) {
+	ch := make(chan struct{})
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return ch, func() {}
+	}
+	var wg sync.WaitGroup
+	wg.Add(1)
+	timer := time.AfterFunc(watchAfter.Duration(), func() {
+		defer wg.Done()
+		if closedByPeer(sc) {
+			close(ch)
+		}
+	})
+	stop = func() {
+		if timer.Stop() {
+			return
+		}
+		_ = nc.SetReadDeadline(time.Unix(1, 0))
+		wg.Wait()
+		_ = nc.SetReadDeadline(time.Time{})
+	}
+	return ch, stop
+}
+
+// closedByPeer waits until the connection can be read and tells whether that is
+// its end. Bytes of a next request are left where they are.
+func closedByPeer(sc syscall.Conn) bool {
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	_ = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if rerr == syscall.EAGAIN || rerr == syscall.EINTR {
+			return false
+		}
+		closed = n <= 0
+		return true
+	})
+	return closed
+}
--- /dev/null
+++ b/siskinpathd/caller/server.go
@@ -0,0 +1,153 @@
+// Package caller speaks HTTP to callers: it tells them which hosts to use, and
+// takes their requests.
+package caller
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/fasthttp/router"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"siskinpath/core/clock"
+	"siskinpath/siskinpathd/call"
+	"siskinpath/siskinpathd/filter"
+)
+
+// callPrefix begins the path of every request for a service.
+const callPrefix = "/v1/call/"
+
+// Timeouts of callers' connections.
+const (
+	readTimeout  = 30 * clock.Second
+	writeTimeout = 30 * clock.Second
+	idleTimeout  = 2 * clock.Minute
+)
+
+var malformed = metrics.NewCounter("requests_malformed_total")
+
+// Server is the callers' listener. Set the fields before Run.
+type Server struct {
+	Listen         string
+	HostID         string
+	Clock          clock.Clock
+	Chain          filter.Next
+	Addresses      func(service, availabilityZone string) (Addresses, error)
+	MaxBodyBytes   int
+	MaxHeaderBytes int
+	MaxConnections int
+	Log            *slog.Logger
+
+	http    *fasthttp.Server
+	leaving atomic.Bool
+}
+
+// Run serves until ctx ends and then until the requests in flight are answered.
+// The listener must have been bound with Bind.
+func (s *Server) Run(ctx context.Context, ln net.Listener) (err error) {
+	defer func() { err = errors.WithMessagef(err, "callers' listener %s", s.Listen) }()
+	s.http = &fasthttp.Server{
+		Handler:                      s.handler(),
+		ErrorHandler:                 s.refuseMalformed,
+		Name:                         "siskinpath",
+		ReadTimeout:                  readTimeout.Duration(),
+		WriteTimeout:                 writeTimeout.Duration(),
+		IdleTimeout:                  idleTimeout.Duration(),
+		MaxRequestBodySize:           s.MaxBodyBytes,
+		ReadBufferSize:               s.MaxHeaderBytes,
+		Concurrency:                  s.MaxConnections,
+		DisablePreParseMultipartForm: true,
+		NoDefaultContentType:         true,
+		CloseOnShutdown:              true,
+	}
+	served := make(chan error, 1)
+	go func() { served <- s.http.Serve(ln) }()
+	select {
+	case err = <-served:
+		return err
+	case <-ctx.Done():
+		return s.http.Shutdown()
+	}
+}
+
+// Bind opens the listener, so that a port in use is known before anything runs.
+func (s *Server) Bind() (ln net.Listener, err error) {
+	ln, err = net.Listen("tcp", s.Listen)
+	return ln, errors.WithMessagef(err, "listen.caller %s: choose a free address", s.Listen)
+}
+
+// Leave makes every connection close after its next answer, between requests.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+func (s *Server) handler() fasthttp.RequestHandler {
+	r := router.New()
+	r.HandleMethodNotAllowed = false
+	r.RedirectTrailingSlash = false
+	r.RedirectFixedPath = false
+	r.GET("/v1/addresses/{service}", s.addresses)
+	r.ANY(callPrefix+"{service}", s.call)
+	r.ANY(callPrefix+"{service}/{path:*}", s.call)
+	return func(ctx *fasthttp.RequestCtx) {
+		r.Handler(ctx)
+		if s.leaving.Load() {
+			ctx.SetConnectionClose()
+		}
+	}
+}
+
+// call takes a request for a service through the chain.
+func (s *Server) call(ctx *fasthttp.RequestCtx) {
+	c, err := decode(ctx, s.Clock.Now())
+	if err != nil {
+		malformed.Inc()
+		a := call.BadRequest(err.Error())
+		writeAnswer(ctx, s.HostID, &a)
+		return
+	}
+	gone, stop := watch(ctx.Conn())
+	c.Gone = gone
+	a := s.Chain(c)
+	stop()
+	writeAnswer(ctx, s.HostID, &a)
+}
+
+// refuseMalformed answers what the library could not read.
+func (s *Server) refuseMalformed(ctx *fasthttp.RequestCtx, err error) {
+	malformed.Inc()
+	a := call.BadRequest(reasonFor(err))
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		a.Status = fasthttp.StatusRequestEntityTooLarge
+	}
+	writeAnswer(ctx, s.HostID, &a)
+	ctx.SetConnectionClose()
+}
+
+func reasonFor(err error) string {
+	var small *fasthttp.ErrSmallBuffer
+	var netErr net.Error
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return "body_too_large"
+	case errors.As(err, &small):
+		return "header_too_large"
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return "read_timeout"
+	default:
+		return "malformed_request"
+	}
+}
+
+// Drain waits until no request is in flight, at most for limit.
+func (s *Server) Drain(limit clock.Millis, inFlight func() int64) {
+	end := time.Now().Add(limit.Duration())
+	for inFlight() > 0 && time.Now().Before(end) {
+		time.Sleep(drainPoll.Duration())
+	}
+}
+
+const drainPoll = 10 * clock.Millisecond
--- /dev/null
+++ b/siskinpathd/claim/committer.go
@@ -0,0 +1,191 @@
+// Package claim writes the claims of idempotency keys to the platform's table
+// service, many in one transaction.
+package claim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/once"
+	"siskinpath/siskinpathd/platform"
+)
+
+// Table is the part of the platform's table service that claims need.
+type Table interface {
+	Read(ctx context.Context, keys ...string) ([]platform.Row, error)
+	Transact(ctx context.Context, t platform.Transaction) (platform.Result, error)
+}
+
+// Keeper gives exclusive use of the decisions about keys.
+type Keeper interface {
+	With(f func(now clock.Millis, k *once.Keeper))
+}
+
+const (
+	// expiryTurn is how often claims past their deadline are looked for.
+	expiryTurn = 20 * clock.Millisecond
+	// retryTurn is the pause before claims that are still open are tried again.
+	retryTurn = 10 * clock.Millisecond
+)
+
+// Committer carries out what the keeper wants of the table service. One
+// transaction is out at a time; the claims that come meanwhile go with the next.
+type Committer struct {
+	Keeper Keeper
+	Table  Table
+
+	mu   sync.Mutex
+	open map[once.RecordID]chan once.Decision
+	wake chan struct{}
+}
+
+// New returns a Committer ready for Run.
+func New(k Keeper, t Table) *Committer {
+	return &Committer{
+		Keeper: k,
+		Table:  t,
+		open:   make(map[once.RecordID]chan once.Decision),
+		wake:   make(chan struct{}, 1),
+	}
+}
+
+// Run writes claims until ctx ends.
+func (c *Committer) Run(ctx context.Context) {
+	go c.expire(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wake:
+		}
+		for c.commit(ctx) && ctx.Err() == nil {
+			time.Sleep(retryTurn.Duration())
+		}
+	}
+}
+
+// Settle waits until the claim of rec is decided. Its deadline bounds the wait.
+func (c *Committer) Settle(rec once.RecordID) once.Decision {
+	ch := make(chan once.Decision, 1)
+	c.mu.Lock()
+	c.open[rec] = ch
+	c.mu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+	return <-ch
+}
+
+// TakeOver wants the claim of rec anew, after its claimant gave it up.
+func (c *Committer) TakeOver(rec once.RecordID) once.Decision {
+	c.Keeper.With(func(now clock.Millis, k *once.Keeper) { k.TakeOver(now, rec) })
+	return c.Settle(rec)
+}
+
+// commit does one turn of writes and reads. It tells whether any claim is open.
+func (c *Committer) commit(ctx context.Context) bool {
+	var writes []once.ClaimWrite
+	c.Keeper.With(func(now clock.Millis, k *once.Keeper) { writes = k.ClaimsWanted(now) })
+	if len(writes) > 0 {
+		c.write(ctx, writes)
+	}
+	var reads []once.ClaimRead
+	c.Keeper.With(func(now clock.Millis, k *once.Keeper) { reads = k.ClaimReadsWanted(now) })
+	if len(reads) > 0 {
+		c.read(ctx, reads)
+	}
+	return c.deliver() > 0
+}
+
+func (c *Committer) write(ctx context.Context, writes []once.ClaimWrite) {
+	var t platform.Transaction
+	for _, w := range writes {
+		t.Checks = append(t.Checks, platform.Check{Key: w.RowKey, Version: w.ExpectVersion})
+		t.Puts = append(t.Puts, platform.Put{Key: w.RowKey, Value: w.Value})
+	}
+	result, err := c.Table.Transact(ctx, t)
+	c.Keeper.With(func(now clock.Millis, k *once.Keeper) {
+		for _, w := range writes {
+			k.ClaimResult(now, w.Record, outcome(w, result, err))
+		}
+	})
+}
+
+// outcome tells what a transaction's end means for one of its claims.
+func outcome(w once.ClaimWrite, result platform.Result, err error) once.ClaimOutcome {
+	switch {
+	case err == nil:
+		return once.ClaimOutcome{Kind: once.ClaimCommitted}
+	case platform.Unknown(err):
+		return once.ClaimOutcome{Kind: once.ClaimLost}
+	case !platform.Conflicted(err):
+		return once.ClaimOutcome{Kind: once.ClaimDown}
+	}
+	for _, row := range result.Rows {
+		if row.Key == w.RowKey {
+			return once.ClaimOutcome{Kind: once.ClaimTaken, Value: row.Value, Version: row.Version}
+		}
+	}
+	return once.ClaimOutcome{Kind: once.ClaimRetry}
+}
+
+func (c *Committer) read(ctx context.Context, reads []once.ClaimRead) {
+	keys := make([]string, len(reads))
+	for i, r := range reads {
+		keys[i] = r.RowKey
+	}
+	rows, err := c.Table.Read(ctx, keys...)
+	err = errors.WithMessage(err, "read claims back")
+	c.Keeper.With(func(now clock.Millis, k *once.Keeper) {
+		for i, r := range reads {
+			out := once.ClaimOutcome{Kind: once.ClaimDown}
+			if err == nil {
+				out = found(rows[i])
+			}
+			k.ClaimResult(now, r.Record, out)
+		}
+	})
+}
+
+func found(row platform.Row) once.ClaimOutcome {
+	if row.Version == 0 {
+		return once.ClaimOutcome{Kind: once.ClaimAbsent}
+	}
+	return once.ClaimOutcome{Kind: once.ClaimTaken, Value: row.Value, Version: row.Version}
+}
+
+// expire ends claims whose deadline passes while a transaction is out.
+func (c *Committer) expire(ctx context.Context) {
+	ticker := time.NewTicker(expiryTurn.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.Keeper.With(func(now clock.Millis, k *once.Keeper) { k.Tick(now) })
+			c.deliver()
+		}
+	}
+}
+
+// deliver hands out the decisions that have been made and returns the number
+// of claims still open.
+func (c *Committer) deliver() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Keeper.With(func(_ clock.Millis, k *once.Keeper) {
+		for rec, ch := range c.open {
+			if d, ok := k.ClaimDecided(rec); ok {
+				delete(c.open, rec)
+				ch <- d
+			}
+		}
+	})
+	return len(c.open)
+}
--- /dev/null
+++ b/siskinpathd/filter/choice.go
@@ -0,0 +1,21 @@
+package filter
+
+import (
+	"siskinpath/siskinpathd/call"
+	"siskinpath/siskinpathd/service"
+)
+
+// Choice hands the request to the service, which chooses an upstream, waits for
+// a slot, and forwards.
+type Choice struct {
+	Services *service.Set
+}
+
+// Apply implements Filter. It is the last filter.
+func (ch *Choice) Apply(c *call.Call, _ Next) call.Answer {
+	r := ch.Services.Get(c.Service)
+	if r == nil {
+		return call.NotRun(call.ReasonNoTable, noTableRetry)
+	}
+	return r.Do(c)
+}
--- /dev/null
+++ b/siskinpathd/filter/lookup.go
@@ -0,0 +1,27 @@
+package filter
+
+import (
+	"siskinpath/core/clock"
+	"siskinpath/core/table"
+	"siskinpath/siskinpathd/call"
+)
+
+// noTableRetry is when to come back to a host that has no table yet.
+const noTableRetry = clock.Second
+
+// Lookup refuses requests for services that the table in force does not name.
+type Lookup struct {
+	Table func() *table.Table // the version in force; nil when there is none yet
+}
+
+// Apply implements Filter.
+func (l *Lookup) Apply(c *call.Call, next Next) call.Answer {
+	t := l.Table()
+	if t == nil {
+		return call.NotRun(call.ReasonNoTable, noTableRetry)
+	}
+	if t.Service(c.Service) == nil {
+		return call.NotRun(call.ReasonUnknownService, 0)
+	}
+	return next(c)
+}
--- /dev/null
+++ b/siskinpathd/hop/hop.go
@@ -0,0 +1,204 @@
+// Package hop passes calls from one host to another, and serves those that
+// come from another, over the peer link.
+package hop
+
+import (
+	"context"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/once"
+	"siskinpath/core/route"
+	"siskinpath/siskinpathd/call"
+	"siskinpath/siskinpathd/filter"
+	"siskinpath/siskinpathd/peer"
+	"siskinpath/siskinpathd/peer/peerpb"
+)
+
+// maxHops is how many hosts a call may pass through, whatever the reason.
+const maxHops = 4
+
+var (
+	hopsServed  = metrics.NewCounter("hops_served_total")
+	hopsRefused = metrics.NewCounter("hops_refused_total")
+	hopsLost    = metrics.NewCounter("hops_lost_total")
+)
+
+// Link is the part of the peer link that calls need.
+type Link interface {
+	Call(ctx context.Context, hostID string, req *peerpb.CallRequest) (*peerpb.CallReply, error)
+	SendDigest(hostID, service string, d route.Digest)
+}
+
+// Hosts reaches the other hosts.
+type Hosts struct {
+	Link  Link
+	Clock clock.Clock
+	// Incarnation tells which host runs as an incarnation.
+	Incarnation func(incarnation uint64) (hostID string, p once.Presence)
+}
+
+// Find implements filter.Deciders.
+func (h *Hosts) Find(incarnation uint64) (hostID string, p once.Presence) {
+	return h.Incarnation(incarnation)
+}
+
+// SendDigest implements service.Hosts.
+func (h *Hosts) SendDigest(host, service string, d route.Digest) {
+	h.Link.SendDigest(host, service, d)
+}
+
+// Forward implements service.Hosts.
+func (h *Hosts) Forward(ctx context.Context, host string, c *call.Call) (a call.Answer, notSent bool) {
+	return h.pass(ctx, host, c, peerpb.CallMode_CALL_MODE_RUN)
+}
+
+// Decide implements filter.Deciders.
+func (h *Hosts) Decide(ctx context.Context, host string, c *call.Call) (a call.Answer, notSent bool) {
+	mode := peerpb.CallMode_CALL_MODE_DECIDE
+	if c.Mode == once.ModeClaimed {
+		mode = peerpb.CallMode_CALL_MODE_CLAIMED
+	}
+	return h.pass(ctx, host, c, mode)
+}
+
+func (h *Hosts) pass(ctx context.Context, host string, c *call.Call, mode peerpb.CallMode) (call.Answer, bool) {
+	req := request(c, mode, c.Deadline-h.Clock.Now())
+	rep, err := h.Link.Call(ctx, host, req)
+	if err != nil {
+		hopsLost.Inc()
+		return call.Unknown(call.ReasonLost), peer.NotSent(err)
+	}
+	return answer(rep), false
+}
+
+func request(c *call.Call, mode peerpb.CallMode, left clock.Millis) *peerpb.CallRequest {
+	return &peerpb.CallRequest{
+		Mode:           mode,
+		Service:        c.Service,
+		Organisation:   c.Organisation,
+		IdempotencyKey: c.Key,
+		DeadlineMs:     uint64(max(left, 0)),
+		Idempotent:     c.Idempotent,
+		Hops:           uint32(c.Hops),
+		Depth:          uint32(c.Depth),
+		Method:         c.Method,
+		Uri:            c.URI,
+		Headers:        toWire(c.Header),
+		Body:           c.Body,
+	}
+}
+
+func toWire(header [][2]string) []*peerpb.Header {
+	out := make([]*peerpb.Header, 0, len(header))
+	for _, h := range header {
+		out = append(out, &peerpb.Header{Name: h[0], Value: h[1]})
+	}
+	return out
+}
+
+func fromWire(headers []*peerpb.Header) [][2]string {
+	out := make([][2]string, 0, len(headers))
+	for _, h := range headers {
+		out = append(out, [2]string{h.GetName(), h.GetValue()})
+	}
+	return out
+}
+
+var outcomes = map[peerpb.Outcome]once.Outcome{
+	peerpb.Outcome_OUTCOME_UNKNOWN:  once.OutcomeUnknown,
+	peerpb.Outcome_OUTCOME_ANSWERED: once.Answered,
+	peerpb.Outcome_OUTCOME_NOT_RUN:  once.NotRun,
+}
+
+func wireOutcome(o once.Outcome) peerpb.Outcome {
+	for wire, known := range outcomes {
+		if known == o {
+			return wire
+		}
+	}
+	return peerpb.Outcome_OUTCOME_UNKNOWN
+}
+
+// answer reads a reply. An outcome that this version doesn't know is unknown.
+func answer(rep *peerpb.CallReply) call.Answer {
+	outcome, ok := outcomes[rep.GetOutcome()]
+	if !ok {
+		outcome = once.OutcomeUnknown
+	}
+	a := call.Answer{Reply: once.Reply{
+		Outcome:    outcome,
+		Status:     int(rep.GetStatus()),
+		Header:     fromWire(rep.GetHeaders()),
+		Body:       rep.GetBody(),
+		Reason:     rep.GetReason(),
+		RetryAfter: clock.Millis(rep.GetRetryAfterMs()),
+	}}
+	a.GivenUp = rep.GetClaimGivenUp()
+	a.Recorded = rep.GetRecorded()
+	if d := rep.GetDigest(); d != nil {
+		a.Digest = &route.Digest{Free: int(d.GetFree()), Queued: int(d.GetQueued()), Slots: int(d.GetSlots())}
+	}
+	return a
+}
+
+// Server serves the calls that other hosts pass on.
+type Server struct {
+	Clock      clock.Clock
+	FromHost   filter.Next // the chain of a call that its first host decided to run
+	FromCaller filter.Next // the chain of a call that this host decides about
+}
+
+// Serve is the peer link's OnCall. ctx ends when the other host no longer waits.
+func (s *Server) Serve(ctx context.Context, _ string, req *peerpb.CallRequest) *peerpb.CallReply {
+	if req.GetHops() > maxHops || req.GetService() == "" || req.GetMethod() == "" {
+		hopsRefused.Inc()
+		return reply(call.NotRun(call.ReasonLoop, 0))
+	}
+	hopsServed.Inc()
+	c := s.call(ctx, req)
+	if req.GetMode() == peerpb.CallMode_CALL_MODE_RUN {
+		return reply(s.FromHost(c))
+	}
+	return reply(s.FromCaller(c))
+}
+
+func (s *Server) call(ctx context.Context, req *peerpb.CallRequest) *call.Call {
+	c := &call.Call{
+		Service:      req.GetService(),
+		Organisation: req.GetOrganisation(),
+		Key:          req.GetIdempotencyKey(),
+		Method:       req.GetMethod(),
+		URI:          req.GetUri(),
+		Header:       fromWire(req.GetHeaders()),
+		Body:         req.GetBody(),
+		Deadline:     s.Clock.Now() + clock.Millis(req.GetDeadlineMs()),
+		Idempotent:   req.GetIdempotent(),
+		Depth:        int(req.GetDepth()),
+		Hops:         int(req.GetHops()),
+	}
+	switch req.GetMode() {
+	case peerpb.CallMode_CALL_MODE_DECIDE:
+		c.Mode = once.ModeDecide
+	case peerpb.CallMode_CALL_MODE_CLAIMED:
+		c.Mode = once.ModeClaimed
+	}
+	if c.Idempotent {
+		c.Gone = ctx.Done()
+	}
+	return c
+}
+
+func reply(a call.Answer) *peerpb.CallReply {
+	return &peerpb.CallReply{
+		Outcome:      wireOutcome(a.Outcome),
+		Status:       uint32(a.Status),
+		Headers:      toWire(a.Header),
+		Body:         a.Body,
+		Reason:       a.Reason,
+		RetryAfterMs: uint64(a.RetryAfter),
+		ClaimGivenUp: a.GivenUp,
+		Recorded:     a.Recorded,
+	}
+}
--- /dev/null
+++ b/siskinpathd/service/attempt.go
@@ -0,0 +1,138 @@
+package service
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/once"
+	"siskinpath/core/route"
+	"siskinpath/siskinpathd/upstream"
+)
+
+// ProbeTimeout is how long an upstream has to answer a probe.
+const ProbeTimeout = 500 * clock.Millisecond
+
+var (
+	attemptsStarted = metrics.NewCounter("attempts_started_total")
+	attemptsBarred  = metrics.NewCounter("attempts_barred_before_first_byte_total")
+	probesSent      = metrics.NewCounter("probes_sent_total")
+	probesBarred    = metrics.NewCounter("probes_over_budget_total")
+	forwardsStarted = metrics.NewCounter("forwards_started_total")
+)
+
+// send starts an attempt; its end comes back through attemptEnded.
+func (r *Runner) send(a *route.Action) {
+	w := r.waiting[a.Request]
+	if w == nil {
+		return
+	}
+	attemptsStarted.Inc()
+	ctx, cancel := context.WithCancel(context.Background())
+	r.attempts[a.Attempt] = cancel
+	go r.attempt(ctx, w, a.Attempt, a.Upstream)
+}
+
+func (r *Runner) attempt(ctx context.Context, w *waiter, id route.AttemptID, name string) {
+	guarded := false
+	rep, result, _ := r.Upstreams.Send(ctx, r.Service, name, &upstream.Attempt{
+		Call:         w.call,
+		RequestID:    r.HostID + "-" + r.Service + "-" + strconv.FormatUint(uint64(id), 16),
+		Clock:        r.Clock,
+		MaxBodyBytes: r.MaxBodyBytes,
+		MaySend: func() bool {
+			guarded = r.maySend(w, name)
+			return guarded
+		},
+	})
+	result.Attempt = id
+	didNotRun := result.Status == route.NotSent || result.Status == route.Refused
+	if guarded && didNotRun && w.call.NotSent != nil {
+		w.call.NotSent()
+	}
+	r.attemptEnded(w, rep, result)
+}
+
+// maySend is the last check before the first byte of an attempt. The guard of a
+// request that must happen once comes last, since it records the sending.
+func (r *Runner) maySend(w *waiter, name string) bool {
+	ok := r.Clock.Now() < w.call.Deadline && r.MayUse(r.Service, name)
+	if ok && w.call.Guard != nil {
+		ok = w.call.Guard()
+	}
+	if !ok {
+		attemptsBarred.Inc()
+	}
+	return ok
+}
+
+func (r *Runner) attemptEnded(w *waiter, rep *upstream.Reply, result route.Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if rep != nil {
+		w.replies = append(w.replies, reply{attempt: result.Attempt, reply: rep})
+	}
+	r.attempts[result.Attempt]()
+	delete(r.attempts, result.Attempt)
+	r.perform(r.Shard.Finished(r.Clock.Now(), result))
+}
+
+// forward passes a call to another host.
+func (r *Runner) forward(a *route.Action) {
+	w := r.waiting[a.Request]
+	if w == nil {
+		return
+	}
+	forwardsStarted.Inc()
+	go r.pass(w, a.Request, a.Host)
+}
+
+func (r *Runner) pass(w *waiter, id route.RequestID, host string) {
+	left := w.call.Deadline - r.Clock.Now()
+	guarded := left > 0 && (w.call.Guard == nil || w.call.Guard())
+	if !guarded {
+		r.passed(route.ForwardResult{Request: id, Host: host, NotRun: true})
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), left.Duration())
+	defer cancel()
+	next := *w.call
+	next.Hops++
+	next.Mode = once.ModeCaller
+	answer, notSent := r.Hosts.Forward(ctx, host, &next)
+	result := route.ForwardResult{Request: id, Host: host, Digest: answer.Digest, RetryAfter: answer.RetryAfter}
+	result.NotRun = notSent || answer.Outcome == once.NotRun
+	if !result.NotRun {
+		r.mu.Lock()
+		r.settle(id, answer)
+		r.mu.Unlock()
+	} else if w.call.NotSent != nil {
+		w.call.NotSent()
+	}
+	r.passed(result)
+}
+
+func (r *Runner) passed(result route.ForwardResult) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.perform(r.Shard.Forwarded(r.Clock.Now(), result))
+}
+
+// probe asks an upstream for its state, within the measuring budget.
+func (r *Runner) probe(name string) {
+	if !r.MayProbe(r.Service, name) {
+		probesBarred.Inc()
+		return
+	}
+	probesSent.Inc()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), ProbeTimeout.Duration())
+		defer cancel()
+		result := r.Upstreams.Probe(ctx, r.Service, name)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.perform(r.Shard.Probed(r.Clock.Now(), result))
+	}()
+}
--- /dev/null
+++ b/siskinpathd/service/runner.go
@@ -0,0 +1,239 @@
+// Package service drives the routing decisions of one service on this host: it
+// feeds events to a route.Shard and carries out the actions that come back.
+package service
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/once"
+	"siskinpath/core/route"
+	"siskinpath/siskinpathd/call"
+	"siskinpath/siskinpathd/upstream"
+)
+
+// Upstreams sends attempts and probes to upstreams by name.
+type Upstreams interface {
+	// Send carries out an attempt; see upstream.Pool.Do.
+	Send(ctx context.Context, service, name string, a *upstream.Attempt) (*upstream.Reply, route.Result, error)
+	// Probe asks an upstream for a unit of work and its load.
+	Probe(ctx context.Context, service, name string) route.ProbeResult
+}
+
+// Hosts reaches the other hosts.
+type Hosts interface {
+	// Forward passes a call on. notSent is true when no byte of it left this host.
+	Forward(ctx context.Context, host string, c *call.Call) (a call.Answer, notSent bool)
+	// SendDigest tells a host how much room this one has.
+	SendDigest(host, service string, d route.Digest)
+}
+
+// Runner is one service on this host. Set the fields before the first call.
+type Runner struct {
+	Service   string
+	HostID    string
+	Clock     clock.Clock
+	Shard     *route.Shard
+	Upstreams Upstreams
+	Hosts     Hosts
+	// MayUse is asked right before the first byte to an upstream.
+	MayUse func(service, upstream string) bool
+	// MayProbe spends the measuring budget.
+	MayProbe func(service, upstream string) bool
+	// MaxBodyBytes bounds a reply.
+	MaxBodyBytes int
+
+	mu       sync.Mutex
+	nextID   route.RequestID
+	waiting  map[route.RequestID]*waiter
+	attempts map[route.AttemptID]context.CancelFunc
+	timer    *time.Timer
+	armed    clock.Millis
+	owners   []string
+}
+
+// waiter is a call whose final action is still to come.
+type waiter struct {
+	call    *call.Call
+	done    chan call.Answer
+	replies []reply // whole answers of its attempts, until one of them is chosen
+}
+
+type reply struct {
+	attempt route.AttemptID
+	reply   *upstream.Reply
+}
+
+// Configure gives the shard its upstreams and limits.
+func (r *Runner) Configure(cfg route.Config) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.owners = cfg.Owners
+	r.perform(r.Shard.Configure(r.Clock.Now(), cfg))
+}
+
+// Digest takes in news of another owner.
+func (r *Runner) Digest(d route.Digest) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.perform(r.Shard.Digest(r.Clock.Now(), d))
+}
+
+// State returns the shard's state for the dump.
+func (r *Runner) State() route.State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Shard.State()
+}
+
+// Do runs a call to its final answer.
+func (r *Runner) Do(c *call.Call) call.Answer {
+	w := &waiter{call: c, done: make(chan call.Answer, 1)}
+	id := r.arrive(w)
+	select {
+	case a := <-w.done:
+		return a
+	case <-c.Gone:
+		return r.withdraw(id, w)
+	}
+}
+
+func (r *Runner) arrive(w *waiter) route.RequestID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.waiting == nil {
+		r.waiting = make(map[route.RequestID]*waiter)
+		r.attempts = make(map[route.AttemptID]context.CancelFunc)
+	}
+	r.nextID++
+	id := r.nextID
+	r.waiting[id] = w
+	r.perform(r.Shard.Arrive(r.Clock.Now(), route.Request{
+		ID:         id,
+		Deadline:   w.call.Deadline,
+		Idempotent: w.call.Idempotent,
+		Hops:       w.call.Hops,
+		Depth:      w.call.Depth,
+	}))
+	return id
+}
+
+// withdraw gives up a call whose caller has gone.
+func (r *Runner) withdraw(id route.RequestID, w *waiter) call.Answer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	select {
+	case a := <-w.done:
+		return a
+	default:
+	}
+	delete(r.waiting, id)
+	r.perform(r.Shard.Withdraw(r.Clock.Now(), id))
+	return call.Unknown(call.ReasonCallerGone)
+}
+
+// perform carries out actions. r.mu is held; nothing here blocks.
+func (r *Runner) perform(actions []route.Action) {
+	for i := range actions {
+		r.act(&actions[i])
+	}
+	r.arm()
+}
+
+func (r *Runner) act(a *route.Action) {
+	switch a.Kind {
+	case route.Send:
+		r.send(a)
+	case route.Cancel:
+		if cancel := r.attempts[a.Attempt]; cancel != nil {
+			cancel()
+		}
+	case route.Forward:
+		r.forward(a)
+	case route.Finish:
+		r.finish(a)
+	case route.Refuse:
+		r.settle(a.Request, call.NotRun(string(a.Reason), a.RetryAfter))
+	case route.Unknown:
+		answer := call.Unknown(call.ReasonLost)
+		answer.RetryAfter = a.RetryAfter
+		r.settle(a.Request, answer)
+	case route.SendDigest:
+		r.sendDigest(a)
+	case route.Probe:
+		r.probe(a.Upstream)
+	}
+}
+
+// settle gives a call its final answer.
+func (r *Runner) settle(id route.RequestID, a call.Answer) {
+	w := r.waiting[id]
+	if w == nil {
+		return
+	}
+	delete(r.waiting, id)
+	w.done <- a
+}
+
+func (r *Runner) finish(a *route.Action) {
+	w := r.waiting[a.Request]
+	if w == nil {
+		return
+	}
+	for _, rep := range w.replies {
+		if rep.attempt == a.Attempt {
+			r.settle(a.Request, answered(rep.reply))
+			return
+		}
+	}
+	r.settle(a.Request, call.Unknown(call.ReasonLost))
+}
+
+func answered(rep *upstream.Reply) call.Answer {
+	return call.Answer{Reply: once.Reply{
+		Outcome: once.Answered,
+		Status:  rep.Status,
+		Header:  rep.Header,
+		Body:    rep.Body,
+	}}
+}
+
+// sendDigest tells one owner, or all of them when the action names none.
+func (r *Runner) sendDigest(a *route.Action) {
+	d := a.Digest
+	d.Host = r.HostID
+	if a.Host != "" {
+		r.Hosts.SendDigest(a.Host, r.Service, d)
+		return
+	}
+	for _, host := range r.owners {
+		r.Hosts.SendDigest(host, r.Service, d)
+	}
+}
+
+// arm sets the timer for the shard's next tick.
+func (r *Runner) arm() {
+	next := r.Shard.NextTick()
+	if next == r.armed {
+		return
+	}
+	r.armed = next
+	if next == 0 {
+		return
+	}
+	wait := max(next-r.Clock.Now(), 0).Duration()
+	if r.timer == nil {
+		r.timer = time.AfterFunc(wait, r.tick)
+		return
+	}
+	r.timer.Reset(wait)
+}
+
+func (r *Runner) tick() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.armed = 0
+	r.perform(r.Shard.Tick(r.Clock.Now()))
+}
--- /dev/null
+++ b/siskinpathd/service/set.go
@@ -0,0 +1,144 @@
+package service
+
+import (
+	"slices"
+	"sync"
+
+	"siskinpath/core/member"
+	"siskinpath/core/route"
+	"siskinpath/core/table"
+)
+
+// cutShare is how many requests a host may have in flight at an upstream to
+// which it does not hold the full right.
+const cutShare = 1
+
+// Set holds the runners of the services of the table in force.
+type Set struct {
+	AvailabilityZone string
+	HostID           string
+	// New makes the runner of a service.
+	New func(service string) *Runner
+
+	mu      sync.RWMutex
+	runners map[string]*Runner
+}
+
+// Get returns the runner of a service, or nil.
+func (s *Set) Get(service string) *Runner {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.runners[service]
+}
+
+// Inputs are what the runners' configuration is made from.
+type Inputs struct {
+	Table  *table.Table
+	Rights []member.Right                     // what this host may use
+	Owners func(service string) []member.Host // hosts that own upstreams of a service
+}
+
+// Configure gives every runner what it may use now. Runners of services that
+// left the table keep their calls in flight and get no upstreams.
+func (s *Set) Configure(in Inputs) {
+	rights := make(map[string]map[string]member.Right)
+	for _, r := range in.Rights {
+		if rights[r.Service] == nil {
+			rights[r.Service] = make(map[string]member.Right)
+		}
+		rights[r.Service][r.Upstream] = r
+	}
+	for i := range in.Table.Services {
+		svc := &in.Table.Services[i]
+		s.runner(svc.Name).Configure(s.config(svc, rights[svc.Name], in.Owners(svc.Name)))
+	}
+	for _, r := range s.gone(in.Table) {
+		r.Configure(route.Config{Self: s.HostID, AvailabilityZone: s.AvailabilityZone})
+	}
+}
+
+func (s *Set) runner(name string) *Runner {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runners == nil {
+		s.runners = make(map[string]*Runner)
+	}
+	r := s.runners[name]
+	if r == nil {
+		r = s.New(name)
+		s.runners[name] = r
+	}
+	return r
+}
+
+func (s *Set) gone(t *table.Table) []*Runner {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var gone []*Runner
+	for name, r := range s.runners {
+		if t.Service(name) == nil {
+			gone = append(gone, r)
+		}
+	}
+	return gone
+}
+
+func (s *Set) config(svc *table.Service, rights map[string]member.Right, owners []member.Host) route.Config {
+	cfg := route.Config{
+		Self:             s.HostID,
+		AvailabilityZone: s.AvailabilityZone,
+		HedgePercent:     svc.HedgePercent,
+	}
+	total, owned := 0, 0
+	for i := range svc.Upstreams {
+		u := &svc.Upstreams[i]
+		total += u.Slots
+		right, ok := rights[u.Name]
+		if !ok {
+			continue
+		}
+		cfg.Upstreams = append(cfg.Upstreams, usable(u, right))
+		if right.Full {
+			owned += u.Slots
+		}
+	}
+	if svc.RatePerSecond > 0 && total > 0 {
+		// A host's part of the rate follows its part of the slots; it is never
+		// zero where it owns any, since zero would mean no limit.
+		cfg.RatePerSecond = max(svc.RatePerSecond*owned/total, 1)
+	}
+	for _, h := range owners {
+		if h.ID != s.HostID && !slices.Contains(cfg.Owners, h.ID) {
+			cfg.Owners = append(cfg.Owners, h.ID)
+		}
+	}
+	return cfg
+}
+
+func usable(u *table.Upstream, right member.Right) route.Upstream {
+	share, rate := u.Slots, u.RatePerSecond
+	if !right.Full {
+		share = min(share, cutShare)
+		rate = min(rate, cutShare)
+	}
+	return route.Upstream{
+		Name:             u.Name,
+		AvailabilityZone: u.AvailabilityZone,
+		Weight:           u.Weight,
+		Share:            share,
+		RatePerSecond:    rate,
+		Leaving:          u.State == table.Leaving,
+		ProbeAllowed:     right.Full,
+	}
+}
+
+// States returns the state of each service for the dump.
+func (s *Set) States() map[string]route.State {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	states := make(map[string]route.State, len(s.runners))
+	for name, r := range s.runners {
+		states[name] = r.State()
+	}
+	return states
+}
