--- /dev/null
+++ b/core/table/columns.go
@@ -0,0 +1,60 @@
+package table
+
+// Columns of the text form, in the order in which Format writes them.
+const (
+	ColumnService          = "service"
+	ColumnUpstream         = "upstream"
+	ColumnAddress          = "address"
+	ColumnAvailabilityZone = "availability_zone"
+	ColumnWeight           = "weight"
+	ColumnSlots            = "slots"
+	ColumnConnections      = "connections"
+	ColumnRatePerSecond    = "rate_per_second"
+	ColumnState            = "state"
+	ColumnProbesPerSecond  = "probes_per_second"
+	ColumnHedgePercent     = "hedge_percent"
+	ColumnMaxDeadline      = "max_deadline_ms"
+)
+
+// Columns returns the names of all columns in the order of Format.
+func Columns() []string {
+	return []string{
+		ColumnService, ColumnUpstream, ColumnAddress, ColumnAvailabilityZone, ColumnWeight, ColumnSlots,
+		ColumnConnections, ColumnRatePerSecond, ColumnState, ColumnProbesPerSecond, ColumnHedgePercent, ColumnMaxDeadline,
+	}
+}
+
+// Ranges and defaults of cells. An empty cell means the default; slots and
+// connections have none.
+const (
+	MaxNameBytes    = 64
+	MaxBytes        = 4 << 20 // of the text form
+	MaxRows         = 20_000
+	MaxWeight       = 1000
+	MaxSlots        = 100_000
+	MaxConnections  = 1_000_000
+	MaxRate         = 10_000_000 // a second
+	MaxProbes       = 100_000    // a second
+	MaxHedgePercent = 100
+	MaxMaxDeadline  = 3_600_000 // milliseconds
+
+	DefaultWeight      = 100
+	DefaultMaxDeadline = 30_000 // milliseconds
+)
+
+// validName reports whether s is 1 to MaxNameBytes of a-z A-Z 0-9 - _ and dot,
+// other than "." and "..", so that it can stand in a path and a row key.
+func validName(s string) bool {
+	if s == "" || len(s) > MaxNameBytes || s == "." || s == ".." {
+		return false
+	}
+	for i := range len(s) {
+		switch c := s[i]; {
+		case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9':
+		case c == '-', c == '_', c == '.':
+		default:
+			return false
+		}
+	}
+	return true
+}
