standin: launcher of a deployment and the demo; tests of the callers

New code: launch starts platform, upstreams and hosts on free ports and ends them; demo plays a load with edits, a killed host, a graceful stop and an outage of the platform. Not run end to end yet: the daemon doesn't serve. go test -race ./standin/... passes.

--- /dev/null
+++ b/standin/caller/caller_test.go
@@ -0,0 +1,131 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/valyala/fasthttp"
+
+	"siskinpath/standin/answer"
+)
+
+// fakeHost plays an entry host. It answers the n-th sending of any request as
+// script says, and the last line goes on for ever.
+type fakeHost struct {
+	address string
+	script  []string // answered, wrong, cut, not_run, unknown or drop
+	ln      net.Listener
+
+	mu   sync.Mutex
+	keys []string
+	n    int
+}
+
+func startHost(script ...string) *fakeHost {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	h := &fakeHost{address: ln.Addr().String(), script: script, ln: ln}
+	server := &fasthttp.Server{Handler: h.handle}
+	go server.Serve(ln)
+	return h
+}
+
+func (h *fakeHost) handle(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) == "/v1/addresses/s" {
+		fmt.Fprintf(ctx, `{"service":"s","ttl_ms":60000,"addresses":[{"address":%q,"key_prefix":"p-"}]}`, h.address)
+		return
+	}
+	h.mu.Lock()
+	act := h.script[min(h.n, len(h.script)-1)]
+	h.n++
+	key := string(ctx.Request.Header.Peek("Idempotency-Key"))
+	h.keys = append(h.keys, key)
+	h.mu.Unlock()
+	h.act(ctx, act, key)
+}
+
+func (h *fakeHost) act(ctx *fasthttp.RequestCtx, act, key string) {
+	size := ctx.QueryArgs().GetUintOrZero("size")
+	marker := string(ctx.QueryArgs().Peek("marker"))
+	if key != "" {
+		marker = key
+	}
+	organisation := string(ctx.Request.Header.Peek("Siskin-Organisation"))
+	switch act {
+	case "drop":
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(net.Conn) {})
+	case "wrong":
+		ctx.Response.Header.Set("Siskin-Outcome", "answered")
+		ctx.SetBody(answer.Body("somebody", marker, size))
+	case "cut":
+		ctx.Response.Header.Set("Siskin-Outcome", "answered")
+		ctx.SetBody(answer.Body(organisation, marker, size)[:size/2])
+	case "answered":
+		ctx.Response.Header.Set("Siskin-Outcome", "answered")
+		ctx.SetBody(answer.Body(organisation, marker, size))
+	default:
+		ctx.Response.Header.Set("Siskin-Outcome", act)
+		ctx.SetStatusCode(503)
+	}
+}
+
+// sendOne sends one request, once-only or not, and returns its entry.
+func sendOne(h *fakeHost, once float64) Entry {
+	l := Load{
+		Hosts: []string{h.address}, AvailabilityZones: []string{"z"}, Callers: 1, Organisations: 1,
+		Duration: time.Hour, MaxRequests: 1, MaxOpen: 1, Attempts: 3, Seed: 1,
+		Mixes: []Mix{{Service: "s", RatePerSecond: 1000, OnceShare: once, DeadlineMs: 60_000}},
+	}
+	l.Run(context.Background())
+	entries := l.Ledger.Entries()
+	So(entries, ShouldHaveLength, 1)
+	return entries[0]
+}
+
+func shouldEnd(e Entry, final Outcome, attempts ...Outcome) {
+	got := []Outcome{}
+	for _, a := range e.Attempts {
+		got = append(got, a.Outcome)
+	}
+	So(got, ShouldResemble, attempts)
+	So(e.Final, ShouldEqual, final)
+}
+
+func TestCaller(t *testing.T) {
+	Convey("An answer is checked", t, func() {
+		for act, want := range map[string]answer.Verdict{
+			"answered": answer.Whole, "wrong": answer.WrongOrganisation, "cut": answer.Truncated,
+		} {
+			h := startHost(act)
+			e := sendOne(h, 0)
+			shouldEnd(e, Answered, Answered)
+			So(e.Attempts[0].Verdict, ShouldEqual, want)
+			h.ln.Close()
+		}
+	})
+	Convey("A retry carries the same key, which begins with the address's prefix", t, func() {
+		h := startHost("drop", "not_run", "answered")
+		defer h.ln.Close()
+		e := sendOne(h, 1)
+		shouldEnd(e, Answered, NoReply, NotRun, Answered)
+		So(e.Key, ShouldStartWith, "p-")
+		So(h.keys, ShouldResemble, []string{e.Key, e.Key, e.Key})
+	})
+	Convey("An unknown outcome is final for a key and not for an idempotent request", t, func() {
+		h := startHost("unknown")
+		defer h.ln.Close()
+		shouldEnd(sendOne(h, 1), Unknown, Unknown)
+		shouldEnd(sendOne(h, 0), Unknown, Unknown, Unknown, Unknown)
+	})
+	Convey("What comes without an outcome is malformed", t, func() {
+		h := startHost("")
+		defer h.ln.Close()
+		shouldEnd(sendOne(h, 0), Rejected, Rejected)
+	})
+}
--- /dev/null
+++ b/standin/cmd_demo.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"siskinpath/standin/demo"
+	"siskinpath/standin/launch"
+)
+
+// demoCommand shows the whole system on one machine.
+var demoCommand = command{
+	Name:  "demo",
+	Help:  "Show the whole system on this machine within 45 s, and check what must hold.",
+	Value: &demoFlags{},
+}
+
+type demoFlags struct {
+	Bin  string `required:"" type:"existingdir" help:"Directory of the programs."`
+	Keep bool   `help:"Keep settings and logs."`
+}
+
+// Run shows it.
+func (f *demoFlags) Run(ctx context.Context) error {
+	dir, err := launch.MakeDir()
+	if err != nil {
+		return err
+	}
+	if f.Keep {
+		_, _ = fmt.Fprintln(os.Stderr, "settings and logs:", dir)
+	} else {
+		defer func() { _ = os.RemoveAll(dir) }()
+	}
+	m := &demo.Demo{Bin: f.Bin, Dir: dir, Out: os.Stdout, Log: os.Stderr}
+	return m.Run(ctx)
+}
--- /dev/null
+++ b/standin/demo/demo.go
@@ -0,0 +1,159 @@
+// Package demo shows the whole system on one machine: a deployment under load
+// while its table is edited, hosts are lost and the platform is away.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"siskinpath/standin/caller"
+	"siskinpath/standin/check"
+	"siskinpath/standin/figure"
+	"siskinpath/standin/launch"
+)
+
+// Shape of the demo.
+const (
+	hosts         = 7
+	listLagMs     = 500
+	loadFor       = 27 * time.Second
+	limit         = 43 * time.Second // for everything, the ending of processes excluded
+	serveTimeout  = 10 * time.Second
+	inForceLimit  = 13 * time.Second
+	organisations = 200
+	callers       = 40
+	attempts      = 4
+	maxOpen       = 4000
+	maxRequests   = 60_000
+	seed          = 1
+)
+
+// Demo is one showing. Fields are set before Run.
+type Demo struct {
+	Bin string    // directory of the programs
+	Dir string    // for settings and logs
+	Out io.Writer // figures
+	Log io.Writer // what happens, one line each
+
+	d         launch.Deployment
+	load      caller.Load
+	marks     []check.Mark
+	inForce   time.Duration // longest
+	late      int           // edits that were not in force everywhere in time
+	stoppedAt int64         // Unix time in milliseconds of the SIGTERM
+	stopped   *launch.EntryHost
+	killed    *launch.EntryHost
+	loadStart time.Time
+	begun     time.Time
+}
+
+// ErrBroken says that something that must hold did not.
+var ErrBroken = errors.New("something that must hold did not")
+
+// Run shows everything, prints the figures, and returns ErrBroken when
+// something that must hold did not. No process is left when it returns.
+func (m *Demo) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.WithMessage(err, "demo") }()
+	m.begun = time.Now()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	defer m.d.Group.Kill()
+	if err := m.start(ctx); err != nil {
+		return err
+	}
+	loaded := make(chan struct{})
+	go func() {
+		defer close(loaded)
+		m.load.Run(ctx)
+	}()
+	err = m.play(ctx)
+	if err != nil {
+		cancel()
+	}
+	<-loaded
+	if err != nil {
+		return err
+	}
+	return m.report()
+}
+
+func (m *Demo) start(ctx context.Context) error {
+	m.d = launch.Deployment{
+		Bin:               m.Bin,
+		Dir:               m.Dir,
+		AvailabilityZones: launch.GhanaZones(),
+		Hosts:             hosts,
+		Services:          launch.Ghana(),
+		ListLagMs:         listLagMs,
+	}
+	if err := m.d.Start(); err != nil {
+		return err
+	}
+	if err := m.d.WaitServing(ctx, serveTimeout); err != nil {
+		return err
+	}
+	m.say("%d hosts serve", hosts)
+	for _, s := range m.d.Services {
+		if err := m.d.ChangeUpstream(s.Name, "*", launch.Change{Watch: new(s.Slots)}); err != nil {
+			return err
+		}
+	}
+	m.load = caller.Load{
+		Hosts:             m.d.CallerAddresses(),
+		AvailabilityZones: m.d.AvailabilityZones,
+		Callers:           callers,
+		Organisations:     organisations,
+		Duration:          loadFor,
+		MaxRequests:       maxRequests,
+		MaxOpen:           maxOpen,
+		Attempts:          attempts,
+		Seed:              seed,
+		Mixes: []caller.Mix{
+			{Service: "booking", RatePerSecond: 1000, OnceShare: 0.3, Unprefixed: 0.1, SlowShare: 0.01, SlowMs: 400, DeadlineMs: 3000},
+			{Service: "payments", RatePerSecond: 150, OnceShare: 0.7, Unprefixed: 0.1, SlowShare: 0.01, SlowMs: 400, DeadlineMs: 3000},
+		},
+	}
+	m.loadStart = time.Now()
+	return nil
+}
+
+func (m *Demo) say(format string, args ...any) {
+	at := time.Since(m.begun).Seconds()
+	_, _ = fmt.Fprintf(m.Log, "%5.1f s  %s\n", at, fmt.Sprintf(format, args...))
+}
+
+func (m *Demo) report() error {
+	findings, err := m.findings()
+	if err != nil {
+		return err
+	}
+	upstreams, err := m.upstreamFigures()
+	if err != nil {
+		return err
+	}
+	m.d.Group.Stop()
+	cut := m.cutInFlight()
+	left := m.d.Group.Left()
+	figures := m.load.Figures()
+	figures = append(figures, findings.Figures()...)
+	figures = append(figures, upstreams.figures()...)
+	figures = append(figures,
+		figure.Figure{Name: "table_in_force_ms_max", Value: float64(m.inForce.Milliseconds())},
+		figure.Figure{Name: "table_edits_late", Value: float64(m.late)},
+		figure.Figure{Name: "cut_in_flight", Value: float64(cut)},
+		figure.Figure{Name: "processes_left", Value: float64(left)},
+		figure.Figure{Name: "run_seconds", Value: time.Since(m.begun).Round(time.Millisecond).Seconds()},
+	)
+	figure.Print(m.Out, figures)
+	for _, e := range findings.Examples {
+		m.say("%s", e)
+	}
+	if !findings.Clean() || upstreams.overBudget || m.late+cut+left > 0 || !m.load.AnyAnswered() {
+		return ErrBroken
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/launch/deployment.go
@@ -0,0 +1,158 @@
+package launch
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Deployment is a platform, upstreams and entry hosts. Fields are set before
+// Start.
+type Deployment struct {
+	Bin               string // directory of the programs
+	Dir               string // for settings and logs
+	AvailabilityZones []string
+	Hosts             int
+	Services          []Service
+	ListLagMs         int
+
+	Group    Group
+	Entry    []*EntryHost // in order of their ids
+	Table    Table        // as last written
+	Platform string       // address of its services
+	Control  string       // address of its control endpoints
+
+	upstreamControl map[string]string // service to address
+	platformProcess *Process
+}
+
+// Ghana returns the services of the deployment in Ghana.
+func Ghana() []Service {
+	return []Service{
+		{
+			Name: "booking", Upstreams: 25, Slots: 4, Connections: 300, ServiceMs: 20,
+			ProbesPerSecond: 10, HedgePercent: 2, MaxDeadlineMs: 10000,
+		},
+		{
+			Name: "payments", Upstreams: 6, Slots: 4, Connections: 300, ServiceMs: 25,
+			ProbesPerSecond: 3, HedgePercent: 0, MaxDeadlineMs: 10000,
+		},
+	}
+}
+
+// GhanaZones returns the availability zones of the deployment in Ghana.
+func GhanaZones() []string { return []string{"gh-mid-a", "gh-mid-b", "gh-mid-c"} }
+
+// Start starts the platform and the upstreams, writes the table, and starts the
+// hosts. It does not wait until they serve.
+func (d *Deployment) Start() (err error) {
+	d.Group.Dir = d.Dir
+	if err := d.startPlatform(); err != nil {
+		return err
+	}
+	for _, s := range d.Services {
+		if err := d.startUpstreams(s); err != nil {
+			return err
+		}
+	}
+	d.Table.Services = d.Services
+	if _, err := d.WriteTable(d.Table); err != nil {
+		return err
+	}
+	for i := range d.Hosts {
+		if err := d.addHost(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readyTimeout bounds the start of the platform.
+const readyTimeout = 5 * time.Second
+
+func (d *Deployment) startPlatform() error {
+	port, err := FreePorts(2)
+	if err != nil {
+		return err
+	}
+	d.Platform, d.Control = Address(port), Address(port+1)
+	d.platformProcess, err = d.Group.Start("platform", d.program("standin"), "platform", "--listen", d.Platform,
+		"--control", d.Control, "--list-lag-ms", fmt.Sprint(d.ListLagMs))
+	if err != nil {
+		return err
+	}
+	return d.waitAnswer("platform", d.Control)
+}
+
+func (d *Deployment) waitAnswer(name, control string) error {
+	ready := Until(context.Background(), readyTimeout, 10*time.Millisecond, func() bool {
+		return Get(control, "/control/counts", nil) == nil
+	})
+	if !ready {
+		return errors.Errorf("%s does not answer at %s, see %s.log", name, control, name)
+	}
+	return nil
+}
+
+func (d *Deployment) program(name string) string { return filepath.Join(d.Bin, name) }
+
+func (d *Deployment) startUpstreams(s Service) error {
+	port, err := FreePorts(s.Upstreams + 1)
+	if err != nil {
+		return err
+	}
+	control := Address(port + s.Upstreams)
+	args := []string{
+		"upstream", "--listen", Address(port), "--control", control, "--name", s.Name,
+		"--count", fmt.Sprint(s.Upstreams), "--slots", fmt.Sprint(s.Slots),
+		"--connections", fmt.Sprint(s.Connections), "--service-ms", fmt.Sprint(s.ServiceMs),
+		"--availability-zone", strings.Join(d.AvailabilityZones, ","),
+	}
+	if s.Fixed {
+		args = append(args, "--fixed")
+	}
+	if _, err := d.Group.Start("upstreams-"+s.Name, d.program("standin"), args...); err != nil {
+		return err
+	}
+	if d.upstreamControl == nil {
+		d.upstreamControl = map[string]string{}
+	}
+	d.upstreamControl[s.Name] = control
+	d.addRows(s, port)
+	return d.waitAnswer("upstreams-"+s.Name, control)
+}
+
+func (d *Deployment) addRows(s Service, port int) {
+	for i := range s.Upstreams {
+		d.Table.Upstreams = append(d.Table.Upstreams, UpstreamRow{
+			Service:          s.Name,
+			Name:             s.UpstreamName(i),
+			Address:          Address(port + i),
+			AvailabilityZone: d.AvailabilityZones[i%len(d.AvailabilityZones)],
+			Weight:           100,
+			Slots:            s.Slots,
+			Connections:      s.Connections,
+		})
+	}
+}
+
+// WriteTable writes t to the platform and returns its version.
+func (d *Deployment) WriteTable(t Table) (version uint64, err error) {
+	from, err := TableVersion(d.Platform)
+	if err != nil {
+		return 0, err
+	}
+	version, err = WriteTable(d.Platform, from, t.CSV())
+	if err == nil {
+		d.Table = t
+	}
+	return version, err
+}
+
+// MakeDir makes a directory for one deployment's files.
+func MakeDir() (dir string, err error) { return os.MkdirTemp("", "siskinpath-") }
--- /dev/null
+++ b/standin/launch/entryhost.go
@@ -0,0 +1,171 @@
+package launch
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// EntryHost is one siskinpathd with its addresses.
+type EntryHost struct {
+	ID               string
+	AvailabilityZone string
+	Caller           string
+	Peer             string
+	Operator         string
+	Process          *Process
+}
+
+// portsPerHost is how many addresses a host listens on.
+const portsPerHost = 3
+
+const settingsText = `id = %q
+availability_zone = %q
+[listen]
+caller = %q
+peer = %q
+operator = %q
+[platform]
+address = %q
+`
+
+// AddHost starts one more host and tells the platform.
+func (d *Deployment) AddHost() (h *EntryHost, err error) {
+	if err := d.addHost(len(d.Entry)); err != nil {
+		return nil, err
+	}
+	return d.Entry[len(d.Entry)-1], nil
+}
+
+func (d *Deployment) addHost(i int) error {
+	port, err := FreePorts(portsPerHost)
+	if err != nil {
+		return err
+	}
+	h := &EntryHost{
+		ID:               fmt.Sprintf("gh-%d", i+1),
+		AvailabilityZone: d.AvailabilityZones[i%len(d.AvailabilityZones)],
+		Caller:           Address(port),
+		Peer:             Address(port + 1),
+		Operator:         Address(port + 2),
+	}
+	if err := d.StartHost(h); err != nil {
+		return err
+	}
+	d.Entry = append(d.Entry, h)
+	return d.TellPlatform("add", h)
+}
+
+// StartHost starts h's process, also once more after it has ended.
+func (d *Deployment) StartHost(h *EntryHost) (err error) {
+	file := filepath.Join(d.Dir, h.ID+".toml")
+	text := fmt.Sprintf(settingsText, h.ID, h.AvailabilityZone, h.Caller, h.Peer, h.Operator, d.Platform)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return err
+	}
+	h.Process, err = d.Group.Start(h.ID, d.program("siskinpathd"), "serve", "--settings", file)
+	return err
+}
+
+type hostChange struct {
+	Action           string `json:"action"`
+	ID               string `json:"id"`
+	AvailabilityZone string `json:"availability_zone"`
+	PeerAddress      string `json:"peer_address"`
+	CallerAddress    string `json:"caller_address"`
+	OperatorAddress  string `json:"operator_address"`
+}
+
+// TellPlatform does what the platform's deployer does: add, leave or remove h.
+func (d *Deployment) TellPlatform(action string, h *EntryHost) error {
+	return Post(d.Control, "/control/hosts", hostChange{
+		Action:           action,
+		ID:               h.ID,
+		AvailabilityZone: h.AvailabilityZone,
+		PeerAddress:      h.Peer,
+		CallerAddress:    h.Caller,
+		OperatorAddress:  h.Operator,
+	}, nil)
+}
+
+// healthStep is the time between two questions for health or version.
+const healthStep = 20 * time.Millisecond
+
+// WaitServing waits until every host that runs is offered to callers.
+func (d *Deployment) WaitServing(ctx context.Context, timeout time.Duration) error {
+	var last error
+	ready := Until(ctx, timeout, healthStep, func() bool {
+		for _, h := range d.Running() {
+			if last = Get(h.Operator, "/v1/health", nil); last != nil {
+				return false
+			}
+		}
+		return true
+	})
+	if !ready {
+		return errors.WithMessage(last, "not every host serves in time")
+	}
+	return nil
+}
+
+// Running returns the hosts whose process has not ended.
+func (d *Deployment) Running() []*EntryHost {
+	var hosts []*EntryHost
+	for _, h := range d.Entry {
+		if !h.Process.Wait(0) {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
+// CallerAddresses returns the callers' address of every host.
+func (d *Deployment) CallerAddresses() []string {
+	list := make([]string, 0, len(d.Entry))
+	for _, h := range d.Entry {
+		list = append(list, h.Caller)
+	}
+	return list
+}
+
+type knownHosts struct {
+	Hosts []knownHost `json:"hosts"`
+}
+
+type knownHost struct {
+	ID           string `json:"id"`
+	TableVersion uint64 `json:"table_version"`
+}
+
+// TableVersion asks h which version of the table it has in force.
+func (h *EntryHost) TableVersion() (version uint64, err error) {
+	var known knownHosts
+	if err := Get(h.Operator, "/v1/hosts", &known); err != nil {
+		return 0, err
+	}
+	for _, k := range known.Hosts {
+		if k.ID == h.ID {
+			return k.TableVersion, nil
+		}
+	}
+	return 0, errors.Errorf("host %s does not list itself", h.ID)
+}
+
+// WaitInForce waits until each of hosts has version or a later one in force,
+// and returns how long that took.
+func WaitInForce(ctx context.Context, hosts []*EntryHost, version uint64, timeout time.Duration) (time.Duration, bool) {
+	start := time.Now()
+	done := Until(ctx, timeout, healthStep, func() bool {
+		for _, h := range hosts {
+			if v, err := h.TableVersion(); err != nil || v < version {
+				return false
+			}
+		}
+		return true
+	})
+	return time.Since(start), done
+}
--- /dev/null
+++ b/standin/launch/launch_test.go
@@ -0,0 +1,47 @@
+package launch
+
+import (
+	"syscall"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestTable(t *testing.T) {
+	Convey("The table is written in the operators' form", t, func() {
+		table := Table{
+			Services: []Service{{Name: "booking", ProbesPerSecond: 10, HedgePercent: 2.5, MaxDeadlineMs: 10000}},
+			Upstreams: []UpstreamRow{{
+				Service: "booking", Name: "booking-01", Address: "127.0.0.1:1", AvailabilityZone: "z",
+				Weight: 100, Slots: 4, Connections: 300,
+			}},
+		}
+		edited := table.Edit("booking-01", func(u *UpstreamRow) { u.Leaving = true })
+		head := "service,upstream,address,availability_zone,weight,slots,connections,rate_per_second,state," +
+			"probes_per_second,hedge_percent,max_deadline_ms\n" +
+			"booking,*,,,,,,,,10,2.5,10000\n"
+		So(table.CSV(), ShouldEqual, head+"booking,booking-01,127.0.0.1:1,z,100,4,300,,active,,,\n")
+		So(edited.CSV(), ShouldEqual, head+"booking,booking-01,127.0.0.1:1,z,100,4,300,,leaving,,,\n")
+	})
+}
+
+func TestGroup(t *testing.T) {
+	Convey("A group leaves no process behind, a stopped one included", t, func() {
+		g := Group{Dir: t.TempDir()}
+		a, err := g.Start("a", "/bin/sleep", "600")
+		So(err, ShouldBeNil)
+		_, err = g.Start("b", "/bin/sleep", "600")
+		So(err, ShouldBeNil)
+		So(a.Signal(syscall.SIGSTOP), ShouldBeNil)
+		So(g.Left(), ShouldEqual, 2)
+		g.Stop()
+		So(g.Left(), ShouldEqual, 0)
+		So(a.Signal(syscall.SIGTERM), ShouldBeNil)
+	})
+	Convey("A program that isn't there is an error", t, func() {
+		g := Group{Dir: t.TempDir()}
+		_, err := g.Start("c", "/nowhere/program")
+		So(err, ShouldNotBeNil)
+		So(g.Left(), ShouldEqual, 0)
+	})
+}
--- /dev/null
+++ b/standin/launch/operator.go
@@ -0,0 +1,85 @@
+package launch
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Keys of the rows that hold the table.
+const (
+	tableKey   = "table"
+	historyKey = "table_history/"
+)
+
+type tableRow struct {
+	EditID string `json:"edit_id"`
+	Author string `json:"author"`
+	Time   string `json:"time"`
+	CSV    string `json:"csv"`
+}
+
+type rowJSON struct {
+	Key     string `json:"key"`
+	Value   string `json:"value,omitempty"`
+	Version uint64 `json:"version"`
+}
+
+type rowsJSON struct {
+	Rows []rowJSON `json:"rows"`
+}
+
+type keysJSON struct {
+	Keys []string `json:"keys"`
+}
+
+type checkJSON struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+}
+
+type putJSON struct {
+	Key   string `json:"key"`
+	Value string `json:"value"`
+}
+
+type transactionJSON struct {
+	Checks []checkJSON `json:"checks"`
+	Puts   []putJSON   `json:"puts"`
+}
+
+// TableVersion reads the version of the table in the platform.
+func TableVersion(platform string) (version uint64, err error) {
+	var rows rowsJSON
+	if err := Post(platform, "/v1/read_versions", keysJSON{Keys: []string{tableKey}}, &rows); err != nil {
+		return 0, err
+	}
+	if len(rows.Rows) != 1 {
+		return 0, errors.New("platform: no row in the reply")
+	}
+	return rows.Rows[0].Version, nil
+}
+
+// WriteTable writes csv as the version after from, and returns that version.
+// Another writer's edit in between makes it fail.
+func WriteTable(platform string, from uint64, csv string) (version uint64, err error) {
+	defer func() { err = errors.WithMessage(err, "write table") }()
+	value, err := json.Marshal(tableRow{
+		EditID: fmt.Sprintf("standin-%d", time.Now().UnixNano()),
+		Author: "standin",
+		Time:   time.Now().UTC().Format(time.RFC3339),
+		CSV:    csv,
+	})
+	if err != nil {
+		return 0, err
+	}
+	version = from + 1
+	history := historyKey + strconv.FormatUint(version, 10)
+	return version, Post(platform, "/v1/transaction", transactionJSON{
+		Checks: []checkJSON{{Key: tableKey, Version: from}},
+		Puts:   []putJSON{{Key: tableKey, Value: string(value)}, {Key: history, Value: string(value)}},
+	}, nil)
+}
--- /dev/null
+++ b/standin/launch/table.go
@@ -0,0 +1,92 @@
+package launch
+
+import (
+	"encoding/csv"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// UpstreamRow is a row of the table that holds an upstream.
+type UpstreamRow struct {
+	Service          string
+	Name             string
+	Address          string
+	AvailabilityZone string
+	Weight           int
+	Slots            int
+	Connections      int
+	Leaving          bool
+}
+
+// Table is the operators' table as the launcher writes it.
+type Table struct {
+	Services  []Service
+	Upstreams []UpstreamRow
+}
+
+var tableHeader = []string{
+	"service", "upstream", "address", "availability_zone", "weight", "slots", "connections",
+	"rate_per_second", "state", "probes_per_second", "hedge_percent", "max_deadline_ms",
+}
+
+// CSV returns the table's text.
+func (t Table) CSV() string {
+	var b strings.Builder
+	w := csv.NewWriter(&b)
+	_ = w.Write(tableHeader)
+	for _, s := range t.Services {
+		_ = w.Write([]string{
+			s.Name, "*", "", "", "", "", "", "", "",
+			strconv.FormatFloat(s.ProbesPerSecond, 'f', -1, 64),
+			strconv.FormatFloat(s.HedgePercent, 'f', -1, 64),
+			strconv.Itoa(s.MaxDeadlineMs),
+		})
+		for _, u := range t.Upstreams {
+			if u.Service == s.Name {
+				_ = w.Write(u.cells())
+			}
+		}
+	}
+	w.Flush()
+	return b.String()
+}
+
+func (u UpstreamRow) cells() []string {
+	state := "active"
+	if u.Leaving {
+		state = "leaving"
+	}
+	return []string{
+		u.Service, u.Name, u.Address, u.AvailabilityZone, strconv.Itoa(u.Weight), strconv.Itoa(u.Slots),
+		strconv.Itoa(u.Connections), "", state, "", "", "",
+	}
+}
+
+// Edit changes the row of upstream name and returns the table changed.
+func (t Table) Edit(name string, edit func(*UpstreamRow)) Table {
+	changed := t
+	changed.Upstreams = append([]UpstreamRow(nil), t.Upstreams...)
+	for i := range changed.Upstreams {
+		if changed.Upstreams[i].Name == name {
+			edit(&changed.Upstreams[i])
+		}
+	}
+	return changed
+}
+
+// Service is a service of a deployment: its limits and its stand-in upstreams.
+type Service struct {
+	Name            string
+	Upstreams       int
+	Slots           int
+	Connections     int
+	ServiceMs       float64 // mean time of a run
+	Fixed           bool    // every run takes the mean
+	ProbesPerSecond float64
+	HedgePercent    float64
+	MaxDeadlineMs   int
+}
+
+// UpstreamName returns the name of the i-th upstream of s, from 0.
+func (s Service) UpstreamName(i int) string { return fmt.Sprintf("%s-%02d", s.Name, i+1) }
--- a/standin/main.go
+++ b/standin/main.go
@@ -24,6 +24,7 @@
 	platformCommand,
 	upstreamCommand,
 	callersCommand,
+	demoCommand,
 }
 
 func main() {
