launch: a process that has ended counts as ended without waiting

Cause: Wait(0) chose at random between the end of the process and an elapsed timer, so Left counted ended processes. Wait now looks at the end first. go test -race -count=5 ./standin/launch passes.

--- a/standin/launch/process.go
+++ b/standin/launch/process.go
@@ -30,12 +30,10 @@
 
 // Signal sends s to the process. A process that has ended gets none.
 func (p *Process) Signal(s syscall.Signal) error {
-	select {
-	case <-p.ended:
+	if p.hasEnded() {
 		return nil
-	default:
-		return p.cmd.Process.Signal(s)
 	}
+	return p.cmd.Process.Signal(s)
 }
 
 // Ended is closed when the process has ended.
@@ -46,12 +44,24 @@
 
 // Wait waits for the end of the process and tells whether it came in time.
 func (p *Process) Wait(timeout time.Duration) bool {
+	if p.hasEnded() {
+		return true
+	}
 	t := time.NewTimer(timeout)
 	defer t.Stop()
 	select {
 	case <-p.ended:
 		return true
 	case <-t.C:
+		return p.hasEnded()
+	}
+}
+
+func (p *Process) hasEnded() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
 		return false
 	}
 }
