--- /dev/null
+++ b/siskinpathd/filter/once_test.go
@@ -0,0 +1,175 @@
+package filter
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/once"
+	"siskinpath/siskinpathd/call"
+)
+
+const thisIncarnation = 7
+
+// fakeDeciders is another host that decides, as far as this one can reach it.
+type fakeDeciders struct {
+	presence once.Presence
+	answer   call.Answer
+	notSent  bool
+	asked    atomic.Int64
+}
+
+func (f *fakeDeciders) Find(uint64) (string, once.Presence) { return "gh-2", f.presence }
+
+func (f *fakeDeciders) Decide(context.Context, string, *call.Call) (call.Answer, bool) {
+	f.asked.Add(1)
+	return f.answer, f.notSent
+}
+
+// fakeClaims decides each claim as told.
+type fakeClaims struct{ decision once.Decision }
+
+func (f *fakeClaims) Settle(rec once.RecordID) once.Decision {
+	d := f.decision
+	d.Record = rec
+	return d
+}
+
+func (f *fakeClaims) TakeOver(rec once.RecordID) once.Decision { return f.Settle(rec) }
+
+// upstreamCount counts the runs of requests that reached the end of the chain.
+type upstreamCount struct {
+	runs   atomic.Int64
+	hold   chan struct{}
+	answer call.Answer
+}
+
+func (u *upstreamCount) next(c *call.Call) call.Answer {
+	if u.hold != nil {
+		<-u.hold
+	}
+	if c.Guard == nil || !c.Guard() {
+		return call.NotRun("barred", 0)
+	}
+	u.runs.Add(1)
+	return u.answer
+}
+
+func answered(body string) call.Answer {
+	return call.Answer{Reply: once.Reply{Outcome: once.Answered, Status: 200, Body: []byte(body)}}
+}
+
+func newOnce(hosts Deciders, claims Claims) (*Once, clock.Clock) {
+	c := clock.NewSystem()
+	k := &Keeper{Clock: c, Once: &once.Keeper{Incarnation: thisIncarnation, Host: "gh-1"}}
+	return &Once{Clock: c, Keeper: k, Claims: claims, Hosts: hosts}, c
+}
+
+func keyed(c clock.Clock, key, organisation string) *call.Call {
+	return &call.Call{Service: "payments", Organisation: organisation, Key: key, Method: "POST", URI: "/deposit", Deadline: c.Now() + 2*clock.Second}
+}
+
+func ownKey(o *Once, suffix string) string {
+	var prefix string
+	o.Keeper.With(func(now clock.Millis, k *once.Keeper) { prefix = k.Prefix(now) })
+	return prefix + suffix
+}
+
+func shouldAnswer(a call.Answer, outcome once.Outcome, body string, recorded bool) {
+	So(a.Outcome, ShouldEqual, outcome)
+	So(string(a.Body), ShouldEqual, body)
+	So(a.Recorded, ShouldEqual, recorded)
+}
+
+func TestOwnKeys(t *testing.T) {
+	Convey("a retry with this host's key is given the recorded answer", t, func() {
+		o, c := newOnce(&fakeDeciders{}, &fakeClaims{})
+		u := &upstreamCount{answer: answered("paid")}
+		key := ownKey(o, "a")
+		shouldAnswer(o.Apply(keyed(c, key, "ring-7"), u.next), once.Answered, "paid", false)
+		shouldAnswer(o.Apply(keyed(c, key, "ring-7"), u.next), once.Answered, "paid", true)
+		So(u.runs.Load(), ShouldEqual, 1)
+	})
+	Convey("the same key of another organisation is another request", t, func() {
+		o, c := newOnce(&fakeDeciders{}, &fakeClaims{})
+		u := &upstreamCount{answer: answered("paid")}
+		key := ownKey(o, "a")
+		o.Apply(keyed(c, key, "ring-7"), u.next)
+		shouldAnswer(o.Apply(keyed(c, key, "ring-8"), u.next), once.Answered, "paid", false)
+		So(u.runs.Load(), ShouldEqual, 2)
+	})
+	Convey("many at once run once, and all get its answer", t, func() {
+		o, c := newOnce(&fakeDeciders{}, &fakeClaims{})
+		u := &upstreamCount{answer: answered("paid"), hold: make(chan struct{})}
+		key := ownKey(o, "a")
+		var wg sync.WaitGroup
+		for range 50 {
+			wg.Go(func() {
+				a := o.Apply(keyed(c, key, "ring-7"), u.next)
+				if a.Outcome != once.Answered || string(a.Body) != "paid" {
+					t.Errorf("answer %v %q", a.Outcome, a.Body)
+				}
+			})
+		}
+		close(u.hold)
+		wg.Wait()
+		So(u.runs.Load(), ShouldEqual, 1)
+	})
+	Convey("a request given up unsent is not run, and may run later", t, func() {
+		o, c := newOnce(&fakeDeciders{}, &fakeClaims{})
+		key := ownKey(o, "a")
+		refuse := func(*call.Call) call.Answer { return call.NotRun("overloaded", 100) }
+		shouldAnswer(o.Apply(keyed(c, key, "ring-7"), refuse), once.NotRun, "", false)
+		u := &upstreamCount{answer: answered("paid")}
+		shouldAnswer(o.Apply(keyed(c, key, "ring-7"), u.next), once.Answered, "paid", false)
+	})
+	Convey("a lost run stays unknown for every retry", t, func() {
+		o, c := newOnce(&fakeDeciders{}, &fakeClaims{})
+		u := &upstreamCount{answer: call.Unknown(call.ReasonLost)}
+		key := ownKey(o, "a")
+		shouldAnswer(o.Apply(keyed(c, key, "ring-7"), u.next), once.OutcomeUnknown, "", false)
+		So(o.Apply(keyed(c, key, "ring-7"), u.next).Outcome, ShouldEqual, once.OutcomeUnknown)
+		So(u.runs.Load(), ShouldEqual, 1)
+	})
+}
+
+func TestOtherHostsKeys(t *testing.T) {
+	other := "0000000000000008-0-a"
+	for name, presence := range map[string]once.Presence{"gone": once.Gone, "unreachable": once.Unreachable, "never heard of": once.Never} {
+		Convey("a key of an incarnation that is "+name+" never runs here", t, func() {
+			o, c := newOnce(&fakeDeciders{presence: presence}, &fakeClaims{})
+			u := &upstreamCount{answer: answered("paid")}
+			So(o.Apply(keyed(c, other, "ring-7"), u.next).Outcome, ShouldEqual, once.OutcomeUnknown)
+			So(u.runs.Load(), ShouldEqual, 0)
+		})
+	}
+	Convey("a live host decides, and its answer is passed on", t, func() {
+		f := &fakeDeciders{presence: once.Present, answer: answered("paid there")}
+		o, c := newOnce(f, &fakeClaims{})
+		u := &upstreamCount{}
+		shouldAnswer(o.Apply(keyed(c, other, "ring-7"), u.next), once.Answered, "paid there", false)
+		So(f.asked.Load(), ShouldEqual, 1)
+		So(u.runs.Load(), ShouldEqual, 0)
+	})
+	Convey("a live host that can't be asked leaves the outcome unknown", t, func() {
+		o, c := newOnce(&fakeDeciders{presence: once.Present, notSent: true}, &fakeClaims{})
+		u := &upstreamCount{}
+		So(o.Apply(keyed(c, other, "ring-7"), u.next).Outcome, ShouldEqual, once.OutcomeUnknown)
+		So(u.runs.Load(), ShouldEqual, 0)
+	})
+}
+
+func TestClaimedKeys(t *testing.T) {
+	Convey("without a claim nothing runs", t, func() {
+		o, c := newOnce(&fakeDeciders{}, &fakeClaims{decision: once.Decision{Verdict: once.Refuse, Reply: once.Reply{Reason: "platform_down", RetryAfter: 1000}}})
+		u := &upstreamCount{answer: answered("paid")}
+		a := o.Apply(keyed(c, "plain-key", "ring-7"), u.next)
+		shouldAnswer(a, once.NotRun, "", false)
+		So(a.RetryAfter, ShouldEqual, clock.Second)
+		So(u.runs.Load(), ShouldEqual, 0)
+	})
+}
--- a/siskinpathd/upstream/attempt.go
+++ b/siskinpathd/upstream/attempt.go
@@ -68,7 +68,7 @@
 		return nil, result, nil
 	}
 	c.written = 0
-	stop := context.AfterFunc(ctx, func() { c.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	err = exchange(c, a, resp)
--- a/siskinpathd/upstream/conn.go
+++ b/siskinpathd/upstream/conn.go
@@ -24,15 +24,18 @@
 func newConn(nc net.Conn) *conn {
 	c := &conn{Conn: nc}
 	c.r = bufio.NewReaderSize(nc, bufferBytes)
-	c.w = bufio.NewWriterSize(countingWriter{c}, bufferBytes)
+	c.w = bufio.NewWriterSize(countingWriter{c: c, nc: nc}, bufferBytes)
 	return c
 }
 
 // countingWriter adds what the kernel took to the connection's count.
-type countingWriter struct{ c *conn }
+type countingWriter struct {
+	c  *conn
+	nc net.Conn
+}
 
 func (w countingWriter) Write(b []byte) (n int, err error) {
-	n, err = w.c.Conn.Write(b)
+	n, err = w.nc.Write(b)
 	w.c.written += int64(n)
 	return n, err
 }
--- a/siskinpathd/upstream/pool.go
+++ b/siskinpathd/upstream/pool.go
@@ -122,7 +122,7 @@
 // discard closes a connection. Whatever the upstream was doing on it is
 // cancelled.
 func (p *Pool) discard(c *conn) {
-	c.Close()
+	_ = c.Close()
 	p.release()
 }
 
