--- a/standin/caller/ledger.go
+++ b/standin/caller/ledger.go
@@ -39,6 +39,7 @@
 	Service      string
 	Organisation string
 	Key          string // "" for an idempotent request
+	Unprefixed   bool   // the key begins with no host's prefix
 	Attempts     []Attempt
 	Final        Outcome
 }
--- a/standin/caller/request.go
+++ b/standin/caller/request.go
@@ -39,7 +39,7 @@
 
 // run carries out j to its final outcome.
 func (s *sender) run(j job) {
-	e := Entry{Service: j.service, Organisation: j.organisation, Final: NotSent}
+	e := Entry{Service: j.service, Organisation: j.organisation, Unprefixed: j.once && j.unprefixed, Final: NotSent}
 	until := time.Now().Add(j.deadline)
 	for n := range s.attempts {
 		a, wait := s.attempt(&e, j, n, until)
--- a/standin/launch/faults.go
+++ b/standin/launch/faults.go
@@ -25,6 +25,7 @@
 	LoadLagMs     *int64   `json:"load_lag_ms,omitempty"`
 	LoadMisleads  *bool    `json:"load_misleads,omitempty"`
 	CutAnswers    *float64 `json:"cut_answers,omitempty"`
+	Closed        *bool    `json:"closed,omitempty"`
 	Watch         *int     `json:"watch,omitempty"`
 	MarkedLeaving *bool    `json:"marked_leaving,omitempty"`
 }
--- a/standin/launch/operator.go
+++ b/standin/launch/operator.go
@@ -83,3 +83,27 @@
 		Puts:   []putJSON{{Key: tableKey, Value: string(value)}, {Key: history, Value: string(value)}},
 	}, nil)
 }
+
+// Operate starts the operators' client with args.
+func (d *Deployment) Operate(name string, args ...string) (*Process, error) {
+	return d.Group.Start(name, d.program("siskinctl"), append([]string{"--platform", d.Platform}, args...)...)
+}
+
+// ReadWeights reads the weight of each upstream from the table in the platform,
+// and the table's version.
+func ReadWeights(platform string) (weights map[string]int, version uint64, err error) {
+	defer func() { err = errors.WithMessage(err, "read weights") }()
+	var rows rowsJSON
+	if err := Post(platform, "/v1/read", keysJSON{Keys: []string{tableKey}}, &rows); err != nil {
+		return nil, 0, err
+	}
+	if len(rows.Rows) != 1 {
+		return nil, 0, errors.New("platform: no row in the reply")
+	}
+	var row tableRow
+	if err := json.Unmarshal([]byte(rows.Rows[0].Value), &row); err != nil {
+		return nil, 0, err
+	}
+	weights, err = parseWeights(row.CSV)
+	return weights, rows.Rows[0].Version, err
+}
--- a/standin/launch/table.go
+++ b/standin/launch/table.go
@@ -90,3 +90,27 @@
 
 // UpstreamName returns the name of the i-th upstream of s, from 0.
 func (s Service) UpstreamName(i int) string { return fmt.Sprintf("%s-%02d", s.Name, i+1) }
+
+// Columns of the table that are read back.
+const (
+	upstreamColumn = 1
+	weightColumn   = 4
+)
+
+// parseWeights returns the weight of each upstream in the table's text.
+func parseWeights(text string) (weights map[string]int, err error) {
+	records, err := csv.NewReader(strings.NewReader(text)).ReadAll()
+	if err != nil {
+		return nil, err
+	}
+	weights = map[string]int{}
+	for _, r := range records[min(1, len(records)):] {
+		if r[upstreamColumn] == "*" {
+			continue
+		}
+		if weights[r[upstreamColumn]], err = strconv.Atoi(r[weightColumn]); err != nil {
+			return nil, err
+		}
+	}
+	return weights, nil
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -25,6 +25,7 @@
 	upstreamCommand,
 	callersCommand,
 	demoCommand,
+	proveCommand,
 }
 
 func main() {
--- /dev/null
+++ b/standin/prove/drain_upstream.go
@@ -0,0 +1,55 @@
+package prove
+
+import (
+	"context"
+	"time"
+
+	"siskinpath/standin/launch"
+)
+
+// drainUpstream lets upstreams drain in the middle of work, without any edit.
+var drainUpstream = Scenario{
+	Name:  "drain_upstream",
+	About: "three upstreams of booking drain under load without an edit",
+	Run: func(ctx context.Context, t *Trial) error {
+		began := time.Now()
+		t.loadFor(ctx, 8*time.Second, usualMixes())
+		if err := t.sleep(ctx, 2*time.Second); err != nil {
+			return err
+		}
+		names := []string{"booking-02", "booking-05", "booking-07"}
+		for _, u := range names {
+			if err := t.d.ChangeUpstream("booking", u, launch.Change{Draining: new(true)}); err != nil {
+				return err
+			}
+		}
+		t.say("%v drain", names)
+		if err := t.sleep(ctx, 3*time.Second); err != nil {
+			return err
+		}
+		before, err := t.refusedBy(names)
+		if err != nil {
+			return err
+		}
+		t.waitLoad()
+		after, err := t.refusedBy(names)
+		if err != nil {
+			return err
+		}
+		t.figure("refused_at_first", before)
+		t.figure("refused_after_3_s", after-before)
+		t.expectServed("whole", began, time.Now(), 0.99)
+		return nil
+	},
+}
+
+func (t *Trial) refusedBy(names []string) (refused float64, err error) {
+	counts, err := t.d.Counts("booking")
+	if err != nil {
+		return 0, err
+	}
+	for _, n := range names {
+		refused += float64(counts.Upstreams[n].Refused)
+	}
+	return refused, nil
+}
--- /dev/null
+++ b/standin/prove/prove.go
@@ -0,0 +1,134 @@
+// Package prove brings about failures of real processes and checks what must
+// hold. Each scenario is one file. Timing sways the figures, so the results are
+// printed as seen.
+package prove
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"siskinpath/standin/figure"
+	"siskinpath/standin/launch"
+)
+
+// Scenario is one failure that is brought about.
+type Scenario struct {
+	Name  string
+	About string
+	Run   func(context.Context, *Trial) error
+}
+
+// Scenarios lists every scenario in the order in which they run.
+var Scenarios = []Scenario{
+	killHost,
+	freezeHost,
+	freezeLeaving,
+	outageRefuse,
+	outageSilent,
+	lostReplies,
+	racingOperators,
+	closedPorts,
+	freshHost,
+	drainUpstream,
+	leavingOutage,
+	gracefulStop,
+	stopTwice,
+}
+
+// scenarioLimit bounds one scenario.
+const scenarioLimit = 60 * time.Second
+
+// Prover runs scenarios. Fields are set before Run.
+type Prover struct {
+	Bin   string
+	Only  []string // names of the scenarios to run; empty means all
+	Seed  uint64
+	Keep  bool // keep settings and logs
+	Out   io.Writer
+	Log   io.Writer
+	tried int
+	wrong int
+}
+
+// ErrFailed says that a scenario failed.
+var ErrFailed = errors.New("a scenario failed")
+
+// Run runs the scenarios one after the other.
+func (p *Prover) Run(ctx context.Context) error {
+	for _, s := range Scenarios {
+		if !p.wanted(s.Name) || ctx.Err() != nil {
+			continue
+		}
+		p.one(ctx, s)
+	}
+	figure.Print(p.Out, []figure.Figure{
+		{Name: "scenarios_run", Value: float64(p.tried)},
+		{Name: "scenarios_failed", Value: float64(p.wrong)},
+	})
+	if p.tried == 0 {
+		return errors.New("prove: no such scenario")
+	}
+	if p.wrong > 0 {
+		return ErrFailed
+	}
+	return ctx.Err()
+}
+
+func (p *Prover) wanted(name string) bool {
+	for _, o := range p.Only {
+		if o == name {
+			return true
+		}
+	}
+	return len(p.Only) == 0
+}
+
+func (p *Prover) one(ctx context.Context, s Scenario) {
+	ctx, cancel := context.WithTimeout(ctx, scenarioLimit)
+	defer cancel()
+	p.tried++
+	_, _ = fmt.Fprintf(p.Log, "%s: %s\n", s.Name, s.About)
+	t := &Trial{Name: s.Name, Bin: p.Bin, Seed: p.Seed, Log: p.Log}
+	err := p.carryOut(ctx, s, t)
+	passed := 1.0
+	if err != nil || len(t.faults) > 0 {
+		p.wrong++
+		passed = 0
+	}
+	if err != nil {
+		_, _ = fmt.Fprintf(p.Log, "  error: %v\n", err)
+	}
+	for _, f := range t.faults {
+		_, _ = fmt.Fprintf(p.Log, "  fault: %s\n", f)
+	}
+	figures := []figure.Figure{{Name: s.Name + "_passed", Value: passed}}
+	for _, f := range t.figures {
+		figures = append(figures, figure.Figure{Name: s.Name + "_" + f.Name, Value: f.Value})
+	}
+	figure.Print(p.Out, figures)
+}
+
+func (p *Prover) carryOut(ctx context.Context, s Scenario, t *Trial) error {
+	dir, err := launch.MakeDir()
+	if err != nil {
+		return err
+	}
+	if p.Keep {
+		_, _ = fmt.Fprintf(p.Log, "  settings and logs: %s\n", dir)
+	} else {
+		defer func() { _ = os.RemoveAll(dir) }()
+	}
+	defer t.end()
+	if err := t.start(ctx, dir); err != nil {
+		return err
+	}
+	if err := s.Run(ctx, t); err != nil {
+		return err
+	}
+	return t.judge()
+}
--- a/standin/upstream/engine.go
+++ b/standin/upstream/engine.go
@@ -52,6 +52,7 @@
 	MarkedLeaving   bool     `json:"marked_leaving"`  // the time of this mark is recorded
 	CutAnswers      float64  `json:"cut_answers"`     // fraction of answers cut short by a closed connection
 	DeadlineIgnored bool     `json:"ignore_deadline"` // runs requests whose deadline has passed
+	Closed          bool     `json:"closed"`          // the port refuses connections, open ones are closed
 }
 
 // Load is a load report.
--- a/standin/upstream/fleet.go
+++ b/standin/upstream/fleet.go
@@ -126,6 +126,13 @@
 			s.LeavingUnixMs = time.Now().UnixMilli()
 		}
 	})
+	if changed.Closed {
+		u.port.close()
+		return nil
+	}
+	if !u.port.isOpen() {
+		return u.listen()
+	}
 	return nil
 }
 
--- a/standin/upstream/server.go
+++ b/standin/upstream/server.go
@@ -28,7 +28,7 @@
 	Seed             uint64
 
 	engine Engine
-	ln     net.Listener
+	port   port
 	mu     sync.Mutex // guards rand
 	rand   *rand.Rand
 }
@@ -44,23 +44,27 @@
 	if err != nil {
 		return err
 	}
-	u.ln, err = net.Listen("tcp", u.Address)
+	return u.listen()
+}
+
+func (u *Upstream) listen() error {
+	ln, err := u.port.open(u.Address)
 	if err != nil {
 		return err
 	}
-	u.Address = u.ln.Addr().String()
+	u.Address = ln.Addr().String()
 	server := &fasthttp.Server{
 		Handler:               u.handle,
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
 		Logger:                silentLogger{},
 	}
-	go func() { _ = server.Serve(&limitedListener{Listener: u.ln, engine: &u.engine}) }()
+	go func() { _ = server.Serve(&limitedListener{Listener: ln, engine: &u.engine, port: &u.port}) }()
 	return nil
 }
 
-// Stop takes no more connections.
-func (u *Upstream) Stop() { _ = u.ln.Close() }
+// Stop takes no more connections and closes the open ones.
+func (u *Upstream) Stop() { u.port.close() }
 
 type silentLogger struct{}
 
