--- a/standin/cmd_callers.go
+++ b/standin/cmd_callers.go
@@ -60,7 +60,7 @@
 		}},
 	}
 	l.Run(ctx)
-	figure.Print(os.Stdout, l.Figures())
+	figure.Write(os.Stdout, l.Figures())
 	if !l.AnyAnswered() {
 		return errors.New("callers: no request was answered; check --hosts and --service")
 	}
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -148,7 +148,7 @@
 		figure.Figure{Name: "processes_left", Value: float64(left)},
 		figure.Figure{Name: "run_seconds", Value: time.Since(m.begun).Round(time.Millisecond).Seconds()},
 	)
-	figure.Print(m.Out, figures)
+	figure.Write(m.Out, figures)
 	for _, e := range findings.Examples {
 		m.say("%s", e)
 	}
--- a/standin/figure/figure.go
+++ b/standin/figure/figure.go
@@ -17,8 +17,8 @@
 	Value float64
 }
 
-// Print writes one line per figure.
-func Print(w io.Writer, figures []Figure) {
+// Write writes one line per figure.
+func Write(w io.Writer, figures []Figure) {
 	for _, f := range figures {
 		_, _ = fmt.Fprintf(w, "%s %s\n", f.Name, strconv.FormatFloat(f.Value, 'f', -1, 64))
 	}
--- a/standin/main.go
+++ b/standin/main.go
@@ -26,6 +26,7 @@
 	callersCommand,
 	demoCommand,
 	proveCommand,
+	benchCommand,
 }
 
 func main() {
--- /dev/null
+++ b/standin/measure/capacity.go
@@ -0,0 +1,81 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"siskinpath/standin/caller"
+	"siskinpath/standin/figure"
+	"siskinpath/standin/launch"
+)
+
+// Shape of the measurement of requests per core.
+const (
+	capacityFor     = 6 * time.Second
+	capacityWorkers = 48
+)
+
+func capacityServices() []launch.Service {
+	return []launch.Service{{
+		Name: "booking", Upstreams: 8, Slots: 64, Connections: 300, ServiceMs: 0.2, Fixed: true,
+		ProbesPerSecond: 2, MaxDeadlineMs: 10000,
+	}}
+}
+
+// capacity keeps one host busy and divides the requests by the processor time it
+// used.
+func (b *Bench) capacity(ctx context.Context) (figures []figure.Figure, err error) {
+	var done, failed atomic.Int64
+	var span figure.Histogram
+	var used launch.Usage
+	var seconds float64
+	err = b.deploy(ctx, 1, capacityServices(), func(d *launch.Deployment) error {
+		h := d.Entry[0]
+		before, err := launch.ReadUsage(h.Process.Pid)
+		if err != nil {
+			return err
+		}
+		start := time.Now()
+		hammer(ctx, h.Caller, start.Add(capacityFor), &span, &done, &failed)
+		seconds = time.Since(start).Seconds()
+		after, err := launch.ReadUsage(h.Process.Pid)
+		used = after.Since(before)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return []figure.Figure{
+		{Name: "capacity_requests_per_second", Value: round(float64(done.Load()) / seconds)},
+		{Name: "capacity_failed", Value: float64(failed.Load())},
+		{Name: "capacity_cores_used", Value: round(used.CPU.Seconds() / seconds)},
+		{Name: "capacity_requests_per_core_second", Value: round(float64(done.Load()) / used.CPU.Seconds())},
+		{Name: "capacity_resident_mb", Value: round(float64(used.Resident) / (1 << 20))},
+		{Name: "capacity_added_ms_p50", Value: span.Millis(50)},
+		{Name: "capacity_added_ms_p99", Value: span.Millis(99)},
+	}, nil
+}
+
+// hammer sends one request after the other on each of many connections.
+func hammer(ctx context.Context, address string, end time.Time, span *figure.Histogram, done, failed *atomic.Int64) {
+	ended := make(chan struct{})
+	for n := range capacityWorkers {
+		go func() {
+			defer func() { ended <- struct{}{} }()
+			var pool caller.Pool
+			defer pool.Close()
+			for i := 0; time.Now().Before(end) && ctx.Err() == nil; i++ {
+				if timed(&pool, address, "/v1/call/booking/slots?marker=", fmt.Sprintf("%d.%d", n, i), span) != nil {
+					failed.Add(1)
+					continue
+				}
+				done.Add(1)
+			}
+		}()
+	}
+	for range capacityWorkers {
+		<-ended
+	}
+}
--- /dev/null
+++ b/standin/measure/measure.go
@@ -0,0 +1,105 @@
+// Package measure measures real processes: the time that a host adds to a
+// request, the requests it carries per core, and what it uses when idle.
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"siskinpath/standin/figure"
+	"siskinpath/standin/launch"
+)
+
+// limit bounds the whole run.
+const limit = 110 * time.Second
+
+// serveTimeout bounds the start of one deployment.
+const serveTimeout = 20 * time.Second
+
+// Bench is one run of the measurements. Fields are set before Run.
+type Bench struct {
+	Bin  string
+	Only []string // parts to run: added, capacity, idle; empty means all
+	Out  io.Writer
+	Log  io.Writer
+}
+
+// part is one measurement.
+type part struct {
+	name string
+	run  func(*Bench, context.Context) ([]figure.Figure, error)
+}
+
+var parts = []part{
+	{"added", (*Bench).added},
+	{"capacity", (*Bench).capacity},
+	{"idle", (*Bench).idle},
+}
+
+// Run measures and prints the figures of each part as soon as they are there.
+func (b *Bench) Run(ctx context.Context) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	ran := 0
+	for _, p := range parts {
+		if !b.wanted(p.name) {
+			continue
+		}
+		ran++
+		figures, err := p.run(b, ctx)
+		if err != nil {
+			return errors.WithMessagef(err, "bench %s", p.name)
+		}
+		figure.Write(b.Out, figures)
+	}
+	if ran == 0 {
+		return errors.New("bench: no such part; there are added, capacity and idle")
+	}
+	return nil
+}
+
+func (b *Bench) wanted(name string) bool {
+	for _, o := range b.Only {
+		if o == name {
+			return true
+		}
+	}
+	return len(b.Only) == 0
+}
+
+func (b *Bench) say(format string, args ...any) {
+	_, _ = fmt.Fprintf(b.Log, format+"\n", args...)
+}
+
+// deploy starts a deployment, hands it to use once it serves, and ends it.
+func (b *Bench) deploy(ctx context.Context, hosts int, services []launch.Service, use func(*launch.Deployment) error) (err error) {
+	dir, err := launch.MakeDir()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	d := &launch.Deployment{
+		Bin:               b.Bin,
+		Dir:               dir,
+		AvailabilityZones: launch.GhanaZones(),
+		Hosts:             hosts,
+		Services:          services,
+	}
+	defer d.Group.Kill()
+	if err := d.Start(); err != nil {
+		return err
+	}
+	if err := d.WaitServing(ctx, serveTimeout); err != nil {
+		return err
+	}
+	return use(d)
+}
+
+// round keeps three digits after the point.
+func round(x float64) float64 { return math.Round(x*1000) / 1000 }
--- a/standin/prove/prove.go
+++ b/standin/prove/prove.go
@@ -66,7 +66,7 @@
 		}
 		p.one(ctx, s)
 	}
-	figure.Print(p.Out, []figure.Figure{
+	figure.Write(p.Out, []figure.Figure{
 		{Name: "scenarios_run", Value: float64(p.tried)},
 		{Name: "scenarios_failed", Value: float64(p.wrong)},
 	})
@@ -110,7 +110,7 @@
 	for _, f := range t.figures {
 		figures = append(figures, figure.Figure{Name: s.Name + "_" + f.Name, Value: f.Value})
 	}
-	figure.Print(p.Out, figures)
+	figure.Write(p.Out, figures)
 }
 
 func (p *Prover) carryOut(ctx context.Context, s Scenario, t *Trial) error {
