--- /dev/null
+++ b/siskinpathd/peer/control.go
@@ -0,0 +1,163 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"siskinpath/core/member"
+	"siskinpath/core/route"
+	"siskinpath/siskinpathd/peer/peerpb"
+)
+
+// SendHeartbeat queues hb for a host. It never blocks; without a link hb is dropped.
+func (l *Link) SendHeartbeat(to member.Host, hb member.Heartbeat) {
+	l.once.Do(l.start)
+	s := l.to(to.ID)
+	if s == nil || !s.out.addHeartbeat(heartbeatToWire(hb)) {
+		l.count.droppedHeartbeats.Inc()
+	}
+}
+
+// SendDigest queues d for a host. It never blocks; a digest of the same service
+// that still waits is replaced, and without a link d is dropped.
+func (l *Link) SendDigest(hostID, service string, d route.Digest) {
+	l.once.Do(l.start)
+	s := l.to(hostID)
+	if s == nil || !s.out.addDigest(service, d) {
+		l.count.droppedDigests.Inc()
+	}
+}
+
+// Fetch asks a host for its table and assignment when newer than those given.
+// It never blocks; an answer comes by OnTableCopy and OnAssignmentCopy, if any.
+func (l *Link) Fetch(hostID string, tableVersion, epoch uint64) {
+	l.once.Do(l.start)
+	s := l.to(hostID)
+	if s == nil {
+		l.count.droppedFetches.Inc()
+		return
+	}
+	s.out.addFetch(&peerpb.TableFetch{TableVersion: tableVersion, Epoch: epoch})
+}
+
+// writeControl opens this side's control stream and writes what the outbox
+// holds until the link ends.
+func (s *session) writeControl(ctx context.Context) {
+	stream, err := s.mux.OpenStream()
+	if err != nil {
+		return
+	}
+	defer func() { _ = stream.Close() }()
+	self := s.link.Self
+	control := &peerpb.Control{HostId: self.ID, Incarnation: uint64(self.Incarnation)}
+	if s.writeControlFrame(stream, &peerpb.Open{Kind: &peerpb.Open_Control{Control: control}}) != nil {
+		return
+	}
+	introduced := false
+	for {
+		message := s.out.take()
+		if message == nil {
+			select {
+			case <-ctx.Done():
+				return
+			case <-s.out.signal:
+			}
+			continue
+		}
+		if hb := message.GetHeartbeat(); hb != nil && !introduced {
+			hb.Self = hostToWire(self)
+			introduced = true
+		}
+		if s.writeControlFrame(stream, message) != nil {
+			return
+		}
+	}
+}
+
+func (s *session) writeControlFrame(stream *yamux.Stream, m proto.Message) error {
+	_ = stream.SetWriteDeadline(time.Now().Add(writeTimeout.Duration()))
+	n, err := writeFrame(stream, m, maxControlFrame)
+	s.link.count.controlSent.Add(n)
+	return err
+}
+
+// readControl takes in the other side's control stream until it ends.
+func (s *session) readControl(ctx context.Context, r *bufio.Reader, c *peerpb.Control) {
+	if !s.controlled.CompareAndSwap(false, true) {
+		s.broken(errors.New("second control stream"))
+		return
+	}
+	if err := s.identify(c); err != nil {
+		s.end(err)
+		return
+	}
+	host := member.Host{ID: s.peer.id, Incarnation: s.peer.incarnation}
+	for ctx.Err() == nil {
+		message := &peerpb.ControlMessage{}
+		n, err := readFrame(r, message, maxControlFrame)
+		s.link.count.controlReceived.Add(n)
+		if err == nil {
+			err = s.takeIn(message, &host)
+		}
+		if err != nil {
+			s.end(err)
+			return
+		}
+	}
+}
+
+// end ends the session after its control stream has ended with err.
+func (s *session) end(err error) {
+	if cutOff(err) || errors.Is(err, errStale) || errors.Is(err, errWrongHost) {
+		_ = s.mux.Close()
+		return
+	}
+	s.broken(err)
+}
+
+// takeIn hands a control message to its callback. host is the sender as far as
+// it has introduced itself.
+func (s *session) takeIn(message *peerpb.ControlMessage, host *member.Host) error {
+	l := s.link
+	switch kind := message.Kind.(type) {
+	case *peerpb.ControlMessage_Heartbeat:
+		hb, err := heartbeatFromWire(kind.Heartbeat, host)
+		if err != nil {
+			return err
+		}
+		s.heard(hb)
+	case *peerpb.ControlMessage_Digest:
+		service, d, err := digestFromWire(kind.Digest)
+		if err != nil {
+			return err
+		}
+		d.Host = host.ID
+		l.OnDigest(host.ID, d, service)
+	case *peerpb.ControlMessage_TableFetch:
+		s.out.addCopies(l.OnFetch(kind.TableFetch.GetTableVersion(), kind.TableFetch.GetEpoch()))
+	case *peerpb.ControlMessage_TableCopy:
+		l.OnTableCopy(host.ID, kind.TableCopy.GetVersion(), kind.TableCopy.GetValue())
+	case *peerpb.ControlMessage_AssignmentCopy:
+		l.OnAssignmentCopy(host.ID, kind.AssignmentCopy.GetEpoch(), kind.AssignmentCopy.GetValue())
+	default:
+		return errors.New("control message of no known kind")
+	}
+	return nil
+}
+
+// heard tells a heartbeat, unless a newer incarnation has been identified.
+func (s *session) heard(hb member.Heartbeat) {
+	l := s.link
+	l.deliver.Lock()
+	defer l.deliver.Unlock()
+	if !l.newest(s) {
+		l.count.staleHeartbeats.Inc()
+		return
+	}
+	l.OnHeartbeat(hb)
+}
