--- /dev/null
+++ b/core/member/fence.go
@@ -0,0 +1,278 @@
+package member
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"strings"
+
+	"siskinpath/core/clock"
+)
+
+// AssignmentRead takes a good read of the platform that began at startedAt.
+func (v *View) AssignmentRead(now, startedAt clock.Millis, a Assignment) []Action {
+	v.enter(now)
+	v.adopt(now, a)
+	if a.Epoch >= v.current.Epoch {
+		v.platformAt = max(v.platformAt, startedAt)
+		v.platformSeen = true
+	}
+	return v.leave(now, nil)
+}
+
+// AssignmentCopied takes an assignment from a peer.
+func (v *View) AssignmentCopied(now clock.Millis, a Assignment) []Action {
+	v.enter(now)
+	v.adopt(now, a)
+	return v.leave(now, nil)
+}
+
+// adopt takes a newer assignment; an older one is never taken. An upstream that
+// was held stays held when no host can have held it in between.
+func (v *View) adopt(now clock.Millis, a Assignment) {
+	if a.Epoch <= v.current.Epoch {
+		return
+	}
+	old := v.current
+	v.current = a
+	v.history = a.refs()
+	for _, ref := range v.history {
+		if ref.ID == v.Self.ID && ref.Incarnation != v.Self.Incarnation {
+			v.markDead(ref)
+		}
+	}
+	for _, m := range a.Members {
+		if m.ID != v.Self.ID {
+			v.meet(m)
+		}
+	}
+	next := a.Epoch == old.Epoch+1
+	kept := map[string]bool{}
+	for key := range v.taken {
+		if v.holder(key) == v.selfRef() && (next || a.Moved[key] <= old.Epoch) {
+			kept[key] = true
+		}
+	}
+	v.taken = kept
+	v.takeAfter = now + v.Turn
+	v.adoptedAt = now
+	v.mineDirty = true
+	v.wantSince = 0
+	v.pruneReports()
+}
+
+// refs returns every incarnation that may hold a right, sorted, each once.
+func (a Assignment) refs() []Ref {
+	var refs []Ref
+	for _, m := range a.Members {
+		refs = append(refs, refOf(m))
+	}
+	refs = append(refs, a.Previous...)
+	refs = append(refs, a.Earlier...)
+	slices.SortFunc(refs, compareRefs)
+	return slices.Compact(refs)
+}
+
+func compareRefs(a, b Ref) int {
+	return cmp.Or(strings.Compare(a.ID, b.ID), cmp.Compare(a.Incarnation, b.Incarnation))
+}
+
+// pruneReports forgets what hosts reported that no longer matter.
+func (v *View) pruneReports() {
+	wanted := map[Ref]bool{}
+	for _, ref := range v.history {
+		wanted[ref] = true
+	}
+	for _, p := range v.peers {
+		wanted[p.ref()] = true
+	}
+	for ref := range v.reported {
+		if !wanted[ref] {
+			delete(v.reported, ref)
+		}
+	}
+}
+
+func (v *View) isMember(ref Ref) bool {
+	for _, m := range v.current.Members {
+		if m.ID == ref.ID {
+			return m.Incarnation == ref.Incarnation
+		}
+	}
+	return false
+}
+
+// holder returns the only host that may hold an upstream in the current epoch:
+// its owner, or when that is proven dead the first member in the order of
+// succession that is not. The zero Ref means none.
+func (v *View) holder(key string) Ref {
+	return v.firstInOrder(key, func(ref Ref) bool { return !v.dead[ref] })
+}
+
+// firstInOrder returns the first member that may, in the order of succession of
+// an upstream: the owner, then the owner's availability zone, then the others,
+// each in rendezvous order. The order follows from the assignment alone.
+func (v *View) firstInOrder(key string, may func(Ref) bool) Ref {
+	owner, ok := v.current.Owners[key]
+	if !ok {
+		return Ref{}
+	}
+	zone := ""
+	for _, m := range v.current.Members {
+		if m.ID != owner {
+			continue
+		}
+		if ref := refOf(m); may(ref) {
+			return ref
+		}
+		zone = m.AvailabilityZone
+	}
+	var best Ref
+	var bestNear bool
+	var bestWeight uint64
+	for _, m := range v.current.Members {
+		ref := refOf(m)
+		if m.ID == owner || !may(ref) {
+			continue
+		}
+		near, weight := m.AvailabilityZone == zone, Rendezvous(key, m.ID)
+		if best == (Ref{}) || near && !bestNear || near == bestNear && weight > bestWeight {
+			best, bestNear, bestWeight = ref, near, weight
+		}
+	}
+	return best
+}
+
+func refOf(h Host) Ref { return Ref{ID: h.ID, Incarnation: h.Incarnation} }
+
+// Rendezvous is the weight of a host for a key; the highest comes first.
+func Rendezvous(key, id string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(key))
+	h.Write([]byte{0})
+	h.Write([]byte(id))
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
+
+// refresh works out what this host may use from what it knows now.
+func (v *View) refresh(now clock.Millis) {
+	v.noteSettled(now)
+	v.freshUntil = v.freshness(now)
+	if v.mineDirty {
+		v.mineDirty = false
+		v.findMine()
+	}
+	if now < v.takeAfter || now < v.quietUntil || now >= v.freshUntil {
+		return
+	}
+	for _, key := range v.mine {
+		if !v.taken[key] && v.clear(now, key) {
+			v.taken[key] = true
+		}
+	}
+}
+
+func (v *View) findMine() {
+	self := v.selfRef()
+	v.mine = v.mine[:0]
+	v.held = map[string]Ref{}
+	for key := range v.current.Owners {
+		holder := v.holder(key)
+		v.held[key] = holder
+		if holder == self {
+			v.mine = append(v.mine, key)
+		}
+	}
+	slices.Sort(v.mine)
+}
+
+// freshness returns until when it is certain that no newer epoch has been
+// settled: by our own read of the platform, or by a majority of the members.
+func (v *View) freshness(now clock.Millis) clock.Millis {
+	until := never
+	if v.platformSeen {
+		until = v.platformAt + v.FenceAfter
+	}
+	if !v.isMember(v.selfRef()) {
+		return until
+	}
+	need := len(v.current.Members)/2 + 1
+	heardAt := []clock.Millis{now}
+	for _, m := range v.current.Members {
+		p := v.peers[m.ID]
+		if p == nil || p.host.Incarnation != m.Incarnation || v.dead[p.ref()] || p.epoch > v.current.Epoch {
+			continue
+		}
+		heardAt = append(heardAt, p.heardAt)
+	}
+	if len(heardAt) < need {
+		return until
+	}
+	slices.Sort(heardAt)
+	return max(until, heardAt[len(heardAt)-need]+v.HearFor)
+}
+
+// isSettled says whether at least half of the members of the epoch before are
+// known to know the current one, or dead. From then on no host gathers a
+// majority for an older epoch.
+func (v *View) isSettled() bool {
+	aware := 0
+	for _, ref := range v.current.Previous {
+		if v.aware(ref, v.current.Epoch) {
+			aware++
+		}
+	}
+	return 2*aware >= len(v.current.Previous)
+}
+
+// aware says whether a host is known to have given up whatever it held before epoch.
+func (v *View) aware(ref Ref, epoch uint64) bool {
+	return ref == v.selfRef() || v.dead[ref] || v.reported[ref] >= epoch
+}
+
+// maxSettled bounds how many epochs' settling is remembered.
+const maxSettled = 16
+
+func (v *View) noteSettled(now clock.Millis) {
+	epoch := v.current.Epoch
+	if n := len(v.settled); n > 0 && v.settled[n-1].epoch == epoch {
+		return
+	}
+	if epoch == 0 || !v.isSettled() {
+		return
+	}
+	v.settled = append(v.settled, settledEpoch{epoch: epoch, at: now})
+	if len(v.settled) > maxSettled {
+		v.settled = slices.Delete(v.settled, 0, 1)
+	}
+}
+
+// fenced says whether every host that doesn't know epoch has lost its rights by time alone.
+func (v *View) fenced(now clock.Millis, epoch uint64) bool {
+	for _, s := range v.settled {
+		if s.epoch >= epoch && now-s.at >= v.SettleAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// clear says whether nobody else can still hold an upstream from an older epoch.
+func (v *View) clear(now clock.Millis, key string) bool {
+	moved := v.current.Moved[key]
+	if moved == 0 || v.fenced(now, moved) {
+		return true
+	}
+	for _, ref := range v.history {
+		if !v.aware(ref, moved) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/core/member/heartbeat.go
@@ -0,0 +1,294 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+
+	"siskinpath/core/clock"
+)
+
+// Bounds on what heartbeats carry and cause.
+const (
+	maxDeathsSent  = 4
+	fetchAgainWait = 300 * clock.Millisecond
+)
+
+// Heard takes a heartbeat from a peer. A reply to one of our own bounds the age
+// of its news; any other tells only what can't become untrue.
+func (v *View) Heard(now clock.Millis, beat Heartbeat) []Action {
+	v.enter(now)
+	if beat.From.ID == v.Self.ID || beat.From.ID == "" {
+		return v.leave(now, nil)
+	}
+	var actions []Action
+	v.noteReport(Ref{ID: beat.From.ID, Incarnation: beat.From.Incarnation}, beat.Epoch)
+	for _, d := range beat.Dead {
+		v.markDead(Ref(d))
+	}
+	v.peer(beat.From.ID).seenAt = now
+	if stated, ok := v.answered(now, beat); ok {
+		v.hear(now, stated, direct(beat))
+		v.hearSecondHand(now, stated, beat.Known)
+	} else if !v.isReply(beat) {
+		v.meet(beat.From)
+		actions = append(actions, Action{Kind: SendHeartbeat, Host: beat.From, Heartbeat: v.reply(now, beat)})
+	}
+	actions = append(actions, v.fetchFrom(now, beat)...)
+	return v.leave(now, actions)
+}
+
+// echo finds what the sender says that it last heard of us.
+func (v *View) echo(beat Heartbeat) *Known {
+	for i := range beat.Known {
+		if beat.Known[i].Host.ID == v.Self.ID {
+			return &beat.Known[i]
+		}
+	}
+	return nil
+}
+
+func (v *View) isReply(beat Heartbeat) bool { return v.echo(beat) != nil }
+
+// answered returns when our heartbeat that beat replies to was sent, on our
+// clock: everything in beat was stated after that.
+func (v *View) answered(now clock.Millis, beat Heartbeat) (clock.Millis, bool) {
+	k := v.echo(beat)
+	if k == nil || k.Host.Incarnation != v.Self.Incarnation {
+		return 0, false
+	}
+	if k.Sequence > v.sequence || v.sequence-k.Sequence >= uint64(len(v.turnAt)) {
+		return 0, false
+	}
+	return min(now, v.turnAt[k.Sequence%uint64(len(v.turnAt))]), true
+}
+
+// news is first- or second-hand news of a host.
+type news struct {
+	known      Known
+	direct     bool
+	platformAt clock.Millis
+}
+
+func direct(beat Heartbeat) news {
+	n := news{direct: true, platformAt: never}
+	n.known = Known{
+		Host: beat.From, Sequence: beat.Sequence, Epoch: beat.Epoch, TableVersion: beat.TableVersion,
+		KeyWindow: beat.KeyWindow, Leaving: beat.Leaving,
+	}
+	if beat.PlatformAge >= 0 {
+		n.platformAt = -beat.PlatformAge
+	}
+	return n
+}
+
+// hear takes news that was stated at stated or later.
+func (v *View) hear(now, stated clock.Millis, n news) {
+	k := n.known
+	ref := Ref{ID: k.Host.ID, Incarnation: k.Host.Incarnation}
+	if ref.Incarnation == 0 || v.dead[ref] || now-stated > v.HearFor {
+		return
+	}
+	p := v.peer(ref.ID)
+	v.retire(stated, ref)
+	if p.host.Incarnation != ref.Incarnation && !v.replace(now, stated, p, ref) {
+		return
+	}
+	p.seenAt = now
+	if n.direct {
+		p.host = filled(k.Host, p.host)
+		p.directAt = max(p.directAt, stated)
+		if n.platformAt != never {
+			p.platformAt = max(p.platformAt, stated+n.platformAt)
+		}
+	}
+	if stated > p.heardAt {
+		p.heardAt = stated
+		p.receivedAt = now
+	}
+	if k.Sequence >= p.sequence {
+		p.sequence = k.Sequence
+		p.keyWindow = k.KeyWindow
+		p.leaving = k.Leaving
+	}
+	p.epoch = max(p.epoch, k.Epoch)
+	p.tableVersion = max(p.tableVersion, k.TableVersion)
+	v.noteReport(ref, k.Epoch)
+}
+
+// replace makes ref the incarnation of p, and the one before it dead, when ref
+// was certainly alive after it.
+func (v *View) replace(now, stated clock.Millis, p *peer, ref Ref) bool {
+	if p.host.Incarnation != 0 {
+		if stated <= p.receivedAt && !v.dead[p.ref()] {
+			return false
+		}
+		v.markDead(p.ref())
+	}
+	listed, leaving, host := p.listed, p.listedLeaving, p.host
+	host.Incarnation = ref.Incarnation
+	*p = peer{
+		host: host, listed: listed, listedLeaving: leaving, heardAt: never, receivedAt: never,
+		directAt: never, platformAt: never, foundAt: now, seenAt: now,
+	}
+	return true
+}
+
+// retire marks as dead the other incarnations of a host that the assignment
+// names, when ref was certainly alive after we adopted it.
+func (v *View) retire(stated clock.Millis, ref Ref) {
+	if stated < v.adoptedAt {
+		return
+	}
+	for _, other := range v.history {
+		if other.ID == ref.ID && other.Incarnation != ref.Incarnation {
+			v.markDead(other)
+		}
+	}
+}
+
+// meet notes the addresses of a host that has introduced itself.
+func (v *View) meet(h Host) {
+	p := v.peer(h.ID)
+	if p.host.Incarnation == 0 || p.host.Incarnation == h.Incarnation {
+		incarnation := p.host.Incarnation
+		p.host = filled(h, p.host)
+		p.host.Incarnation = incarnation
+	}
+}
+
+// filled returns h with its empty fields taken from old.
+func filled(h, old Host) Host {
+	h.AvailabilityZone = cmp.Or(h.AvailabilityZone, old.AvailabilityZone)
+	h.PeerAddress = cmp.Or(h.PeerAddress, old.PeerAddress)
+	h.CallerAddress = cmp.Or(h.CallerAddress, old.CallerAddress)
+	h.OperatorAddress = cmp.Or(h.OperatorAddress, old.OperatorAddress)
+	return h
+}
+
+func (v *View) hearSecondHand(now, stated clock.Millis, all []Known) {
+	for _, k := range all {
+		if k.Host.ID != v.Self.ID {
+			v.hear(now, stated-max(k.Age, 0), news{known: k, platformAt: never})
+		}
+	}
+}
+
+// fetchFrom asks the sender for what it has newer, now and then.
+func (v *View) fetchFrom(now clock.Millis, beat Heartbeat) []Action {
+	newer := beat.Epoch > v.current.Epoch || beat.TableVersion > v.tableVersion()
+	if !newer || now-v.fetchedAt < fetchAgainWait {
+		return nil
+	}
+	v.fetchedAt = now
+	return []Action{{Kind: FetchNewer, Host: beat.From, TableVersion: beat.TableVersion, Epoch: beat.Epoch}}
+}
+
+func (v *View) tableVersion() uint64 {
+	if v.table == nil {
+		return 0
+	}
+	return v.table.Version
+}
+
+// sendTurn sends this turn's heartbeats to the next hosts of the rotation.
+func (v *View) sendTurn(now clock.Millis) []Action {
+	v.sequence++
+	v.turnAt[v.sequence%uint64(len(v.turnAt))] = now
+	var actions []Action
+	for range min(v.Fanout, len(v.order)) {
+		p := v.nextInOrder()
+		if p.host.PeerAddress == "" {
+			continue
+		}
+		if now-p.directAt > v.HearFor {
+			actions = append(actions, Action{Kind: Dial, Host: p.host})
+		}
+		actions = append(actions, Action{Kind: SendHeartbeat, Host: p.host, Heartbeat: v.beat(now)})
+	}
+	return actions
+}
+
+// nextInOrder goes on in the rotation, and shuffles it at the end of a round.
+func (v *View) nextInOrder() *peer {
+	if v.nextPeer >= len(v.order) {
+		v.nextPeer = 0
+		v.Rand.Shuffle(len(v.order), func(i, j int) { v.order[i], v.order[j] = v.order[j], v.order[i] })
+	}
+	p := v.peers[v.order[v.nextPeer]]
+	v.nextPeer++
+	return p
+}
+
+// beat is a heartbeat without second-hand news.
+func (v *View) beat(now clock.Millis) Heartbeat {
+	beat := Heartbeat{
+		From: v.Self, Sequence: v.sequence, Epoch: v.current.Epoch, TableVersion: v.tableVersion(),
+		KeyWindow: v.keyWindow, Leaving: v.leaving, PlatformAge: -1, Dead: v.someDeaths(),
+	}
+	if v.platformSeen {
+		beat.PlatformAge = now - v.platformAt
+	}
+	return beat
+}
+
+// reply answers a heartbeat: our own state, second-hand news, and the sequence it answers.
+func (v *View) reply(now clock.Millis, to Heartbeat) Heartbeat {
+	beat := v.beat(now)
+	echo := Known{Host: Host{ID: to.From.ID, Incarnation: to.From.Incarnation}, Sequence: to.Sequence}
+	beat.Known = append([]Known{echo}, v.someKnown(now, to.From.ID)...)
+	return beat
+}
+
+// someKnown takes the next hosts heard, in rotation.
+func (v *View) someKnown(now clock.Millis, except string) []Known {
+	ids := v.heardIDs(now)
+	var some []Known
+	for range ids {
+		if len(some) == v.MaxKnown {
+			break
+		}
+		v.knownAt = (v.knownAt + 1) % len(ids)
+		if id := ids[v.knownAt]; id != except {
+			some = append(some, v.knownOf(now, v.peers[id]))
+		}
+	}
+	return some
+}
+
+func (v *View) knownOf(now clock.Millis, p *peer) Known {
+	return Known{
+		Host: Host{ID: p.host.ID, Incarnation: p.host.Incarnation}, Sequence: p.sequence, Epoch: p.epoch,
+		TableVersion: p.tableVersion, KeyWindow: p.keyWindow, Leaving: p.leaving, Age: now - p.heardAt,
+	}
+}
+
+// heardIDs returns the ids of the hosts heard, sorted, without this one.
+func (v *View) heardIDs(now clock.Millis) []string {
+	var ids []string
+	for id, p := range v.peers {
+		if v.heard(p, now) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// someDeaths takes the next deaths that matter for the assignment, in rotation.
+func (v *View) someDeaths() []Death {
+	var relevant []Death
+	for _, ref := range v.history {
+		if v.dead[ref] {
+			relevant = append(relevant, Death(ref))
+		}
+	}
+	if len(relevant) <= maxDeathsSent {
+		return relevant
+	}
+	var some []Death
+	for range maxDeathsSent {
+		v.deadAt = (v.deadAt + 1) % len(relevant)
+		some = append(some, relevant[v.deadAt])
+	}
+	return some
+}
--- /dev/null
+++ b/core/member/peers.go
@@ -0,0 +1,134 @@
+package member
+
+import (
+	"slices"
+
+	"siskinpath/core/clock"
+)
+
+// Bounds on what is remembered.
+const (
+	maxDeaths   = 1024
+	forgetAfter = 10 * clock.Minute
+)
+
+// never is the point in time of what has not happened.
+const never = clock.Millis(-1 << 50)
+
+// peer is another host as this host knows it.
+type peer struct {
+	host          Host
+	listed        bool
+	listedLeaving bool
+
+	// heardAt is a point in time of our own clock at or before which the
+	// newest news was stated for certain. receivedAt is when it arrived.
+	heardAt      clock.Millis
+	receivedAt   clock.Millis
+	directAt     clock.Millis
+	sequence     uint64
+	epoch        uint64
+	tableVersion uint64
+	keyWindow    uint32
+	leaving      bool
+	platformAt   clock.Millis
+	seenAt       clock.Millis // listed, or news of any kind
+	foundAt      clock.Millis // when this incarnation was first heard
+}
+
+func (p *peer) ref() Ref { return refOf(p.host) }
+
+func (v *View) selfRef() Ref { return refOf(v.Self) }
+
+func (v *View) peer(id string) *peer {
+	p := v.peers[id]
+	if p == nil {
+		p = &peer{host: Host{ID: id}, heardAt: never, receivedAt: never, directAt: never, platformAt: never, foundAt: never}
+		v.peers[id] = p
+		v.insertInOrder(id)
+	}
+	return p
+}
+
+// insertInOrder puts a new host at a random place among those still to come.
+func (v *View) insertInOrder(id string) {
+	at := v.nextPeer + v.Rand.IntN(len(v.order)-v.nextPeer+1)
+	v.order = slices.Insert(v.order, at, id)
+}
+
+// heard says whether news of p is recent enough.
+func (v *View) heard(p *peer, now clock.Millis) bool {
+	return p.host.Incarnation != 0 && now-p.heardAt <= v.HearFor && !v.dead[p.ref()]
+}
+
+// HostList takes a good answer of the platform's list.
+func (v *View) HostList(now clock.Millis, hosts []ListedHost) []Action {
+	v.enter(now)
+	for _, p := range v.peers {
+		p.listed = false
+		p.listedLeaving = false
+	}
+	var actions []Action
+	for _, h := range hosts {
+		if h.ID == v.Self.ID {
+			continue
+		}
+		_, known := v.peers[h.ID]
+		p := v.peer(h.ID)
+		p.listed = true
+		p.listedLeaving = h.Leaving
+		p.seenAt = now
+		if !v.heard(p, now) || p.host.PeerAddress == "" {
+			p.host.AvailabilityZone = h.AvailabilityZone
+			p.host.PeerAddress = h.PeerAddress
+			p.host.CallerAddress = h.CallerAddress
+			p.host.OperatorAddress = h.OperatorAddress
+		}
+		if !known {
+			actions = append(actions, Action{Kind: Dial, Host: p.host})
+		}
+	}
+	return v.leave(now, actions)
+}
+
+// forget drops hosts that nothing speaks of any more.
+func (v *View) forget(now clock.Millis) {
+	for id, p := range v.peers {
+		if p.listed || now-p.seenAt < forgetAfter || v.isMember(p.ref()) {
+			continue
+		}
+		delete(v.peers, id)
+		at := slices.Index(v.order, id)
+		v.order = slices.Delete(v.order, at, at+1)
+		if at < v.nextPeer {
+			v.nextPeer--
+		}
+	}
+}
+
+// ProvenDead takes proof that an incarnation has ended.
+func (v *View) ProvenDead(now clock.Millis, death Death) []Action {
+	v.enter(now)
+	v.markDead(Ref(death))
+	return v.leave(now, nil)
+}
+
+func (v *View) markDead(ref Ref) {
+	if ref.Incarnation == 0 || v.dead[ref] {
+		return
+	}
+	v.dead[ref] = true
+	v.deaths = append(v.deaths, ref)
+	v.mineDirty = true
+	if len(v.deaths) > maxDeaths {
+		delete(v.dead, v.deaths[0])
+		v.deaths = slices.Delete(v.deaths, 0, 1)
+	}
+}
+
+// noteReport remembers the newest epoch an incarnation has reported. It only rises.
+func (v *View) noteReport(ref Ref, epoch uint64) {
+	if epoch > v.reported[ref] {
+		v.reported[ref] = epoch
+	}
+}
--- /dev/null
+++ b/core/member/propose.go
@@ -0,0 +1,202 @@
+package member
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"siskinpath/core/clock"
+)
+
+// Spans of proposing.
+const (
+	startWait     = 2 * clock.Second        // listening before the first assignment is written
+	joinWait      = 1 * clock.Second        // a host is heard so long before it is added
+	rankWait      = 500 * clock.Millisecond // the next host in rank proposes so much later
+	maxRankWait   = 4 * clock.Second
+	proposeJitter = 200 * clock.Millisecond
+	writePause    = 500 * clock.Millisecond // between two writes of one host, at least
+	readRecent    = 2 * clock.Second        // only who read the platform so recently proposes
+)
+
+// propose writes a better assignment when one is due and it is this host's turn.
+func (v *View) propose(now clock.Millis) []Action {
+	if v.writing || now < v.nextWrite || !v.mayPropose(now) {
+		return nil
+	}
+	next, changed := v.desired(now)
+	if !changed {
+		v.wantSince = 0
+		return nil
+	}
+	if v.wantSince == 0 {
+		v.wantSince = now
+		v.wantDelay = min(maxRankWait, clock.Millis(v.rank(now))*rankWait) + clock.Millis(v.Rand.Int64N(int64(proposeJitter)))
+	}
+	if now-v.wantSince < v.wantDelay {
+		return nil
+	}
+	v.wantSince = 0
+	v.writing = true
+	v.proposed = next
+	return []Action{{Kind: WriteAssignment, Assignment: next}}
+}
+
+// WriteFinished ends a WriteAssignment. When the outcome isn't known, the next
+// read of the platform settles it.
+func (v *View) WriteFinished(now clock.Millis, committed, known bool) []Action {
+	v.enter(now)
+	if v.writing && committed && known {
+		a := v.proposed
+		a.Epoch++
+		v.adopt(now, a)
+	}
+	v.writing = false
+	v.nextWrite = now + writePause + clock.Millis(v.Rand.Int64N(int64(writePause)))
+	return v.leave(now, nil)
+}
+
+// mayPropose says whether this host may write: it has read the platform just
+// now, the current epoch is settled, and it hears the greater part of the
+// members, or none is left.
+func (v *View) mayPropose(now clock.Millis) bool {
+	if v.table == nil || !v.platformSeen || now-v.platformAt > readRecent || v.dead[v.selfRef()] {
+		return false
+	}
+	if v.current.Epoch == 0 {
+		return now-v.started >= startWait && !v.leaving
+	}
+	return v.isSettled() && v.quorum(now)
+}
+
+// quorum says whether this host speaks for the members: it hears more than half
+// of those not proven dead, or half with the lowest id among them.
+func (v *View) quorum(now clock.Millis) bool {
+	alive, heard := 0, 0
+	lowest := false
+	for _, m := range v.current.Members {
+		ref := refOf(m)
+		if v.dead[ref] {
+			continue
+		}
+		alive++
+		if v.reachable(now, ref) {
+			heard++
+			lowest = lowest || alive == 1
+		}
+	}
+	if alive == 0 {
+		return true
+	}
+	return v.isMember(v.selfRef()) && (2*heard > alive || 2*heard == alive && lowest)
+}
+
+// rank counts the hosts heard that propose before this one.
+func (v *View) rank(now clock.Millis) int {
+	rank := 0
+	for id, p := range v.peers {
+		if id < v.Self.ID && v.heard(p, now) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// desired works out the assignment that fits what this host knows, and whether
+// it differs from the current one.
+func (v *View) desired(now clock.Millis) (Assignment, bool) {
+	members := v.desiredMembers(now)
+	next := Assignment{
+		Epoch:        v.current.Epoch,
+		TableVersion: v.table.Version,
+		Members:      members,
+		Owners:       plan(v.table, members, v.held),
+	}
+	if len(members) == 0 {
+		return next, false
+	}
+	sameMembers := slices.EqualFunc(members, v.current.Members, func(a, b Host) bool { return refOf(a) == refOf(b) })
+	if sameMembers && maps.Equal(next.Owners, v.current.Owners) {
+		return next, false
+	}
+	v.addHistory(now, &next)
+	return next, true
+}
+
+// desiredMembers returns who should be a member, sorted by id.
+func (v *View) desiredMembers(now clock.Millis) []Host {
+	var members, leaving []Host
+	add := func(h Host, isLeaving bool) {
+		if isLeaving {
+			leaving = append(leaving, h)
+		} else {
+			members = append(members, h)
+		}
+	}
+	add(v.Self, v.leaving)
+	for _, p := range v.peers {
+		if v.dead[p.ref()] || p.host.Incarnation == 0 {
+			continue
+		}
+		isLeaving := p.leaving || p.listedLeaving
+		switch {
+		case v.isMember(p.ref()) && now-v.lastHeard(p.ref()) <= v.RemoveAfter:
+			add(p.host, isLeaving)
+		case v.heard(p, now) && now-p.foundAt >= joinWait && p.host.PeerAddress != "":
+			add(p.host, isLeaving)
+		}
+	}
+	members = append(members, v.unmetMembers(now)...)
+	if len(members) == 0 {
+		members = leaving
+	}
+	slices.SortFunc(members, func(a, b Host) int { return strings.Compare(a.ID, b.ID) })
+	return members
+}
+
+// unmetMembers returns members that this host has not met yet and still waits for.
+func (v *View) unmetMembers(now clock.Millis) []Host {
+	var unmet []Host
+	for _, m := range v.current.Members {
+		p := v.peers[m.ID]
+		met := m.ID == v.Self.ID || p != nil && p.host.Incarnation != 0
+		if !met && !v.dead[refOf(m)] && now-v.wokeAt <= v.RemoveAfter {
+			unmet = append(unmet, m)
+		}
+	}
+	return unmet
+}
+
+// addHistory notes what hosts that lag behind may still hold.
+func (v *View) addHistory(now clock.Millis, next *Assignment) {
+	if v.current.Epoch == 0 {
+		return
+	}
+	epoch := v.current.Epoch
+	for _, m := range v.current.Members {
+		next.Previous = append(next.Previous, refOf(m))
+	}
+	for _, ref := range v.history {
+		if !v.isMember(ref) && !v.aware(ref, epoch) && !v.fenced(now, epoch) {
+			next.Earlier = append(next.Earlier, ref)
+		}
+	}
+	next.Moved = map[string]uint64{}
+	for key, owner := range next.Owners {
+		if ownerIn(v.current.Members, v.current.Owners[key]) != ownerIn(next.Members, owner) {
+			next.Moved[key] = epoch + 1
+		} else if moved := v.current.Moved[key]; moved != 0 && !v.clear(now, key) {
+			next.Moved[key] = moved
+		}
+	}
+}
+
+// ownerIn returns the incarnation of the member with an id.
+func ownerIn(members []Host, id string) Ref {
+	for _, m := range members {
+		if m.ID == id {
+			return refOf(m)
+		}
+	}
+	return Ref{}
+}
--- /dev/null
+++ b/core/member/rights.go
@@ -0,0 +1,137 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"siskinpath/core/clock"
+)
+
+// Rights returns what this host may use now, sorted by service and upstream.
+func (v *View) Rights(now clock.Millis) []Right {
+	v.init(now)
+	var rights []Right
+	for _, key := range v.mine {
+		if full, cut := v.may(now, key); full || cut {
+			rights = append(rights, newRight(key, full))
+		}
+	}
+	for _, key := range v.orphanKeys(now) {
+		rights = append(rights, newRight(key, false))
+	}
+	slices.SortFunc(rights, compareRights)
+	return rights
+}
+
+func newRight(key string, full bool) Right {
+	service, upstream, _ := strings.Cut(key, "/")
+	return Right{Service: service, Upstream: upstream, Full: full}
+}
+
+func compareRights(a, b Right) int {
+	return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.Upstream, b.Upstream))
+}
+
+func sameRights(a, b []Right) bool { return slices.Equal(a, b) }
+
+// Holds says whether this host may use an upstream at this moment: fully, or
+// one slot of it. To be asked right before each send.
+func (v *View) Holds(now clock.Millis, service, upstream string) (full, cut bool) {
+	v.init(now)
+	key := Key(service, upstream)
+	if v.held[key] == v.selfRef() {
+		return v.may(now, key)
+	}
+	_, found := slices.BinarySearch(v.orphanKeys(now), key)
+	return false, found
+}
+
+// may says what this host may do with a key whose holder it is.
+func (v *View) may(now clock.Millis, key string) (full, cut bool) {
+	if now >= v.freshUntil {
+		return false, true
+	}
+	if v.taken[key] {
+		return true, false
+	}
+	return false, now-v.adoptedAt > 2*v.SettleAfter+v.RemoveAfter
+}
+
+// orphanCache holds the keys of which this host has the cut share because
+// their holder isn't heard and can't be replaced.
+type orphanCache struct {
+	signature string
+	keys      []string // sorted
+}
+
+// orphanKeys returns the keys of lost holders for which this host is the first
+// in the order of succession among those it hears.
+func (v *View) orphanKeys(now clock.Millis) []string {
+	if !v.isMember(v.selfRef()) || v.dead[v.selfRef()] || now-v.adoptedAt < v.RemoveAfter+v.SettleAfter {
+		return nil
+	}
+	lost := map[Ref]bool{}
+	signature := strings.Builder{}
+	for _, m := range v.current.Members {
+		ref := refOf(m)
+		switch {
+		case v.lost(now, ref):
+			lost[ref] = true
+			signature.WriteString("-")
+		case v.reachable(now, ref):
+			signature.WriteString("+")
+		default:
+			signature.WriteString("?")
+		}
+	}
+	if len(lost) == 0 {
+		return nil
+	}
+	if signature.String() != v.orphans.signature {
+		v.orphans = orphanCache{signature: signature.String(), keys: v.findOrphans(now, lost)}
+	}
+	return v.orphans.keys
+}
+
+func (v *View) findOrphans(now clock.Millis, lost map[Ref]bool) []string {
+	var keys []string
+	for key, holder := range v.held {
+		if !lost[holder] {
+			continue
+		}
+		first := v.firstInOrder(key, func(ref Ref) bool { return v.reachable(now, ref) })
+		if first == v.selfRef() {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// reachable says whether ref is this host or is heard.
+func (v *View) reachable(now clock.Millis, ref Ref) bool {
+	if ref == v.selfRef() {
+		return true
+	}
+	p := v.peers[ref.ID]
+	return p != nil && p.host.Incarnation == ref.Incarnation && v.heard(p, now)
+}
+
+// lost says whether ref has not been heard for so long that it would have been
+// removed if that could be written.
+func (v *View) lost(now clock.Millis, ref Ref) bool {
+	return !v.dead[ref] && now-v.lastHeard(ref) > v.RemoveAfter+v.SettleAfter
+}
+
+// lastHeard returns when ref was last heard, or when we began to listen.
+func (v *View) lastHeard(ref Ref) clock.Millis {
+	if ref == v.selfRef() {
+		return v.last
+	}
+	since := v.wokeAt
+	if p := v.peers[ref.ID]; p != nil && p.host.Incarnation == ref.Incarnation {
+		since = max(since, p.heardAt)
+	}
+	return since
+}
--- /dev/null
+++ b/core/member/status.go
@@ -0,0 +1,161 @@
+package member
+
+import (
+	"slices"
+	"strings"
+
+	"siskinpath/core/clock"
+)
+
+// Owners returns the hosts that own upstreams of a service and are heard, this
+// host among them when it owns some, sorted by id.
+func (v *View) Owners(service string) []Host {
+	var hosts []Host
+	for _, o := range v.Owned(service) {
+		hosts = append(hosts, o.Host)
+	}
+	return hosts
+}
+
+// Owned is what one heard host owns of a service.
+type Owned struct {
+	Host      Host
+	Upstreams []string // sorted
+	KeyWindow uint32
+	Leaving   bool
+}
+
+// Owned returns the hosts that own upstreams of a service and are heard, and
+// what each of them owns, sorted by id.
+func (v *View) Owned(service string) []Owned {
+	upstreams := map[Ref][]string{}
+	for key, ref := range v.held {
+		if name, ok := strings.CutPrefix(key, service+"/"); ok && v.reachable(v.last, ref) {
+			upstreams[ref] = append(upstreams[ref], name)
+		}
+	}
+	var all []Owned
+	for ref, names := range upstreams {
+		slices.Sort(names)
+		all = append(all, v.owned(ref, names))
+	}
+	slices.SortFunc(all, func(a, b Owned) int { return strings.Compare(a.Host.ID, b.Host.ID) })
+	return all
+}
+
+func (v *View) owned(ref Ref, upstreams []string) Owned {
+	if ref == v.selfRef() {
+		return Owned{Host: v.Self, Upstreams: upstreams, KeyWindow: v.keyWindow, Leaving: v.leaving}
+	}
+	p := v.peers[ref.ID]
+	return Owned{Host: p.host, Upstreams: upstreams, KeyWindow: p.keyWindow, Leaving: p.leaving || p.listedLeaving}
+}
+
+// Find returns what is known of one incarnation of a host.
+func (v *View) Find(id string, incarnation Incarnation) (Host, Presence) {
+	ref := Ref{ID: id, Incarnation: incarnation}
+	if ref == v.selfRef() {
+		return v.Self, Present
+	}
+	p := v.peers[id]
+	switch {
+	case v.dead[ref]:
+		return Host{ID: id, Incarnation: incarnation}, Gone
+	case p == nil || p.host.Incarnation != incarnation:
+		return Host{ID: id, Incarnation: incarnation}, Never
+	case v.heard(p, v.last):
+		return p.host, Present
+	}
+	return p.host, Unreachable
+}
+
+// String names a presence in the state dump.
+func (p Presence) String() string {
+	return [...]string{"never", "present", "unreachable", "gone"}[p]
+}
+
+// Status returns what this host knows of every host, itself included, sorted by id.
+func (v *View) Status(now clock.Millis) []HostStatus {
+	v.init(now)
+	all := []HostStatus{v.selfStatus(now)}
+	for _, p := range v.peers {
+		all = append(all, v.peerStatus(now, p))
+	}
+	slices.SortFunc(all, func(a, b HostStatus) int { return strings.Compare(a.ID, b.ID) })
+	return all
+}
+
+func (v *View) selfStatus(now clock.Millis) HostStatus {
+	s := statusOf(v.Self)
+	s.Presence = Present.String()
+	s.Member = v.isMember(v.selfRef())
+	s.Leaving = v.leaving
+	s.Epoch = v.current.Epoch
+	s.TableVersion = v.tableVersion()
+	s.KeyWindow = v.keyWindow
+	s.PlatformAge = v.platformAge(now)
+	return s
+}
+
+func (v *View) peerStatus(now clock.Millis, p *peer) HostStatus {
+	s := statusOf(p.host)
+	_, presence := v.Find(p.host.ID, p.host.Incarnation)
+	if p.host.Incarnation == 0 {
+		presence = Never
+	}
+	s.Presence = presence.String()
+	s.Member = v.isMember(p.ref())
+	s.Listed = p.listed
+	s.Leaving = p.leaving || p.listedLeaving
+	s.Epoch = p.epoch
+	s.TableVersion = p.tableVersion
+	s.KeyWindow = p.keyWindow
+	s.HeardAge = -1
+	if p.heardAt != never {
+		s.HeardAge = now - p.heardAt
+	}
+	s.PlatformAge = -1
+	if p.platformAt != never {
+		s.PlatformAge = now - p.platformAt
+	}
+	return s
+}
+
+func statusOf(h Host) HostStatus {
+	return HostStatus{
+		ID: h.ID, Incarnation: h.Incarnation, AvailabilityZone: h.AvailabilityZone,
+		PeerAddress: h.PeerAddress, CallerAddress: h.CallerAddress, OperatorAddress: h.OperatorAddress,
+	}
+}
+
+func (v *View) platformAge(now clock.Millis) clock.Millis {
+	if !v.platformSeen {
+		return -1
+	}
+	return now - v.platformAt
+}
+
+// State is the view's part of the state dump.
+type State struct {
+	Self        Host         `json:"self"`
+	Epoch       uint64       `json:"epoch"`
+	Assignment  Assignment   `json:"assignment"`
+	Settled     bool         `json:"settled"`
+	Quorum      bool         `json:"quorum"`
+	FreshFor    clock.Millis `json:"fresh_for_ms"` // full rights last so long without further news; at or below 0: none
+	PlatformAge clock.Millis `json:"platform_age_ms"`
+	Leaving     bool         `json:"leaving"`
+	Dead        []Ref        `json:"dead"`
+	Rights      []Right      `json:"rights"`
+	Hosts       []HostStatus `json:"hosts"`
+}
+
+// State returns the view's part of the state dump.
+func (v *View) State(now clock.Millis) State {
+	v.init(now)
+	return State{
+		Self: v.Self, Epoch: v.current.Epoch, Assignment: v.current, Settled: v.isSettled(), Quorum: v.quorum(now),
+		FreshFor: max(v.freshUntil-now, -1), PlatformAge: v.platformAge(now), Leaving: v.leaving,
+		Dead: slices.Clone(v.deaths), Rights: v.Rights(now), Hosts: v.Status(now),
+	}
+}
--- a/core/member/types.go
+++ b/core/member/types.go
@@ -37,8 +37,25 @@
 	TableVersion uint64            `json:"table_version"`
 	Members      []Host            `json:"members"` // sorted by id
 	Owners       map[string]string `json:"owners"`  // "service/upstream" to host id
+
+	// Previous are the members of the epoch before this one.
+	Previous []Ref `json:"previous,omitempty"`
+	// Earlier are members of older epochs that may not know of their removal.
+	Earlier []Ref `json:"earlier,omitempty"`
+	// Moved gives the epoch in which an upstream last changed hands, as long
+	// as some host may not know of it.
+	Moved map[string]uint64 `json:"moved,omitempty"`
+}
+
+// Ref names one incarnation of a host.
+type Ref struct {
+	ID          string      `json:"id"`
+	Incarnation Incarnation `json:"incarnation"`
 }
 
+// Key is the key of an upstream in Assignment.Owners.
+func Key(service, upstream string) string { return service + "/" + upstream }
+
 // Heartbeat is what a host tells another one at each turn.
 type Heartbeat struct {
 	From         Host
@@ -48,7 +65,7 @@
 	KeyWindow    uint32 // the sender's current window for idempotency keys
 	Leaving      bool
 	PlatformAge  clock.Millis // age of the sender's last good read of the platform; -1 when none
-	Known        []Known      // what the sender last heard of others
+	Known        []Known      // what the sender last heard of others; an entry for the receiver makes it a reply to the heartbeat of that sequence
 	Dead         []Death      // incarnations proven dead
 }
 
@@ -76,3 +93,55 @@
 	Upstream string
 	Full     bool // the whole of its limits, and probing; otherwise one slot and no probing
 }
+
+// Presence is what is known of an incarnation.
+type Presence int
+
+// Presences.
+const (
+	Never       Presence = iota // never met
+	Present                     // heard lately
+	Unreachable                 // met, but not heard lately
+	Gone                        // proven dead or replaced
+)
+
+// ActionKind says what an Action asks for.
+type ActionKind int
+
+// Kinds of Action.
+const (
+	SendHeartbeat   ActionKind = iota // send Heartbeat to Host
+	WriteAssignment                   // write Assignment over the epoch it carries; WriteFinished follows
+	RightsChanged                     // read Rights again
+	Dial                              // open a link to Host when there is none
+	FetchNewer                        // Host has a newer table or assignment: ask it
+)
+
+// Action is something the driver of a View must do.
+type Action struct {
+	Kind         ActionKind
+	Host         Host
+	Heartbeat    Heartbeat
+	Assignment   Assignment
+	TableVersion uint64 // the version Host has; for FetchNewer
+	Epoch        uint64 // the epoch Host has; for FetchNewer
+}
+
+// HostStatus is what this host knows of one host.
+type HostStatus struct {
+	ID               string       `json:"id"`
+	Incarnation      Incarnation  `json:"incarnation"`
+	AvailabilityZone string       `json:"availability_zone"`
+	PeerAddress      string       `json:"peer_address"`
+	CallerAddress    string       `json:"caller_address"`
+	OperatorAddress  string       `json:"operator_address"`
+	Presence         string       `json:"presence"`
+	Member           bool         `json:"member"`
+	Listed           bool         `json:"listed"`
+	Leaving          bool         `json:"leaving"`
+	Epoch            uint64       `json:"epoch"`
+	TableVersion     uint64       `json:"table_version"`
+	KeyWindow        uint32       `json:"key_window"`
+	HeardAge         clock.Millis `json:"heard_age_ms"`    // -1 when never
+	PlatformAge      clock.Millis `json:"platform_age_ms"` // -1 when it never read the platform or hasn't said so
+}
--- /dev/null
+++ b/core/member/view.go
@@ -0,0 +1,174 @@
+package member
+
+import (
+	"math/rand/v2"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/table"
+)
+
+// Defaults of a View's spans and counts.
+const (
+	DefaultTurn        = 250 * clock.Millisecond
+	DefaultHearFor     = 4 * clock.Second
+	DefaultFenceAfter  = 4 * clock.Second
+	DefaultSettleAfter = 5 * clock.Second
+	DefaultRemoveAfter = 10 * clock.Second
+	DefaultFanout      = 3
+	DefaultKnown       = 4
+)
+
+// View is what one host knows of the fleet. Set the exported fields before the
+// first event; zero spans and counts mean their defaults. Not safe for
+// concurrent use.
+type View struct {
+	Self Host
+	Rand *rand.Rand
+
+	Turn        clock.Millis // between two turns of heartbeats
+	HearFor     clock.Millis // news of a host is good for so long
+	FenceAfter  clock.Millis // a read of the platform is good for so long
+	SettleAfter clock.Millis // from half of the former members knowing an epoch to taking what moved in it; above HearFor and FenceAfter
+	RemoveAfter clock.Millis // a member not heard for so long is removed
+	Fanout      int          // heartbeats a turn, replies not counted
+	MaxKnown    int          // second-hand entries in a reply
+
+	ready     bool
+	started   clock.Millis
+	last      clock.Millis // last event
+	wokeAt    clock.Millis // end of the last pause, or the start
+	nextTurn  clock.Millis
+	sequence  uint64
+	turnAt    [256]clock.Millis // when turn n%256 went out
+	leaving   bool
+	fetchedAt clock.Millis
+	keyWindow uint32
+	table     *table.Table
+
+	peers    map[string]*peer
+	order    []string // ids in rotation
+	nextPeer int
+	knownAt  int // rotation of second-hand news
+	deadAt   int // rotation of deaths
+	dead     map[Ref]bool
+	deaths   []Ref // in order of discovery, bounded
+
+	current      Assignment
+	history      []Ref          // every incarnation that current names, sorted
+	reported     map[Ref]uint64 // newest epoch each incarnation has reported
+	settled      []settledEpoch
+	platformAt   clock.Millis // start of the last good read that knew of nothing newer than we do
+	platformSeen bool
+
+	mine       []string       // keys whose holder this host is, sorted
+	held       map[string]Ref // the holder of each key
+	mineDirty  bool
+	adoptedAt  clock.Millis
+	orphans    orphanCache
+	taken      map[string]bool
+	takeAfter  clock.Millis
+	quietUntil clock.Millis
+	freshUntil clock.Millis
+	shown      []Right
+
+	writing   bool
+	proposed  Assignment
+	wantSince clock.Millis
+	wantDelay clock.Millis
+	nextWrite clock.Millis
+}
+
+// settledEpoch says when half of the former members were first seen to know an epoch.
+type settledEpoch struct {
+	epoch uint64
+	at    clock.Millis
+}
+
+func (v *View) init(now clock.Millis) {
+	if v.ready {
+		return
+	}
+	v.ready = true
+	setDefault(&v.Turn, DefaultTurn)
+	setDefault(&v.HearFor, DefaultHearFor)
+	setDefault(&v.FenceAfter, DefaultFenceAfter)
+	setDefault(&v.SettleAfter, DefaultSettleAfter)
+	setDefault(&v.RemoveAfter, DefaultRemoveAfter)
+	setDefault(&v.Fanout, DefaultFanout)
+	setDefault(&v.MaxKnown, DefaultKnown)
+	if v.Rand == nil {
+		v.Rand = rand.New(rand.NewPCG(uint64(v.Self.Incarnation), 0))
+	}
+	v.peers = map[string]*peer{}
+	v.dead = map[Ref]bool{}
+	v.reported = map[Ref]uint64{}
+	v.taken = map[string]bool{}
+	v.started = now
+	v.last = now
+	v.wokeAt = now
+	v.nextTurn = now
+}
+
+func setDefault[T clock.Millis | int](p *T, value T) {
+	if *p == 0 {
+		*p = value
+	}
+}
+
+// enter begins every event. After a pause longer than any right lasts, nothing
+// is taken up again for one turn, so that the driver sees the loss.
+func (v *View) enter(now clock.Millis) {
+	v.init(now)
+	if now-v.last > min(v.HearFor, v.FenceAfter) {
+		v.quietUntil = now + v.Turn
+		v.wokeAt = now
+	}
+	v.last = max(v.last, now)
+}
+
+// leave ends every event: it works out the rights again and tells of a change.
+func (v *View) leave(now clock.Millis, actions []Action) []Action {
+	v.refresh(now)
+	rights := v.Rights(now)
+	if !sameRights(rights, v.shown) {
+		v.shown = rights
+		actions = append(actions, Action{Kind: RightsChanged})
+	}
+	return actions
+}
+
+// TableInForce tells the view which table this host has in force.
+func (v *View) TableInForce(now clock.Millis, t *table.Table) []Action {
+	v.enter(now)
+	if v.table == nil || t.Version > v.table.Version {
+		v.table = t
+	}
+	return v.leave(now, nil)
+}
+
+// SetLeaving makes this host hand over what it owns.
+func (v *View) SetLeaving(now clock.Millis) []Action {
+	v.enter(now)
+	v.leaving = true
+	return v.leave(now, nil)
+}
+
+// SetKeyWindow sets the window for idempotency keys that heartbeats carry.
+func (v *View) SetKeyWindow(w uint32) { v.keyWindow = w }
+
+// NextTick returns when Tick is next due.
+func (v *View) NextTick() clock.Millis { return v.nextTurn }
+
+// Tick sends the heartbeats of a turn and proposes an assignment when one is due.
+func (v *View) Tick(now clock.Millis) []Action {
+	v.enter(now)
+	var actions []Action
+	if now >= v.nextTurn {
+		v.nextTurn = now + v.Turn
+		actions = v.sendTurn(now)
+	}
+	v.forget(now)
+	v.refresh(now)
+	actions = append(actions, v.propose(now)...)
+	return v.leave(now, actions)
+}
--- /dev/null
+++ b/core/probe/budget.go
@@ -0,0 +1,100 @@
+// Package probe keeps the work spent measuring upstreams within the budget that
+// the table sets for each service, over the whole fleet.
+//
+// The budget of a service is split evenly over its upstreams, and only the host
+// that holds the full right to an upstream spends that upstream's part. In any
+// window of W seconds the fleet starts at most part*W + 1 probes of an
+// upstream: a bucket holds at most one probe, and it is empty when a host takes
+// an upstream over.
+package probe
+
+import "siskinpath/core/clock"
+
+// One probe, and the unit that rates are kept in, so that sums are exact.
+const (
+	nano     = 1
+	oneProbe = 1_000_000_000 * nano
+)
+
+// Part returns each upstream's part of a service's budget, in probes a second.
+func Part(perSecond float64, upstreams int) float64 {
+	if upstreams <= 0 {
+		return 0
+	}
+	return perSecond / float64(upstreams)
+}
+
+// Budget holds a bucket for each upstream that this host may probe. The zero
+// value is empty. Not safe for concurrent use.
+type Budget struct {
+	buckets map[bucketKey]*bucket
+}
+
+type bucketKey struct{ service, upstream string }
+
+// bucket is a token bucket that holds at most one probe.
+type bucket struct {
+	rate   int64 // nano-probes a millisecond
+	level  int64 // nano-probes
+	filled clock.Millis
+}
+
+// SetRate sets how many probes a second this host may start at an upstream. The
+// first call after the start or after Drop begins with an empty bucket.
+func (b *Budget) SetRate(now clock.Millis, service, upstream string, perSecond float64) {
+	if b.buckets == nil {
+		b.buckets = map[bucketKey]*bucket{}
+	}
+	key := bucketKey{service, upstream}
+	k := b.buckets[key]
+	if k == nil {
+		k = &bucket{filled: now}
+		b.buckets[key] = k
+	}
+	k.fill(now)
+	k.rate = toRate(perSecond)
+}
+
+// toRate converts probes a second, rounding down.
+func toRate(perSecond float64) int64 {
+	const perMilli = oneProbe / int64(clock.Second)
+	if !(perSecond > 0) {
+		return 0
+	}
+	return int64(min(perSecond*float64(perMilli), oneProbe))
+}
+
+// Allow says whether a probe may start now, and counts it when it may.
+func (b *Budget) Allow(now clock.Millis, service, upstream string) bool {
+	k := b.buckets[bucketKey{service, upstream}]
+	if k == nil {
+		return false
+	}
+	k.fill(now)
+	if k.level < oneProbe {
+		return false
+	}
+	k.level -= oneProbe
+	return true
+}
+
+// Drop ends this host's right to probe an upstream.
+func (b *Budget) Drop(service, upstream string) {
+	delete(b.buckets, bucketKey{service, upstream})
+}
+
+func (k *bucket) fill(now clock.Millis) {
+	elapsed := int64(now - k.filled)
+	if elapsed <= 0 {
+		return
+	}
+	k.filled = now
+	if k.rate == 0 {
+		return
+	}
+	if elapsed >= oneProbe/k.rate+1 {
+		k.level = oneProbe
+		return
+	}
+	k.level = min(oneProbe, k.level+elapsed*k.rate)
+}
