--- /dev/null
+++ b/core/fleet/check.go
@@ -0,0 +1,141 @@
+package fleet
+
+import (
+	"fmt"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/member"
+	"siskinpath/core/probe"
+)
+
+// Names of the checks.
+const (
+	OneHolder   = "one_holder"
+	ProbeBudget = "probe_budget"
+	EpochRises  = "epoch_rises"
+)
+
+// Checker checks after each event what must always hold.
+type Checker struct {
+	fleet     *Fleet
+	Violation string // the first one; empty when none
+
+	Probes  int
+	MaxCut  int // most hosts at once with the cut share of one upstream
+	holders map[string]map[*Host]bool
+	probes  map[string][]clock.Millis // latest probes of each upstream
+}
+
+func (c *Checker) violate(name, format string, args ...any) {
+	if c.Violation == "" && !c.fleet.Skip[name] {
+		c.Violation = fmt.Sprintf("%s at %d ms: ", name, c.fleet.Now) + fmt.Sprintf(format, args...)
+		c.fleet.tracef("VIOLATION %s", c.Violation)
+	}
+}
+
+// host checks a host after an event in it. The full right of a host grows only
+// in its own events, so this finds any two holders.
+func (c *Checker) host(h *Host) {
+	now := h.Time()
+	if epoch := h.View.Epoch(); epoch < h.epoch {
+		c.violate(EpochRises, "%s went from epoch %d to %d", h.ID, h.epoch, epoch)
+	} else if epoch > h.epoch {
+		h.epoch = epoch
+		c.fleet.tracef("%s has epoch %d", h.ID, epoch)
+	}
+	for _, r := range h.View.Rights(now) {
+		if !r.Full {
+			continue
+		}
+		key := member.Key(r.Service, r.Upstream)
+		if c.holders[key] == nil {
+			c.holders[key] = map[*Host]bool{}
+		}
+		for other := range c.holders[key] {
+			if other != h && c.holdsNow(other, r.Service, r.Upstream) {
+				c.violate(OneHolder, "%s held by %s (epoch %d) and %s (epoch %d)", key, h.ID, h.View.Epoch(), other.ID, other.View.Epoch())
+			}
+		}
+		c.holders[key][h] = true
+	}
+}
+
+// holdsNow says whether a running host holds the full right. Those that no
+// longer do are forgotten, but for the frozen, which may wake.
+func (c *Checker) holdsNow(h *Host, service, upstream string) bool {
+	if h.Mode == Frozen {
+		return false
+	}
+	if h.Mode == Running {
+		if full, _ := h.View.Holds(h.Time(), service, upstream); full {
+			return true
+		}
+	}
+	return false
+}
+
+// gone forgets a host whose process has ended.
+func (c *Checker) gone(h *Host) {
+	for _, hosts := range c.holders {
+		delete(hosts, h)
+	}
+}
+
+// Holder returns the running host that holds an upstream fully, or nil.
+func (c *Checker) Holder(key string) *Host {
+	r := splitKey(key)
+	for h := range c.holders[key] {
+		if c.holdsNow(h, r.Service, r.Upstream) {
+			return h
+		}
+	}
+	return nil
+}
+
+func splitKey(key string) member.Right {
+	for i := range key {
+		if key[i] == '/' {
+			return member.Right{Service: key[:i], Upstream: key[i+1:]}
+		}
+	}
+	return member.Right{}
+}
+
+// probed counts a probe and checks every window that ends with it.
+func (c *Checker) probed(service, upstream string) {
+	const kept = 64
+	c.Probes++
+	s := c.fleet.Table.Service(service)
+	part := probe.Part(s.ProbesPerSecond, len(s.Upstreams))
+	key := member.Key(service, upstream)
+	times := append(c.probes[key], c.fleet.Now)
+	if len(times) > kept {
+		times = times[1:]
+	}
+	c.probes[key] = times
+	for i, at := range times {
+		count := float64(len(times) - i)
+		window := float64(c.fleet.Now-at) / float64(clock.Second)
+		if count > part*window+1+1e-6 {
+			c.violate(ProbeBudget, "%v probes of %s in %v s at %v a second", count, key, window, part)
+		}
+	}
+}
+
+// cuts notes how many hosts have the cut share of one upstream now.
+func (c *Checker) cuts() {
+	count := map[string]int{}
+	for _, h := range c.fleet.Hosts {
+		if h.Mode != Running || h.View == nil {
+			continue
+		}
+		for _, r := range h.View.Rights(h.Time()) {
+			if !r.Full {
+				count[member.Key(r.Service, r.Upstream)]++
+			}
+		}
+	}
+	for _, n := range count {
+		c.MaxCut = max(c.MaxCut, n)
+	}
+}
--- /dev/null
+++ b/core/fleet/fault.go
@@ -0,0 +1,151 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+
+	"siskinpath/core/clock"
+)
+
+// Fault is something that goes wrong at a point in time, for a while.
+type Fault struct {
+	At    clock.Millis
+	For   clock.Millis
+	Kind  FaultKind
+	Host  int // index; the first of the group for Partition
+	Other int // second host of CutLink
+}
+
+// FaultKind says what goes wrong.
+type FaultKind int
+
+// Kinds of Fault.
+const (
+	Kill         FaultKind = iota // the process ends; a new one starts when the fault is over
+	LosePower                     // the machine vanishes; it starts again when the fault is over
+	Freeze                        // the process stops and wakes
+	CutPeers                      // a host hears no peer
+	CutPlatform                   // a host can't reach the platform
+	CutBoth                       // neither
+	CutLink                       // two hosts don't hear each other
+	Partition                     // the hosts from Host on hear only one another
+	Outage                        // the platform is down
+	SlowPlatform                  // calls to the platform take up to three seconds
+	LostReplies                   // writes are applied and their replies lost, or applied late
+	Leaving                       // a host hands over, ends, and starts again
+	numFaults
+)
+
+func (k FaultKind) String() string {
+	return [...]string{
+		"kill", "lose_power", "freeze", "cut_peers", "cut_platform", "cut_both", "cut_link", "partition",
+		"outage", "slow_platform", "lost_replies", "leaving",
+	}[k]
+}
+
+func (x Fault) String() string {
+	return fmt.Sprintf("%s at %d ms for %d ms, host %d, other %d", x.Kind, x.At, x.For, x.Host+1, x.Other+1)
+}
+
+// Faults draws n faults that begin within a span and last up to longest.
+func (f *Fleet) Faults(n int, from, to, longest clock.Millis) []Fault {
+	var faults []Fault
+	for range n {
+		faults = append(faults, Fault{
+			At:    f.between(from, to),
+			For:   f.between(100, longest),
+			Kind:  FaultKind(f.rand.IntN(int(numFaults))),
+			Host:  f.rand.IntN(f.Config.Hosts),
+			Other: f.rand.IntN(f.Config.Hosts),
+		})
+	}
+	slices.SortFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
+	return faults
+}
+
+// Plan arranges for faults to begin and end.
+func (f *Fleet) Plan(faults []Fault) {
+	for _, x := range faults {
+		f.at(x.At, func() {
+			f.tracef("fault: %s", x)
+			f.begin(x)
+		})
+		f.at(x.At+x.For, func() { f.end(x) })
+	}
+}
+
+func (f *Fleet) begin(x Fault) {
+	h := f.Hosts[x.Host]
+	switch x.Kind {
+	case Kill:
+		h.Stop(Killed)
+	case LosePower:
+		h.Stop(PowerOff)
+	case Freeze:
+		if h.Mode == Running {
+			h.Stop(Frozen)
+		}
+	case CutPeers, CutPlatform, CutBoth:
+		h.Cut = h.Cut || x.Kind != CutPlatform
+		h.Lost = h.Lost || x.Kind != CutPeers
+	case CutLink:
+		f.Links.CutPair(x.Host, x.Other, true)
+	case Partition:
+		f.partition(x, true)
+	case Outage:
+		f.Platform.Up = false
+	case SlowPlatform:
+		f.Platform.Slow = true
+	case LostReplies:
+		f.Platform.LoseReply, f.Platform.LateApply = 0.5, 0.3
+	case Leaving:
+		h.Leave()
+	}
+}
+
+func (f *Fleet) end(x Fault) {
+	h := f.Hosts[x.Host]
+	switch x.Kind {
+	case Kill, LosePower, Leaving:
+		h.Stop(Killed)
+		h.Boot()
+	case Freeze:
+		h.Wake()
+	case CutPeers, CutPlatform, CutBoth:
+		h.Cut, h.Lost = false, false
+	case CutLink:
+		f.Links.CutPair(x.Host, x.Other, false)
+	case Partition:
+		f.partition(x, false)
+	case Outage:
+		f.Platform.Up = true
+	case SlowPlatform:
+		f.Platform.Slow = false
+	case LostReplies:
+		f.Platform.LoseReply, f.Platform.LateApply = 0, 0
+	}
+}
+
+func (f *Fleet) partition(x Fault, cut bool) {
+	for a := range x.Host {
+		for b := x.Host; b < len(f.Hosts); b++ {
+			f.Links.CutPair(a, b, cut)
+		}
+	}
+}
+
+// Heal ends every fault at once and restarts what is down.
+func (f *Fleet) Heal() {
+	f.tracef("all faults end")
+	f.Links.Heal()
+	f.Platform.Up, f.Platform.Slow, f.Platform.LoseReply, f.Platform.LateApply = true, false, 0, 0
+	for _, h := range f.Hosts {
+		h.Cut, h.Lost = false, false
+		switch h.Mode {
+		case Frozen:
+			h.Wake()
+		case Killed, PowerOff:
+			h.Boot()
+		}
+	}
+}
--- /dev/null
+++ b/core/fleet/fleet_test.go
@@ -0,0 +1,154 @@
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/member"
+)
+
+// seeds returns how many seeds to run: SISKINPATH_SEEDS over part, or few.
+func seeds(t *testing.T, few, part int) uint64 {
+	t.Helper()
+	text := os.Getenv("SISKINPATH_SEEDS")
+	if text == "" {
+		return uint64(few)
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 {
+		t.Fatalf("SISKINPATH_SEEDS=%q: want a number of 1 or more", text)
+	}
+	return uint64(max(n/part, 1))
+}
+
+// scenario is a fleet under faults drawn from its seed.
+type scenario struct {
+	hosts  int
+	faults int
+	span   clock.Millis // faults begin within it
+	tune   func(*member.View)
+	skip   map[string]bool
+	zones  []string
+}
+
+// outcome is what a run of a scenario gave.
+type outcome struct {
+	seed      uint64
+	faults    []Fault
+	violation string
+	events    int
+	probes    int
+	healed    clock.Millis // from the end of all faults to every upstream served; -1 when never
+	maxCut    int
+}
+
+const (
+	settleTime  = 12 * clock.Second
+	healTimeout = 60 * clock.Second
+)
+
+// run drives one seed. Faults given replace those drawn from the seed.
+func (s scenario) run(seed uint64, faults []Fault, trace func(string)) outcome {
+	f := New(Config{
+		Seed: seed, Hosts: s.hosts, Zones: s.zones, Tune: s.tune, Skip: s.skip, Trace: trace,
+		Links: LinkFaults{Lose: 0.05, Double: 0.05, Delay: 0.02},
+	})
+	drawn := f.Faults(s.faults, settleTime, settleTime+s.span, s.span)
+	if faults == nil {
+		faults = drawn
+	}
+	f.Plan(faults)
+	for f.Now < settleTime+s.span && f.Check.Violation == "" {
+		f.Run(f.Now + 500)
+		f.Check.cuts()
+	}
+	f.Heal()
+	start := f.Now
+	healed := clock.Millis(-1)
+	if f.RunUntil(start+healTimeout, f.Served) {
+		healed = f.Now - start
+	}
+	return outcome{
+		seed: seed, faults: faults, violation: f.Check.Violation, events: f.Events, probes: f.Check.Probes,
+		healed: healed, maxCut: f.Check.MaxCut,
+	}
+}
+
+func (o outcome) bad() bool { return o.violation != "" || o.healed < 0 }
+
+// shorten drops faults as long as the run stays bad.
+func (s scenario) shorten(o outcome) outcome {
+	for i := 0; i < len(o.faults); {
+		fewer := slices.Delete(slices.Clone(o.faults), i, i+1)
+		if next := s.run(o.seed, append([]Fault{}, fewer...), nil); next.bad() {
+			o = next
+			i = 0
+		} else {
+			i++
+		}
+	}
+	return o
+}
+
+// prove runs seeds and fails on the first bad one with a short trace.
+func (s scenario) prove(t *testing.T, n uint64) {
+	t.Helper()
+	var healed []clock.Millis
+	events, probes, violations, maxCut := 0, 0, 0, 0
+	for seed := range n {
+		o := s.run(seed, nil, nil)
+		events += o.events
+		probes += o.probes
+		maxCut = max(maxCut, o.maxCut)
+		healed = append(healed, o.healed)
+		if o.bad() {
+			violations++
+			s.report(t, o)
+			break
+		}
+	}
+	slices.Sort(healed)
+	t.Logf("hosts %d seeds_run %d events %d probes %d violations %d cut_share_holders_max %d healed_ms_p50 %d healed_ms_max %d",
+		s.hosts, len(healed), events, probes, violations, maxCut, healed[len(healed)/2], healed[len(healed)-1])
+}
+
+func (s scenario) report(t *testing.T, o outcome) {
+	t.Helper()
+	short := s.shorten(o)
+	var lines []string
+	s.run(short.seed, append([]Fault{}, short.faults...), func(line string) { lines = append(lines, line) })
+	const shown = 60
+	t.Errorf("seed %d hosts %d: %s (healed after %d ms)\nshortest found: %s\nfaults:%v\ntrace:\n%s", o.seed, s.hosts, o.violation, o.healed,
+		short.violation, faultLines(short.faults), strings.Join(lines[max(0, len(lines)-shown):], "\n"))
+}
+
+func faultLines(faults []Fault) string {
+	var b strings.Builder
+	for _, x := range faults {
+		fmt.Fprintf(&b, "\n  %s", x)
+	}
+	return b.String()
+}
+
+func TestProveOwnership(t *testing.T) {
+	for _, c := range []struct {
+		scenario
+		few, part int
+	}{
+		{scenario{hosts: 1, faults: 6, span: 40 * clock.Second}, 10, 1},
+		{scenario{hosts: 2, faults: 8, span: 40 * clock.Second}, 10, 1},
+		{scenario{hosts: 3, faults: 10, span: 40 * clock.Second}, 20, 1},
+		{scenario{hosts: 5, faults: 12, span: 40 * clock.Second}, 20, 1},
+		{scenario{hosts: 20, faults: 20, span: 30 * clock.Second}, 2, 10},
+	} {
+		t.Run(fmt.Sprintf("%d_hosts", c.hosts), func(t *testing.T) {
+			t.Parallel()
+			c.prove(t, seeds(t, c.few, c.part))
+		})
+	}
+}
--- /dev/null
+++ b/core/fleet/host.go
@@ -0,0 +1,212 @@
+package fleet
+
+import (
+	"math/rand/v2"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/member"
+	"siskinpath/core/probe"
+)
+
+// Spans of a host's driver.
+const (
+	readEvery   = 1 * clock.Second
+	listEvery   = 2 * clock.Second
+	probeEvery  = 100 * clock.Millisecond
+	platformMax = 1 * clock.Second // a call to the platform is given up after this
+)
+
+// Mode says in what way a host doesn't run.
+type Mode int
+
+// Modes of a host.
+const (
+	Running  Mode = iota
+	Frozen        // stopped in the middle; wakes later
+	Killed        // the process is gone, the machine refuses connections
+	PowerOff      // the machine is gone, nothing answers
+)
+
+// Host is a machine and the process on it.
+type Host struct {
+	fleet *Fleet
+	Index int
+	ID    string
+	Zone  string
+	Mode  Mode
+	View  *member.View
+
+	Cut  bool // no link to any peer
+	Lost bool // no link to the platform
+
+	offset  clock.Millis // of the process's clock
+	backlog []func()     // what arrived while frozen
+	budget  *probe.Budget
+	rights  map[string]member.Right
+	epoch   uint64
+	leaving bool
+
+	SentBytes, SentMessages int
+}
+
+// Boot starts a new process on the machine.
+func (h *Host) Boot() {
+	f := h.fleet
+	h.Mode = Running
+	h.offset = f.between(0, clock.Hour)
+	h.backlog = nil
+	h.budget = &probe.Budget{}
+	h.rights = map[string]member.Right{}
+	h.epoch = 0
+	h.leaving = false
+	h.View = &member.View{
+		Self: member.Host{
+			ID: h.ID, Incarnation: member.Incarnation(f.rand.Uint64() | 1), AvailabilityZone: h.Zone,
+			PeerAddress: h.ID + ":7100", CallerAddress: h.ID + ":7001", OperatorAddress: h.ID + ":7200",
+		},
+		Rand: rand.New(rand.NewPCG(f.rand.Uint64(), 2)),
+	}
+	if f.Tune != nil {
+		f.Tune(h.View)
+	}
+	f.tracef("%s starts", h.ID)
+	h.event(func(now clock.Millis) []member.Action { return h.View.TableInForce(now, f.Table) })
+	h.every(0, h.tick)
+	h.every(f.between(0, readEvery), h.read)
+	h.every(f.between(0, 200), h.list)
+	h.every(f.between(0, probeEvery), h.probe)
+}
+
+// Time is the time on the process's own clock.
+func (h *Host) Time() clock.Millis { return h.fleet.Now + h.offset }
+
+// later runs do in the process that is there now: not after its end, and only
+// after waking when it is frozen then.
+func (h *Host) later(d clock.Millis, do func()) {
+	view := h.View
+	h.fleet.after(d, func() { h.run(view, do) })
+}
+
+func (h *Host) run(view *member.View, do func()) {
+	switch {
+	case h.View != view || h.Mode == Killed || h.Mode == PowerOff:
+	case h.Mode == Frozen:
+		h.backlog = append(h.backlog, func() { h.run(view, do) })
+	default:
+		do()
+	}
+}
+
+// every runs do, which returns when to run it next.
+func (h *Host) every(first clock.Millis, do func() clock.Millis) {
+	h.later(first, func() { h.every(do(), do) })
+}
+
+// event gives the view one event and carries out what it asks for.
+func (h *Host) event(do func(now clock.Millis) []member.Action) {
+	actions := do(h.Time())
+	h.fleet.Check.host(h)
+	for _, a := range actions {
+		h.act(a)
+	}
+}
+
+func (h *Host) act(a member.Action) {
+	switch a.Kind {
+	case member.SendHeartbeat:
+		h.fleet.Links.send(h, a.Host, a.Heartbeat)
+	case member.Dial:
+		h.fleet.Links.dial(h, a.Host)
+	case member.FetchNewer:
+		h.fleet.Links.fetch(h, a.Host)
+	case member.WriteAssignment:
+		h.fleet.Platform.write(h, a.Assignment)
+	case member.RightsChanged:
+		h.takeRights()
+	}
+}
+
+func (h *Host) takeRights() {
+	now := h.Time()
+	next := map[string]member.Right{}
+	full, cut := 0, 0
+	for _, r := range h.View.Rights(now) {
+		if !r.Full {
+			cut++
+			continue
+		}
+		full++
+		next[member.Key(r.Service, r.Upstream)] = r
+		s := h.fleet.Table.Service(r.Service)
+		h.budget.SetRate(now, r.Service, r.Upstream, probe.Part(s.ProbesPerSecond, len(s.Upstreams)))
+	}
+	for key, r := range h.rights {
+		if _, ok := next[key]; !ok {
+			h.budget.Drop(r.Service, r.Upstream)
+		}
+	}
+	h.rights = next
+	h.fleet.tracef("%s holds %d, cut share of %d", h.ID, full, cut)
+}
+
+func (h *Host) tick() clock.Millis {
+	h.event(h.View.Tick)
+	return max(h.View.NextTick()-h.Time(), 1)
+}
+
+func (h *Host) read() clock.Millis {
+	h.fleet.Platform.read(h)
+	return readEvery
+}
+
+func (h *Host) list() clock.Millis {
+	h.fleet.Platform.list(h)
+	return listEvery
+}
+
+// probe sends what the budget allows, asking for the right just before.
+func (h *Host) probe() clock.Millis {
+	now := h.Time()
+	for i := range h.fleet.Table.Services {
+		for _, u := range h.fleet.Table.Services[i].Upstreams {
+			if full, _ := h.View.Holds(now, u.Service, u.Name); full && h.budget.Allow(now, u.Service, u.Name) {
+				h.fleet.Check.probed(u.Service, u.Name)
+			}
+		}
+	}
+	return probeEvery
+}
+
+// Stop ends or freezes the process.
+func (h *Host) Stop(mode Mode) {
+	h.fleet.tracef("%s %s", h.ID, [...]string{"runs", "freezes", "is killed", "loses power"}[mode])
+	h.Mode = mode
+	if mode != Frozen {
+		h.fleet.Check.gone(h)
+	}
+}
+
+// Wake lets a frozen process go on: everything that waited comes at once.
+func (h *Host) Wake() {
+	if h.Mode != Frozen {
+		return
+	}
+	h.fleet.tracef("%s wakes", h.ID)
+	h.Mode = Running
+	h.fleet.Check.host(h)
+	h.probe()
+	backlog := h.backlog
+	h.backlog = nil
+	for _, do := range backlog {
+		do()
+	}
+}
+
+// Leave tells the process to hand over.
+func (h *Host) Leave() {
+	if h.Mode == Running && h.View != nil {
+		h.leaving = true
+		h.fleet.tracef("%s leaves", h.ID)
+		h.event(h.View.SetLeaving)
+	}
+}
--- /dev/null
+++ b/core/fleet/link.go
@@ -0,0 +1,110 @@
+package fleet
+
+import (
+	"siskinpath/core/clock"
+	"siskinpath/core/member"
+)
+
+// LinkFaults are the chances by which links misbehave.
+type LinkFaults struct {
+	Lose   float64
+	Double float64
+	Delay  float64 // of being late by up to ten seconds, so out of order too
+}
+
+// Links is a fake of the links between hosts.
+type Links struct {
+	fleet  *Fleet
+	faults LinkFaults
+	cut    map[[2]int]bool // pairs of hosts, lower index first
+}
+
+// CutPair cuts or mends the link between two hosts.
+func (l *Links) CutPair(a, b int, cut bool) { l.cut[[2]int{min(a, b), max(a, b)}] = cut }
+
+// Heal mends all links.
+func (l *Links) Heal() {
+	clear(l.cut)
+	l.faults = LinkFaults{}
+}
+
+func (l *Links) open(a, b *Host) bool {
+	return !a.Cut && !b.Cut && !l.cut[[2]int{min(a.Index, b.Index), max(a.Index, b.Index)}]
+}
+
+func (l *Links) latency() clock.Millis { return l.fleet.between(1, 4) }
+
+func (l *Links) target(to member.Host) *Host {
+	for _, h := range l.fleet.Hosts {
+		if h.ID+":7100" == to.PeerAddress {
+			return h
+		}
+	}
+	return nil
+}
+
+// send carries a heartbeat. A port that refuses is told as proof of death of
+// the incarnation that the sender last knew there.
+func (l *Links) send(from *Host, to member.Host, beat member.Heartbeat) {
+	h := l.target(to)
+	from.SentMessages++
+	from.SentBytes += HeartbeatBytes(beat)
+	if h == nil || !l.open(from, h) {
+		return
+	}
+	if l.refused(from, h, to) || l.fleet.chance(l.faults.Lose) {
+		return
+	}
+	l.deliver(h, beat)
+	if l.fleet.chance(l.faults.Double) {
+		l.deliver(h, beat)
+	}
+}
+
+func (l *Links) deliver(h *Host, beat member.Heartbeat) {
+	d := l.latency()
+	if l.fleet.chance(l.faults.Delay) {
+		d += l.fleet.between(0, 10*clock.Second)
+	}
+	h.later(d, func() {
+		h.event(func(now clock.Millis) []member.Action { return h.View.Heard(now, beat) })
+	})
+}
+
+func (l *Links) dial(from *Host, to member.Host) {
+	if h := l.target(to); h != nil && l.open(from, h) {
+		l.refused(from, h, to)
+	}
+}
+
+// refused says whether the port refuses, and tells the sender.
+func (l *Links) refused(from, h *Host, to member.Host) bool {
+	if h.Mode != Killed {
+		return h.View == nil || h.Mode == PowerOff
+	}
+	if to.Incarnation != 0 {
+		death := member.Death{ID: to.ID, Incarnation: to.Incarnation}
+		from.later(l.latency(), func() {
+			from.event(func(now clock.Millis) []member.Action { return from.View.ProvenDead(now, death) })
+		})
+	}
+	return true
+}
+
+// fetch brings a copy of another host's assignment.
+func (l *Links) fetch(from *Host, to member.Host) {
+	h := l.target(to)
+	if h == nil || h.View == nil || h.Mode != Running || !l.open(from, h) {
+		return
+	}
+	d := l.latency()
+	h.later(d, func() {
+		a := h.View.State(h.Time()).Assignment
+		if !l.open(from, h) {
+			return
+		}
+		from.later(d, func() {
+			from.event(func(now clock.Millis) []member.Action { return from.View.AssignmentCopied(now, a) })
+		})
+	})
+}
--- /dev/null
+++ b/core/fleet/platform.go
@@ -0,0 +1,115 @@
+package fleet
+
+import (
+	"siskinpath/core/clock"
+	"siskinpath/core/member"
+)
+
+// Platform is a fake of the table service, with the one row that matters here,
+// and of the host list.
+type Platform struct {
+	fleet *Fleet
+
+	Up        bool
+	Slow      bool    // calls take up to three seconds
+	LoseReply float64 // chance that a write is applied and its reply lost
+	LateApply float64 // chance that a write given up on is applied later
+
+	Row    member.Assignment
+	Writes int
+	Reads  int
+}
+
+func (p *Platform) latency() clock.Millis {
+	if p.Slow {
+		return p.fleet.between(5, 1500)
+	}
+	return p.fleet.between(1, 10)
+}
+
+func (p *Platform) reachable(h *Host) bool { return p.Up && !h.Lost }
+
+// read reads the row: it takes effect at some moment between call and reply.
+func (p *Platform) read(h *Host) {
+	startedAt := h.Time()
+	there, back := p.latency(), p.latency()
+	p.fleet.after(there, func() {
+		if !p.reachable(h) || there+back > platformMax {
+			return
+		}
+		p.Reads++
+		row := p.Row
+		h.later(back, func() {
+			h.event(func(now clock.Millis) []member.Action { return h.View.AssignmentRead(now, startedAt, row) })
+		})
+	})
+}
+
+// list answers with the hosts as they were a while ago.
+func (p *Platform) list(h *Host) {
+	if !p.reachable(h) {
+		return
+	}
+	var hosts []member.ListedHost
+	for _, other := range p.fleet.Hosts {
+		hosts = append(hosts, member.ListedHost{
+			ID: other.ID, AvailabilityZone: other.Zone, PeerAddress: other.ID + ":7100",
+			CallerAddress: other.ID + ":7001", OperatorAddress: other.ID + ":7200",
+		})
+	}
+	h.later(p.latency(), func() {
+		h.event(func(now clock.Millis) []member.Action { return h.View.HostList(now, hosts) })
+	})
+}
+
+// write puts the row by compare-and-set on its epoch.
+func (p *Platform) write(h *Host, a member.Assignment) {
+	there, back := p.latency(), p.latency()
+	lost, late := p.fleet.chance(p.LoseReply), p.fleet.chance(p.LateApply)
+	if late {
+		there += p.fleet.between(platformMax, 8*clock.Second)
+	}
+	finish := func(d clock.Millis, committed, known bool) {
+		h.later(d, func() {
+			h.event(func(now clock.Millis) []member.Action { return h.View.WriteFinished(now, committed, known) })
+		})
+	}
+	inTime := !lost && there+back <= platformMax
+	if !inTime {
+		finish(platformMax, false, false)
+	}
+	reach := p.reachable(h)
+	p.fleet.after(there, func() {
+		if !reach || !p.Up {
+			if inTime {
+				finish(platformMax-there, false, false)
+			}
+			return
+		}
+		committed := p.apply(h, a)
+		if inTime {
+			finish(back, committed, true)
+		}
+	})
+}
+
+func (p *Platform) apply(h *Host, a member.Assignment) bool {
+	if p.Row.Epoch != a.Epoch {
+		return false
+	}
+	p.Writes++
+	a.Epoch++
+	p.Row = a
+	p.fleet.tracef("%s writes epoch %d with %d members, %d moved, %d earlier", h.ID, a.Epoch, len(a.Members), countMoved(a), len(a.Earlier))
+	return true
+}
+
+func countMoved(a member.Assignment) int {
+	n := 0
+	for _, epoch := range a.Moved {
+		if epoch == a.Epoch {
+			n++
+		}
+	}
+	return n
+}
--- a/core/member/status.go
+++ b/core/member/status.go
@@ -159,3 +159,6 @@
 		Dead: slices.Clone(v.deaths), Rights: v.Rights(now), Hosts: v.Status(now),
 	}
 }
+
+// Epoch returns the epoch of the newest assignment this host knows; 0 when none.
+func (v *View) Epoch() uint64 { return v.current.Epoch }
