once: a claim is given up only by the incarnation that its row names

A process that runs in place of the claimant has its own idle record of the key after a failed claim, and would have answered 'given up' for a request that its predecessor may have sent. The question now carries the incarnation of the row. Unit tests for claims, lost replies and take-overs.

--- a/core/once/claim.go
+++ b/core/once/claim.go
@@ -95,6 +95,10 @@
 
 // askedForClaim decides on a key for which another host found this host's claim.
 func (k *Keeper) askedForClaim(req Request) Decision {
+	if req.Claimant != k.Incarnation {
+		// Not this process but an earlier one of the same host has the claim.
+		return unknown(ReasonHostGone)
+	}
 	r := k.byName[nameOf(req)]
 	if r == nil {
 		return unknown(ReasonClaimForgotten)
@@ -235,7 +239,7 @@
 		k.settle(r, absenceReason(p))
 		return
 	}
-	r.host = host
+	r.host, r.claimant = host, inc
 	r.expectVersion = version
 	r.phase = passing
 	k.forgetClaim(r)
@@ -275,7 +279,7 @@
 	case r.phase == running:
 		return Decision{Verdict: Run, Record: rec}, true
 	case r.phase == passing:
-		return Decision{Verdict: Pass, Record: rec, Host: r.host, Claimed: true}, true
+		return Decision{Verdict: Pass, Record: rec, Host: r.host, Claimed: true, Claimant: r.claimant}, true
 	case r.phase == idle:
 		return Decision{Verdict: Refuse, Record: rec, Reply: r.reply}, true
 	case r.phase == ended && r.reply.Outcome == OutcomeUnknown:
--- /dev/null
+++ b/core/once/claim_test.go
@@ -0,0 +1,163 @@
+package once
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"siskinpath/core/clock"
+)
+
+// claim asserts that a key must be claimed and returns its one write.
+func claim(k *Keeper, now clock.Millis, req Request, find Finder) ClaimWrite {
+	d := begin(k, now, req, find, Claim)
+	writes := k.ClaimsWanted(now)
+	convey.So(len(writes), convey.ShouldEqual, 1)
+	convey.So(writes[0].Record, convey.ShouldEqual, d.Record)
+	return writes[0]
+}
+
+// decided asserts what became of a claim.
+func decided(k *Keeper, rec RecordID, want Verdict) Decision {
+	d, ok := k.ClaimDecided(rec)
+	convey.So(ok, convey.ShouldBeTrue)
+	convey.So(d.Verdict, convey.ShouldEqual, want)
+	return d
+}
+
+func foreignRow(inc, attempt uint64) string {
+	b, _ := json.Marshal(claimRow{Host: "gh-2", Incarnation: inc, Attempt: attempt, Organisation: "farm"})
+	return string(b)
+}
+
+func TestClaims(t *testing.T) {
+	convey.Convey("a key without a prefix", t, func() {
+		k := newKeeper()
+		req := requestFor("order/17")
+		asked := req
+		asked.Mode, asked.Claimant = ModeClaimed, testIncarnation
+		w := claim(k, 0, req, nobody)
+		convey.So(w.RowKey, convey.ShouldEqual, "claim/payments/farm/order/17")
+		convey.So(w.ExpectVersion, convey.ShouldEqual, uint64(0))
+		_, ok := k.ClaimDecided(w.Record)
+		convey.So(ok, convey.ShouldBeFalse)
+		convey.So(k.MaySend(0, w.Record), convey.ShouldBeFalse)
+
+		convey.Convey("runs once its claim is committed", func() {
+			k.ClaimResult(0, w.Record, ClaimOutcome{Kind: ClaimCommitted, Version: 1})
+			decided(k, w.Record, Run)
+			convey.So(k.MaySend(0, w.Record), convey.ShouldBeTrue)
+			k.End(0, w.Record, Reply{Status: 200})
+			begin(k, 0, req, nobody, Answer)
+			begin(k, 0, asked, nobody, Answer)
+		})
+		convey.Convey("is read back when the write's reply is lost", func() {
+			k.ClaimResult(0, w.Record, ClaimOutcome{Kind: ClaimLost})
+			reads := k.ClaimReadsWanted(0)
+			convey.So(len(reads), convey.ShouldEqual, 1)
+			convey.So(reads[0].RowKey, convey.ShouldEqual, w.RowKey)
+			convey.So(k.MaySend(0, w.Record), convey.ShouldBeFalse)
+
+			convey.Convey("and runs when the row names this attempt", func() {
+				k.ClaimResult(0, w.Record, ClaimOutcome{Kind: ClaimTaken, Value: w.Value, Version: 1})
+				decided(k, w.Record, Run)
+			})
+			convey.Convey("and is written again when there is no row yet", func() {
+				k.ClaimResult(0, w.Record, ClaimOutcome{Kind: ClaimAbsent})
+				again := k.ClaimsWanted(0)
+				convey.So(again, convey.ShouldResemble, []ClaimWrite{w})
+			})
+			convey.Convey("and is not run when the platform is gone by then", func() {
+				k.ClaimResult(0, w.Record, ClaimOutcome{Kind: ClaimDown})
+				decided(k, w.Record, Refuse)
+			})
+		})
+		convey.Convey("is refused at once while the platform is down", func() {
+			k.ClaimResult(0, w.Record, ClaimOutcome{Kind: ClaimDown})
+			d := decided(k, w.Record, Refuse)
+			convey.So(d.Reply.Outcome, convey.ShouldEqual, NotRun)
+			convey.So(d.Reply.RetryAfter, convey.ShouldBeGreaterThan, 0)
+			k.ClaimResult(0, w.Record, ClaimOutcome{Kind: ClaimCommitted})
+			convey.So(k.MaySend(0, w.Record), convey.ShouldBeFalse)
+
+			convey.Convey("and a retry takes over the attempt that was applied late", func() {
+				w2 := claim(k, 1, req, nobody)
+				convey.So(w2.Value, convey.ShouldNotEqual, w.Value)
+				k.ClaimResult(1, w2.Record, ClaimOutcome{Kind: ClaimTaken, Value: w.Value, Version: 1})
+				w3 := k.ClaimsWanted(1)
+				convey.So(w3[0].ExpectVersion, convey.ShouldEqual, uint64(1))
+				k.ClaimResult(1, w2.Record, ClaimOutcome{Kind: ClaimCommitted})
+				decided(k, w2.Record, Run)
+			})
+		})
+		convey.Convey("is given up past its deadline", func() {
+			k.Tick(req.Deadline)
+			convey.So(decided(k, w.Record, Refuse).Reply.Reason, convey.ShouldEqual, ReasonDeadline)
+		})
+		convey.Convey("keeps its claim when it did not run, until another host asks", func() {
+			k.ClaimResult(0, w.Record, ClaimOutcome{Kind: ClaimCommitted})
+			k.End(0, w.Record, Reply{Outcome: NotRun})
+			d := begin(k, 0, req, nobody, Run)
+			begin(k, 0, asked, nobody, Wait)
+			k.End(0, d.Record, Reply{Outcome: NotRun})
+			convey.So(begin(k, 0, asked, nobody, Refuse).GivenUp, convey.ShouldBeTrue)
+			convey.So(k.MaySend(0, d.Record), convey.ShouldBeFalse)
+			begin(k, 0, req, nobody, Claim)
+		})
+		convey.Convey("waits with others for its transaction", func() {
+			k.ClaimResult(0, w.Record, ClaimOutcome{Kind: ClaimRetry})
+			begin(k, 0, requestFor("order/18"), nobody, Claim)
+			convey.So(len(k.ClaimsWanted(0)), convey.ShouldEqual, 2)
+		})
+		convey.Convey("claimed by a process that ran here before is not given up", func() {
+			k.ClaimResult(0, w.Record, ClaimOutcome{Kind: ClaimDown})
+			asked.Claimant = 5
+			convey.So(begin(k, 0, asked, nobody, Unknown).GivenUp, convey.ShouldBeFalse)
+		})
+	})
+}
+
+func TestForeignClaims(t *testing.T) {
+	convey.Convey("a key claimed by another incarnation", t, func() {
+		k := newKeeper()
+		req := requestFor("order/17")
+		taken := ClaimOutcome{Kind: ClaimTaken, Value: foreignRow(5, 1), Version: 3}
+
+		convey.Convey("passes to it, and moves by compare-and-set once given up", func() {
+			w := claim(k, 0, req, finder("gh-2", Present))
+			k.ClaimResult(0, w.Record, taken)
+			d := decided(k, w.Record, Pass)
+			convey.So(d.Host, convey.ShouldEqual, "gh-2")
+			convey.So(d.Claimant, convey.ShouldEqual, uint64(5))
+			convey.So(k.MaySend(0, w.Record), convey.ShouldBeFalse)
+			k.TakeOver(0, w.Record)
+			again := k.ClaimsWanted(0)
+			convey.So(again[0].ExpectVersion, convey.ShouldEqual, uint64(3))
+		})
+		convey.Convey("is unknown at once when it can't be asked, for good when it is gone", func() {
+			for _, p := range []Presence{Gone, Unreachable, Never} {
+				k := newKeeper()
+				w := claim(k, 0, req, finder("gh-2", p))
+				k.ClaimResult(0, w.Record, taken)
+				d := decided(k, w.Record, Unknown)
+				k.End(0, w.Record, d.Reply)
+				if p == Gone {
+					begin(k, 0, req, nobody, Unknown)
+				} else {
+					begin(k, 0, req, nobody, Claim)
+				}
+			}
+		})
+		convey.Convey("is unknown when its row can't be read", func() {
+			w := claim(k, 0, req, nobody)
+			k.ClaimResult(0, w.Record, ClaimOutcome{Kind: ClaimTaken, Value: "{", Version: 3})
+			decided(k, w.Record, Unknown)
+		})
+		convey.Convey("is unknown when it was claimed here before anything that is still known", func() {
+			w := claim(k, 0, req, nobody)
+			k.ClaimResult(0, w.Record, ClaimOutcome{Kind: ClaimTaken, Value: foreignRow(testIncarnation, 0), Version: 3})
+			decided(k, w.Record, Unknown)
+		})
+	})
+}
--- a/core/once/types.go
+++ b/core/once/types.go
@@ -101,6 +101,7 @@
 	Fingerprint  uint64       // of method, uri and body
 	Deadline     clock.Millis // point in time from which it may not be sent
 	Mode         Mode
+	Claimant     uint64 // for ModeClaimed: the incarnation that the claim's row names
 }
 
 // RecordID names one run of a key, or one try to get it, within one Keeper. The
@@ -109,10 +110,11 @@
 
 // Decision is the answer to a Request.
 type Decision struct {
-	Verdict Verdict
-	Record  RecordID // for Run, Wait, Claim, and Pass to a claimant
-	Reply   Reply    // for Answer, Unknown, Refuse and Invalid
-	Host    string   // for Pass: the id of the host to ask
-	Claimed bool     // for Pass: ask it with ModeClaimed rather than ModeDecide
-	GivenUp bool     // for ModeClaimed: this host never sent it and now never will
+	Verdict  Verdict
+	Record   RecordID // for Run, Wait, Claim, and Pass to a claimant
+	Reply    Reply    // for Answer, Unknown, Refuse and Invalid
+	Host     string   // for Pass: the id of the host to ask
+	Claimed  bool     // for Pass: ask it with ModeClaimed rather than ModeDecide
+	Claimant uint64   // for Pass with Claimed: Request.Claimant for the other host
+	GivenUp  bool     // for ModeClaimed: this host never sent it and now never will
 }
