--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -14,6 +14,7 @@
 	"siskinpath/standin/check"
 	"siskinpath/standin/figure"
 	"siskinpath/standin/launch"
+	"siskinpath/standin/upstream"
 )
 
 // Shape of the demo.
@@ -98,7 +99,7 @@
 	}
 	m.say("%d hosts serve", hosts)
 	for _, s := range m.d.Services {
-		if err := m.d.ChangeUpstream(s.Name, "*", launch.Change{Watch: new(s.Slots)}); err != nil {
+		if err := m.d.ChangeUpstream(s.Name, upstream.All, launch.Change{Watch: new(s.Slots)}); err != nil {
 			return err
 		}
 	}
--- a/standin/launch/entryhost.go
+++ b/standin/launch/entryhost.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -95,32 +96,36 @@
 // healthStep is the time between two questions for health or version.
 const healthStep = 20 * time.Millisecond
 
-// WaitServing waits until every host that runs is offered to callers.
+// WaitServing waits until every host is offered to callers. It fails at once
+// when one has ended.
 func (d *Deployment) WaitServing(ctx context.Context, timeout time.Duration) error {
 	var last error
 	ready := Until(ctx, timeout, healthStep, func() bool {
-		for _, h := range d.Running() {
+		for _, h := range d.Entry {
+			if h.Process.Wait(0) {
+				last = errors.Errorf("host %s ended with %d: %s", h.ID, h.Process.ExitCode(), d.lastLine(h))
+				return true
+			}
 			if last = Get(h.Operator, "/v1/health", nil); last != nil {
 				return false
 			}
 		}
 		return true
 	})
-	if !ready {
-		return errors.WithMessage(last, "not every host serves in time")
+	if !ready || last != nil {
+		return errors.WithMessage(last, "not every host serves")
 	}
 	return nil
 }
 
-// Running returns the hosts whose process has not ended.
-func (d *Deployment) Running() []*EntryHost {
-	var hosts []*EntryHost
-	for _, h := range d.Entry {
-		if !h.Process.Wait(0) {
-			hosts = append(hosts, h)
-		}
+// lastLine returns the last line of h's log.
+func (d *Deployment) lastLine(h *EntryHost) string {
+	b, err := os.ReadFile(filepath.Join(d.Dir, h.ID+".log"))
+	if err != nil {
+		return err.Error()
 	}
-	return hosts
+	lines := strings.Split(strings.TrimSpace(string(b)), "\n")
+	return lines[len(lines)-1]
 }
 
 // CallerAddresses returns the callers' address of every host.
--- a/standin/launch/faults.go
+++ b/standin/launch/faults.go
@@ -30,8 +30,8 @@
 	MarkedLeaving *bool    `json:"marked_leaving,omitempty"`
 }
 
-// ChangeUpstream changes how the upstream called name behaves; "*" stands for
-// all of the service.
+// ChangeUpstream changes how the upstream called name behaves; upstream.All stands
+// for all of the service.
 func (d *Deployment) ChangeUpstream(service, name string, change Change) error {
 	control, ok := d.upstreamControl[service]
 	if !ok {
--- a/standin/prove/trial.go
+++ b/standin/prove/trial.go
@@ -11,6 +11,7 @@
 	"siskinpath/standin/check"
 	"siskinpath/standin/figure"
 	"siskinpath/standin/launch"
+	"siskinpath/standin/upstream"
 )
 
 // Shape of a trial's deployment and load.
@@ -70,7 +71,7 @@
 		return err
 	}
 	for _, s := range t.d.Services {
-		if err := t.d.ChangeUpstream(s.Name, "*", launch.Change{Watch: new(s.Slots)}); err != nil {
+		if err := t.d.ChangeUpstream(s.Name, upstream.All, launch.Change{Watch: new(s.Slots)}); err != nil {
 			return err
 		}
 	}
--- a/standin/upstream/fleet.go
+++ b/standin/upstream/fleet.go
@@ -96,13 +96,15 @@
 	return r
 }
 
-// controlUpstream changes what the body names and leaves the rest. The name "*"
-// stands for every upstream.
+// All stands for every upstream of the process in control calls.
+const All = "all"
+
+// controlUpstream changes what the body names and leaves the rest.
 func (f *Fleet) controlUpstream(ctx *fasthttp.RequestCtx) {
 	name, _ := ctx.UserValue("name").(string)
 	found := false
 	for _, u := range f.upstreams {
-		if name != "*" && name != u.Name {
+		if name != All && name != u.Name {
 			continue
 		}
 		found = true
