--- /dev/null
+++ b/standin/prove/judge_test.go
@@ -0,0 +1,56 @@
+package prove
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"siskinpath/standin/caller"
+	"siskinpath/standin/launch"
+)
+
+func TestWatcher(t *testing.T) {
+	Convey("A version that falls is counted, one that rises or stays isn't", t, func() {
+		w := watcher{newest: map[string]uint64{}}
+		for _, v := range []uint64{3, 3, 5, 4, 5} {
+			w.see("a", v)
+		}
+		w.see("b", 1)
+		So(w.stop(), ShouldEqual, 1)
+	})
+}
+
+func entry(sentMs int64, final caller.Outcome, unprefixed bool) caller.Entry {
+	return caller.Entry{Final: final, Unprefixed: unprefixed, Attempts: []caller.Attempt{{SentMs: sentMs}}}
+}
+
+func TestShareAnswered(t *testing.T) {
+	Convey("Given requests inside and outside of a span", t, func() {
+		var trial Trial
+		trial.load.Ledger.Add(entry(999, caller.NotRun, false))
+		trial.load.Ledger.Add(entry(1000, caller.Answered, false))
+		trial.load.Ledger.Add(entry(1500, caller.Unknown, false))
+		trial.load.Ledger.Add(entry(1600, caller.NotRun, true))
+		trial.load.Ledger.Add(entry(2000, caller.NotRun, false))
+		from, to := time.UnixMilli(1000), time.UnixMilli(2000)
+		So(trial.shareAnswered(from, to, true), ShouldEqual, 0.5)
+		So(trial.shareAnswered(from, to, false), ShouldAlmostEqual, 1.0/3)
+	})
+}
+
+func TestCut(t *testing.T) {
+	Convey("Only requests that the host left without a reply after the time count", t, func() {
+		var trial Trial
+		h := &launch.EntryHost{Caller: "h"}
+		attempt := func(address string, o caller.Outcome, ended int64) {
+			a := caller.Attempt{Address: address, Outcome: o, EndedMs: ended}
+			trial.load.Ledger.Add(caller.Entry{Attempts: []caller.Attempt{a}})
+		}
+		attempt("h", caller.NoReply, 999)
+		attempt("h", caller.NoReply, 1000)
+		attempt("h", caller.NotSent, 1000)
+		attempt("g", caller.NoReply, 1000)
+		So(trial.cut(h, time.UnixMilli(1000)), ShouldEqual, 1)
+	})
+}
