--- a/siskinpathd/peer/control.go
+++ b/siskinpathd/peer/control.go
@@ -139,7 +139,7 @@
 		d.Host = host.ID
 		l.OnDigest(host.ID, d, service)
 	case *peerpb.ControlMessage_TableFetch:
-		s.out.addCopies(l.OnFetch(kind.TableFetch.GetTableVersion(), kind.TableFetch.GetEpoch()))
+		s.out.addCopies(l.fitting(l.OnFetch(kind.TableFetch.GetTableVersion(), kind.TableFetch.GetEpoch())))
 	case *peerpb.ControlMessage_TableCopy:
 		l.OnTableCopy(host.ID, kind.TableCopy.GetVersion(), kind.TableCopy.GetValue())
 	case *peerpb.ControlMessage_AssignmentCopy:
@@ -150,6 +150,19 @@
 	return nil
 }
 
+// fitting leaves out copies that are larger than a frame may be.
+func (l *Link) fitting(c Copies) Copies {
+	if len(c.Table) > maxTableBytes {
+		l.count.droppedCopies.Inc()
+		c.Table = nil
+	}
+	if len(c.Assignment) > maxTableBytes {
+		l.count.droppedCopies.Inc()
+		c.Assignment = nil
+	}
+	return c
+}
+
 // heard tells a heartbeat, unless a newer incarnation has been identified.
 func (s *session) heard(hb member.Heartbeat) {
 	l := s.link
--- a/siskinpathd/peer/counters.go
+++ b/siskinpathd/peer/counters.go
@@ -15,6 +15,7 @@
 	corrupt, handshakeTimeouts, staleLinks, wrongHost     *metrics.Counter
 	acceptFailures, refusedLinks, staleHeartbeats, deaths *metrics.Counter
 	droppedHeartbeats, droppedDigests, droppedFetches     *metrics.Counter
+	droppedCopies                                         *metrics.Counter
 	callsOK, callsNotSent, callsUnknown                   *metrics.Counter
 }
 
@@ -42,6 +43,7 @@
 		droppedHeartbeats: c(`peer_dropped_total{kind="heartbeat"}`),
 		droppedDigests:    c(`peer_dropped_total{kind="digest"}`),
 		droppedFetches:    c(`peer_dropped_total{kind="fetch"}`),
+		droppedCopies:     c(`peer_dropped_total{kind="copy"}`),
 		callsOK:           c(`peer_calls_total{result="ok"}`),
 		callsNotSent:      c(`peer_calls_total{result="not_sent"}`),
 		callsUnknown:      c(`peer_calls_total{result="unknown"}`),
--- /dev/null
+++ b/siskinpathd/peer/follow/peers.go
@@ -0,0 +1,59 @@
+package follow
+
+import (
+	"github.com/pkg/errors"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/member"
+	"siskinpath/siskinpathd/peer"
+)
+
+// Heartbeat takes a heartbeat of another host; it is the link's OnHeartbeat.
+func (d *Driver) Heartbeat(hb member.Heartbeat) {
+	d.do(func(now clock.Millis) []member.Action {
+		d.follower.Heard(now, hb.From.ID, hb.TableVersion)
+		return d.view.Heard(now, hb)
+	})
+}
+
+// Dead takes proof of a death; it is the link's OnDead.
+func (d *Driver) Dead(death member.Death) {
+	d.do(func(now clock.Millis) []member.Action { return d.view.ProvenDead(now, death) })
+}
+
+// Copies gives what is newer here; it is the link's OnFetch.
+func (d *Driver) Copies(tableVersion, epoch uint64) (c peer.Copies) {
+	d.once.Do(d.start)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if version, value := d.follower.Row(); version > tableVersion {
+		c.TableVersion, c.Table = version, []byte(value)
+	}
+	if d.assignment.epoch > epoch {
+		c.Epoch, c.Assignment = d.assignment.epoch, []byte(d.assignment.value)
+	}
+	return c
+}
+
+// TableCopy takes a copy of the table row; it is the link's OnTableCopy.
+func (d *Driver) TableCopy(hostID string, version uint64, value []byte) {
+	d.do(func(now clock.Millis) []member.Action {
+		d.refused(d.follower.Copied(now, hostID, version, string(value)))
+		return nil
+	})
+}
+
+// AssignmentCopy takes a copy of the assignment; it is the link's OnAssignmentCopy.
+func (d *Driver) AssignmentCopy(hostID string, epoch uint64, value []byte) {
+	row := assignmentRow{epoch: epoch, value: string(value)}
+	a, err := decodeAssignment(epoch, row.value)
+	d.do(func(now clock.Millis) []member.Action {
+		if err != nil {
+			d.refused(errors.WithMessagef(err, "host %s", hostID))
+			return nil
+		}
+		actions := d.view.AssignmentCopied(now, a)
+		d.taken(row)
+		return actions
+	})
+}
