--- a/siskinpathd/peer/follow/driver_test.go
+++ b/siskinpathd/peer/follow/driver_test.go
@@ -263,6 +263,8 @@
 	return held
 }
 
+func counted(d *Driver, name string) uint64 { return d.Counters.GetOrCreateCounter(name).Get() }
+
 const csvText = "service,upstream,address,availability_zone,weight,slots,connections,rate_per_second,state,probes_per_second,hedge_percent,max_deadline_ms\n" +
 	"booking,w1,127.0.0.1:8001,z,100,4,300,0,active,,,\n" +
 	"booking,w2,127.0.0.1:8002,z,100,4,300,0,active,,,\n"
@@ -324,7 +326,7 @@
 			f.platform.put(table.RowKey, tableValue(csvText))
 			time.Sleep(20 * time.Second)
 			d := f.drivers[0]
-			convey.So(d.count.writesUnknown.Get(), convey.ShouldEqual, 1)
+			convey.So(counted(d, `assignment_writes_total{result="unknown"}`), convey.ShouldEqual, 1)
 			convey.So(d.State().Member.Epoch, convey.ShouldEqual, 1)
 			convey.So(f.fullRights(), convey.ShouldResemble, bothHeld)
 		})
@@ -344,7 +346,7 @@
 			time.Sleep(2 * time.Second)
 			convey.So(d.Table().Version, convey.ShouldEqual, 1)
 			convey.So(d.State().Member.Epoch, convey.ShouldEqual, 1)
-			convey.So(d.count.refused.Get(), convey.ShouldBeGreaterThan, 0)
+			convey.So(counted(d, `refused_content_total`), convey.ShouldBeGreaterThan, 0)
 			convey.Convey("and it doesn't count as a read of the platform", func() {
 				time.Sleep(10 * time.Second)
 				convey.So(d.State().Member.PlatformAge, convey.ShouldBeGreaterThan, 10*clock.Second)
