siskinpathd: serve joins the parts; the whole path runs

Cause: the parts stood alone. Change: wiring with dig, configuration on table and rights, address answers, measuring budget, graceful shutdown, state dump.

--- a/siskinpathd/cmd_serve.go
+++ b/siskinpathd/cmd_serve.go
@@ -21,5 +21,5 @@
 	if err := settings.CheckListen(cfg); err != nil {
 		return err
 	}
-	return serve(cfg)
+	return serveUntilStopped(cfg)
 }
--- a/siskinpathd/serve.go
+++ b/siskinpathd/serve.go
@@ -1,12 +1,9 @@
 package main
 
 import (
-	"github.com/pkg/errors"
-
+	"siskinpath/siskinpathd/serve"
 	"siskinpath/siskinpathd/settings"
 )
 
-// serve runs the daemon with settings already checked.
-func serve(_ *settings.Settings) error {
-	return errors.New("not joined yet")
-}
+// serveUntilStopped runs the daemon with settings already checked.
+func serveUntilStopped(cfg *settings.Settings) error { return serve.Run(cfg) }
--- /dev/null
+++ b/siskinpathd/serve/addresses.go
@@ -0,0 +1,86 @@
+package serve
+
+import (
+	"math/rand/v2"
+
+	"siskinpath/core/address"
+	"siskinpath/core/clock"
+	"siskinpath/core/member"
+	"siskinpath/core/once"
+	"siskinpath/core/table"
+	"siskinpath/siskinpathd/caller"
+	"siskinpath/siskinpathd/peer/follow"
+)
+
+// addresses answers callers' question which hosts to use.
+type addresses struct {
+	fleet *follow.Driver
+	clock clock.Clock
+}
+
+func (a *addresses) answer(service, availabilityZone string) (out caller.Addresses, err error) {
+	t := a.fleet.Table()
+	if t == nil {
+		return out, caller.ErrNoTable
+	}
+	svc := t.Service(service)
+	if svc == nil {
+		return out, caller.ErrUnknownService
+	}
+	reply := address.Answer(a.clock.Now(), service, availabilityZone, address.Input{
+		Candidates: a.candidates(svc),
+		Seed:       rand.Uint64(),
+	})
+	out = caller.Addresses{Service: reply.Service, TTL: reply.TTL}
+	for _, h := range reply.Addresses {
+		out.Hosts = append(out.Hosts, caller.Address(h))
+	}
+	return out, nil
+}
+
+// candidates are the owners of the service's upstreams, and the other hosts
+// without any slots, for when there are too few owners.
+func (a *addresses) candidates(svc *table.Service) []address.Candidate {
+	slots := make(map[string]int)
+	for i := range svc.Upstreams {
+		slots[svc.Upstreams[i].Name] = svc.Upstreams[i].Slots
+	}
+	var out []address.Candidate
+	owns := make(map[string]bool)
+	for _, o := range a.fleet.Owned(svc.Name) {
+		c := address.Candidate{Host: o.Host, KeyWindow: o.KeyWindow, Leaving: o.Leaving, Presence: member.Present}
+		for _, name := range o.Upstreams {
+			c.Slots += slots[name]
+		}
+		owns[o.Host.ID] = true
+		out = append(out, c)
+	}
+	for _, s := range a.fleet.Status() {
+		if !owns[s.ID] && s.Presence == member.Present.String() {
+			out = append(out, address.Candidate{Host: hostOf(s), KeyWindow: s.KeyWindow, Leaving: s.Leaving, Presence: member.Present})
+		}
+	}
+	return out
+}
+
+func hostOf(s member.HostStatus) member.Host {
+	return member.Host{ID: s.ID, Incarnation: s.Incarnation, AvailabilityZone: s.AvailabilityZone, CallerAddress: s.CallerAddress}
+}
+
+// presences maps what membership knows of a host to what matters for a key.
+var presences = map[string]once.Presence{
+	member.Present.String():     once.Present,
+	member.Gone.String():        once.Gone,
+	member.Unreachable.String(): once.Unreachable,
+	member.Never.String():       once.Never,
+}
+
+// findIncarnation tells which host runs as an incarnation.
+func findIncarnation(f *follow.Driver, incarnation uint64) (hostID string, p once.Presence) {
+	for _, s := range f.Status() {
+		if uint64(s.Incarnation) == incarnation {
+			return s.ID, presences[s.Presence]
+		}
+	}
+	return "", once.Never
+}
--- /dev/null
+++ b/siskinpathd/serve/node.go
@@ -0,0 +1,190 @@
+package serve
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/dig"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/member"
+	"siskinpath/core/once"
+	"siskinpath/core/route"
+	"siskinpath/core/table"
+	"siskinpath/siskinpathd/caller"
+	"siskinpath/siskinpathd/claim"
+	"siskinpath/siskinpathd/filter"
+	"siskinpath/siskinpathd/hop"
+	"siskinpath/siskinpathd/operator"
+	"siskinpath/siskinpathd/peer"
+	"siskinpath/siskinpathd/peer/follow"
+	"siskinpath/siskinpathd/service"
+	"siskinpath/siskinpathd/settings"
+	"siskinpath/siskinpathd/upstream"
+)
+
+const (
+	// sweepTurn is how often idle connections are looked over.
+	sweepTurn = 10 * clock.Second
+	// housekeepingTurn is how often the key window is told to the fleet and
+	// records that are no longer retained are dropped.
+	housekeepingTurn = 500 * clock.Millisecond
+)
+
+// Node is the daemon: all of its parts.
+type Node struct {
+	dig.In
+
+	Settings  *settings.Settings
+	Log       *slog.Logger
+	Clock     clock.Clock
+	Self      member.Host
+	Keeper    *filter.Keeper
+	Claims    *claim.Committer
+	Link      *peer.Link
+	Fleet     *follow.Driver
+	Upstreams *upstream.Set
+	Probes    *probes
+	Services  *service.Set
+	Chain     *filter.Chain
+	Hops      *hop.Server
+	Callers   *caller.Server
+	Operators *operator.Server
+}
+
+var errLeaving = errors.New("the host is shutting down")
+
+func (n *Node) run() (err error) {
+	got := signals()
+	ln, err := n.Callers.Bind()
+	if err != nil {
+		return err
+	}
+	n.join()
+	ctx, stop := context.WithCancelCause(context.Background())
+	var wg sync.WaitGroup
+	for _, f := range []func(context.Context) error{n.Link.Run, n.Operators.Run, n.follow, n.claims, n.housekeep} {
+		wg.Go(func() { untilDone(ctx, stop, f) })
+	}
+	callers := make(chan struct{})
+	callersCtx, stopCallers := context.WithCancel(context.Background())
+	go func() {
+		defer close(callers)
+		n.serveCallers(callersCtx, stop, ln)
+	}()
+	n.Log.Info("started", "incarnation", n.Self.Incarnation, "callers", n.Settings.Listen.Caller)
+	select {
+	case <-ctx.Done():
+		err = context.Cause(ctx)
+	case <-got:
+		n.shutDown(got)
+	}
+	stopCallers()
+	<-callers
+	stop(errLeaving)
+	wg.Wait()
+	n.Log.Info("stopped")
+	return err
+}
+
+func (n *Node) serveCallers(ctx context.Context, stop context.CancelCauseFunc, ln net.Listener) {
+	if err := n.Callers.Run(ctx, ln); err != nil && ctx.Err() == nil {
+		stop(err)
+	}
+}
+
+// join connects the parts that call each other.
+func (n *Node) join() {
+	n.Link.OnCall = n.Hops.Serve
+	n.Link.OnDigest = n.digest
+	n.Link.OnHeartbeat = n.Fleet.Heartbeat
+	n.Link.OnDead = n.Fleet.Dead
+	n.Link.OnFetch = n.Fleet.Copies
+	n.Link.OnTableCopy = n.Fleet.TableCopy
+	n.Link.OnAssignmentCopy = n.Fleet.AssignmentCopy
+	n.Fleet.OnTable = func(*table.Table) { n.configure() }
+	n.Fleet.OnRights = n.configure
+	n.Operators.State = n.state
+	n.Operators.Hosts = func() any { return n.Fleet.Status() }
+	n.Operators.Health = n.Fleet.Health
+}
+
+// configure follows a change of the table, the rights or the owners.
+func (n *Node) configure() {
+	t := n.Fleet.Table()
+	if t == nil {
+		return
+	}
+	rights := n.Fleet.Rights()
+	n.Upstreams.Configure(t)
+	n.Probes.configure(t, rights)
+	n.Services.Configure(service.Inputs{Table: t, Rights: rights, Owners: n.Fleet.Owners})
+}
+
+func (n *Node) digest(hostID string, d route.Digest, name string) {
+	r := n.Services.Get(name)
+	if r == nil {
+		return
+	}
+	d.Host = hostID
+	r.Digest(d)
+}
+
+func (n *Node) follow(ctx context.Context) error {
+	n.Fleet.Run(ctx)
+	return nil
+}
+
+func (n *Node) claims(ctx context.Context) error {
+	n.Claims.Run(ctx)
+	return nil
+}
+
+func (n *Node) housekeep(ctx context.Context) error {
+	turn := time.NewTicker(housekeepingTurn.Duration())
+	defer turn.Stop()
+	sweep := time.NewTicker(sweepTurn.Duration())
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-sweep.C:
+			n.Upstreams.Sweep()
+		case <-turn.C:
+			n.Keeper.With(func(now clock.Millis, k *once.Keeper) {
+				n.Fleet.SetKeyWindow(k.Window(now))
+			})
+		}
+	}
+}
+
+// shutDown is graceful: the host leaves the answers to callers and gives up its
+// upstreams, serves on until kept answers have run out, closes connections
+// between requests, and waits for what is in flight. A second signal skips the
+// first wait, a third one the second.
+func (n *Node) shutDown(got <-chan os.Signal) {
+	n.Log.Info("leaving", "grace_ms", n.Settings.Shutdown.GraceMs)
+	n.Fleet.SetLeaving()
+	select {
+	case <-time.After(clock.Millis(n.Settings.Shutdown.GraceMs).Duration()):
+	case <-got:
+		n.Log.Info("leaving at once, on a second signal")
+	}
+	n.Callers.Leave()
+	drained := make(chan struct{})
+	go func() {
+		n.Callers.Drain(clock.Millis(n.Settings.Shutdown.DrainMs), n.Chain.Admission.InFlight)
+		close(drained)
+	}()
+	select {
+	case <-drained:
+	case <-got:
+		n.Log.Warn("stopping with requests in flight, on a third signal", "in_flight", n.Chain.Admission.InFlight())
+	}
+}
--- /dev/null
+++ b/siskinpathd/serve/serve.go
@@ -0,0 +1,193 @@
+// Package serve joins the parts of the daemon and runs them.
+package serve
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"go.uber.org/dig"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/member"
+	"siskinpath/core/once"
+	"siskinpath/core/route"
+	"siskinpath/siskinpathd/caller"
+	"siskinpath/siskinpathd/claim"
+	"siskinpath/siskinpathd/filter"
+	"siskinpath/siskinpathd/hop"
+	"siskinpath/siskinpathd/operator"
+	"siskinpath/siskinpathd/peer"
+	"siskinpath/siskinpathd/peer/follow"
+	"siskinpath/siskinpathd/platform"
+	"siskinpath/siskinpathd/service"
+	"siskinpath/siskinpathd/settings"
+	"siskinpath/siskinpathd/upstream"
+)
+
+// providers make the parts, each from the parts it needs.
+var providers = []any{
+	newLog,
+	newClock,
+	newSelf,
+	newPlatform,
+	newKeeper,
+	newClaims,
+	newLink,
+	newFleet,
+	newHosts,
+	newUpstreams,
+	newProbes,
+	newServices,
+	newChain,
+	newHopServer,
+	newCallers,
+	newOperators,
+}
+
+// Run serves until SIGTERM or SIGINT, and then until what is in flight has been
+// answered.
+func Run(cfg *settings.Settings) (err error) {
+	c := dig.New()
+	if err := c.Provide(func() *settings.Settings { return cfg }); err != nil {
+		return err
+	}
+	for _, p := range providers {
+		if err := c.Provide(p); err != nil {
+			return err
+		}
+	}
+	err = c.Invoke(func(n Node) error { return n.run() })
+	return dig.RootCause(err)
+}
+
+func newLog(cfg *settings.Settings) (*slog.Logger, error) {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(cfg.Log.Level)); err != nil {
+		return nil, errors.WithMessage(err, "log.level")
+	}
+	opts := &slog.HandlerOptions{Level: level}
+	var h slog.Handler = slog.NewTextHandler(os.Stderr, opts)
+	if cfg.Log.Format == "json" {
+		h = slog.NewJSONHandler(os.Stderr, opts)
+	}
+	log := slog.New(h).With("host", cfg.ID)
+	slog.SetDefault(log)
+	return log, nil
+}
+
+func newClock() clock.Clock { return clock.NewSystem() }
+
+// newSelf draws the incarnation of this start.
+func newSelf(cfg *settings.Settings) member.Host {
+	return member.Host{
+		ID:               cfg.ID,
+		Incarnation:      member.Incarnation(rand.Uint64() | 1),
+		AvailabilityZone: cfg.AvailabilityZone,
+		PeerAddress:      cfg.Listen.Peer,
+		CallerAddress:    cfg.Listen.Caller,
+		OperatorAddress:  cfg.Listen.Operator,
+	}
+}
+
+func newPlatform(cfg *settings.Settings) *platform.Client {
+	return &platform.Client{Address: cfg.Platform.Address, Timeout: clock.Millis(cfg.Platform.TimeoutMs)}
+}
+
+func newKeeper(self member.Host, c clock.Clock) *filter.Keeper {
+	return &filter.Keeper{Clock: c, Once: &once.Keeper{Incarnation: uint64(self.Incarnation), Host: self.ID}}
+}
+
+func newClaims(k *filter.Keeper, p *platform.Client) *claim.Committer { return claim.New(k, p) }
+
+func newLink(cfg *settings.Settings, self member.Host, log *slog.Logger) *peer.Link {
+	return &peer.Link{Self: self, Listen: cfg.Listen.Peer, MaxBodyBytes: cfg.Limits.MaxBodyBytes, Logger: log}
+}
+
+func newFleet(cfg *settings.Settings, self member.Host, c clock.Clock, l *peer.Link, p *platform.Client, log *slog.Logger) *follow.Driver {
+	return &follow.Driver{Self: self, Clock: c, Link: l, Platform: p, PollEvery: clock.Millis(cfg.Platform.PollMs), Logger: log}
+}
+
+func newHosts(l *peer.Link, c clock.Clock, f *follow.Driver) *hop.Hosts {
+	return &hop.Hosts{Link: l, Clock: c, Incarnation: func(inc uint64) (string, once.Presence) { return findIncarnation(f, inc) }}
+}
+
+// mayUse tells whether this host may send to an upstream at this moment.
+func mayUse(f *follow.Driver) func(service, upstream string) bool {
+	return func(service, upstream string) bool {
+		full, cut := f.Holds(service, upstream)
+		return full || cut
+	}
+}
+
+func newUpstreams(c clock.Clock) *upstream.Set { return &upstream.Set{Clock: c} }
+
+func newServices(cfg *settings.Settings, c clock.Clock, u *upstream.Set, h *hop.Hosts, f *follow.Driver, p *probes) *service.Set {
+	return &service.Set{
+		AvailabilityZone: cfg.AvailabilityZone,
+		HostID:           cfg.ID,
+		New: func(name string) *service.Runner {
+			return &service.Runner{
+				Service:      name,
+				HostID:       cfg.ID,
+				Clock:        c,
+				Shard:        &route.Shard{Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
+				Upstreams:    u,
+				Hosts:        h,
+				MayUse:       mayUse(f),
+				MayProbe:     p.allow,
+				MaxBodyBytes: cfg.Limits.MaxBodyBytes,
+			}
+		},
+	}
+}
+
+func newChain(cfg *settings.Settings, c clock.Clock, f *follow.Driver, k *filter.Keeper, cl *claim.Committer, h *hop.Hosts, s *service.Set) *filter.Chain {
+	return &filter.Chain{
+		Lookup:    &filter.Lookup{Table: f.Table},
+		Deadline:  &filter.Deadline{Clock: c, Table: f.Table},
+		Admission: &filter.Admission{MaxInFlight: int64(cfg.Limits.MaxInFlight)},
+		Once:      &filter.Once{Clock: c, Keeper: k, Claims: cl, Hosts: h},
+		Choice:    &filter.Choice{Services: s},
+	}
+}
+
+func newHopServer(c clock.Clock, ch *filter.Chain) *hop.Server {
+	return &hop.Server{Clock: c, FromHost: ch.FromHost(), FromCaller: ch.FromCaller()}
+}
+
+func newCallers(cfg *settings.Settings, c clock.Clock, ch *filter.Chain, f *follow.Driver, log *slog.Logger) *caller.Server {
+	return &caller.Server{
+		Listen:         cfg.Listen.Caller,
+		HostID:         cfg.ID,
+		Clock:          c,
+		Chain:          ch.FromCaller(),
+		Addresses:      (&addresses{fleet: f, clock: c}).answer,
+		MaxBodyBytes:   cfg.Limits.MaxBodyBytes,
+		MaxHeaderBytes: cfg.Limits.MaxHeaderBytes,
+		MaxConnections: cfg.Limits.MaxConnections,
+		Log:            log,
+	}
+}
+
+func newOperators(cfg *settings.Settings) *operator.Server {
+	return &operator.Server{Listen: cfg.Listen.Operator}
+}
+
+// signals returns a channel that gets each SIGTERM and SIGINT.
+func signals() chan os.Signal {
+	ch := make(chan os.Signal, 4)
+	signal.Notify(ch, syscall.SIGTERM, syscall.SIGINT)
+	return ch
+}
+
+// untilDone runs f until it ends by itself, which stops everything, or ctx ends.
+func untilDone(ctx context.Context, stop context.CancelCauseFunc, f func(context.Context) error) {
+	if err := f(ctx); err != nil && ctx.Err() == nil {
+		stop(err)
+	}
+}
--- /dev/null
+++ b/siskinpathd/serve/state.go
@@ -0,0 +1,44 @@
+package serve
+
+import (
+	"runtime"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/member"
+	"siskinpath/core/once"
+	"siskinpath/core/route"
+)
+
+// State is the dump of the process's state.
+type State struct {
+	Host         member.Host            `json:"host"`
+	NowMs        clock.Millis           `json:"now_ms"` // on this process's clock
+	TableVersion uint64                 `json:"table_version"`
+	Healthy      bool                   `json:"healthy"`
+	Unhealthy    string                 `json:"unhealthy,omitempty"` // why
+	InFlight     int64                  `json:"in_flight"`
+	Goroutines   int                    `json:"goroutines"`
+	Fleet        any                    `json:"fleet"`
+	Once         once.State             `json:"once"`
+	Services     map[string]route.State `json:"services"`
+}
+
+func (n *Node) state() any {
+	s := State{
+		Host:       n.Self,
+		NowMs:      n.Clock.Now(),
+		Healthy:    true,
+		InFlight:   n.Chain.Admission.InFlight(),
+		Goroutines: runtime.NumGoroutine(),
+		Fleet:      n.Fleet.State(),
+		Services:   n.Services.States(),
+	}
+	if err := n.Fleet.Health(); err != nil {
+		s.Healthy, s.Unhealthy = false, err.Error()
+	}
+	if t := n.Fleet.Table(); t != nil {
+		s.TableVersion = t.Version
+	}
+	n.Keeper.With(func(_ clock.Millis, k *once.Keeper) { s.Once = k.State() })
+	return s
+}
