operator: the list of hosts is an object with a field, as its readers expect

Cause: the demo could not read which version a host has; /v1/hosts was a bare list where the page's readers expect {"hosts": [...]}. Ruled out: slow spread of the table (state dumps showed the version in force within a poll).

--- a/siskinpathd/serve/node.go
+++ b/siskinpathd/serve/node.go
@@ -110,7 +110,7 @@
 	n.Fleet.OnTable = func(*table.Table) { n.configure() }
 	n.Fleet.OnRights = n.configure
 	n.Operators.State = n.state
-	n.Operators.Hosts = func() any { return n.Fleet.Status() }
+	n.Operators.Hosts = n.hosts
 	n.Operators.Health = n.Fleet.Health
 }
 
--- a/siskinpathd/serve/state.go
+++ b/siskinpathd/serve/state.go
@@ -42,3 +42,10 @@
 	n.Keeper.With(func(_ clock.Millis, k *once.Keeper) { s.Once = k.State() })
 	return s
 }
+
+// hosts is the answer to what this host knows of every host.
+type hosts struct {
+	Hosts []member.HostStatus `json:"hosts"`
+}
+
+func (n *Node) hosts() any { return hosts{Hosts: n.Fleet.Status()} }
