serve: a host is ready once it knows owners; no key window is made up

Cause: for the first two seconds of a fleet no owner was known, yet hosts were healthy and told callers to come (no_upstream 2400 to 3000); and until the first housekeeping turn a host told key windows of 0, whose keys were refused as too old for as long as callers kept the answer (key_too_old 1377 to 1689). Both seen by sampling counters by reason twice a second. Ruled out: failover after the kill (rights moved within 0.5 s), the platform outage (platform_down counted apart). Change: readiness asks for an owner of each service; hosts without a known window are not offered; the window is told before anything starts; refusals are counted by reason.

--- a/siskinpathd/call/call.go
+++ b/siskinpathd/call/call.go
@@ -96,6 +96,7 @@
 const (
 	ReasonUnknownService  = "unknown_service"
 	ReasonNoTable         = "no_table"
+	ReasonNoOwner         = "no_owner"
 	ReasonBusy            = "host_busy"
 	ReasonDeadlineTooLong = "deadline_too_long"
 	ReasonLost            = "outcome_unknown"
--- a/siskinpathd/caller/addresses.go
+++ b/siskinpathd/caller/addresses.go
@@ -20,6 +20,7 @@
 var (
 	ErrUnknownService = errors.New(call.ReasonUnknownService)
 	ErrNoTable        = errors.New(call.ReasonNoTable)
+	ErrNoOwner        = errors.New(call.ReasonNoOwner)
 )
 
 // addressesRetry is when to ask again for addresses.
--- a/siskinpathd/caller/answer.go
+++ b/siskinpathd/caller/answer.go
@@ -23,9 +23,20 @@
 	once.OutcomeUnknown: metrics.NewCounter(`requests_total{outcome="unknown"}`),
 }
 
+// countReason counts why a request was given up. Reasons are constants of this
+// program, so the number of counters is bounded.
+func countReason(a *call.Answer) {
+	if a.Outcome == once.Answered {
+		return
+	}
+	name := `requests_given_up_total{outcome="` + outcomeNames[a.Outcome] + `",reason="` + a.Reason + `"}`
+	metrics.GetOrCreateCounter(name).Inc()
+}
+
 // writeAnswer sends an answer out. It is called exactly once for each request.
 func writeAnswer(ctx *fasthttp.RequestCtx, hostID string, a *call.Answer) {
 	outcomeCounters[a.Outcome].Inc()
+	countReason(a)
 	h := &ctx.Response.Header
 	for _, kv := range a.Header {
 		h.Add(kv[0], kv[1])
--- a/siskinpathd/serve/addresses.go
+++ b/siskinpathd/serve/addresses.go
@@ -2,6 +2,9 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+
+	"github.com/pkg/errors"
 
 	"siskinpath/core/address"
 	"siskinpath/core/clock"
@@ -12,12 +15,34 @@
 	"siskinpath/siskinpathd/peer/follow"
 )
 
+// fleet is what is known of the hosts and the table.
+type fleet interface {
+	Table() *table.Table
+	Owned(service string) []member.Owned
+	Status() []member.HostStatus
+}
+
 // addresses answers callers' question which hosts to use.
 type addresses struct {
-	fleet *follow.Driver
+	fleet fleet
 	clock clock.Clock
 }
 
+// ready tells why this host can't serve yet: a host that knows no owner of a
+// service can neither run its requests nor pass them on.
+func (a *addresses) ready() error {
+	t := a.fleet.Table()
+	if t == nil {
+		return caller.ErrNoTable
+	}
+	for i := range t.Services {
+		if len(a.fleet.Owned(t.Services[i].Name)) == 0 {
+			return errors.WithMessagef(caller.ErrNoOwner, "service %s", t.Services[i].Name)
+		}
+	}
+	return nil
+}
+
 func (a *addresses) answer(service, availabilityZone string) (out caller.Addresses, err error) {
 	t := a.fleet.Table()
 	if t == nil {
@@ -27,6 +52,9 @@
 	if svc == nil {
 		return out, caller.ErrUnknownService
 	}
+	if len(a.fleet.Owned(service)) == 0 {
+		return out, caller.ErrNoOwner
+	}
 	reply := address.Answer(a.clock.Now(), service, availabilityZone, address.Input{
 		Candidates: a.candidates(svc),
 		Seed:       rand.Uint64(),
@@ -45,7 +73,7 @@
 	for i := range svc.Upstreams {
 		slots[svc.Upstreams[i].Name] = svc.Upstreams[i].Slots
 	}
-	var out []address.Candidate
+	var all []address.Candidate
 	owns := make(map[string]bool)
 	for _, o := range a.fleet.Owned(svc.Name) {
 		c := address.Candidate{Host: o.Host, KeyWindow: o.KeyWindow, Leaving: o.Leaving, Presence: member.Present}
@@ -53,16 +81,20 @@
 			c.Slots += slots[name]
 		}
 		owns[o.Host.ID] = true
-		out = append(out, c)
+		all = append(all, c)
 	}
 	for _, s := range a.fleet.Status() {
 		if !owns[s.ID] && s.Presence == member.Present.String() {
-			out = append(out, address.Candidate{Host: hostOf(s), KeyWindow: s.KeyWindow, Leaving: s.Leaving, Presence: member.Present})
+			all = append(all, address.Candidate{Host: hostOf(s), KeyWindow: s.KeyWindow, Leaving: s.Leaving, Presence: member.Present})
 		}
 	}
-	return out
+	return slices.DeleteFunc(all, withoutWindow)
 }
 
+// withoutWindow tells whether a host has not told its key window yet. A key with
+// a made-up window could never run.
+func withoutWindow(c address.Candidate) bool { return c.KeyWindow == 0 }
+
 func hostOf(s member.HostStatus) member.Host {
 	return member.Host{ID: s.ID, Incarnation: s.Incarnation, AvailabilityZone: s.AvailabilityZone, CallerAddress: s.CallerAddress}
 }
--- a/siskinpathd/serve/node.go
+++ b/siskinpathd/serve/node.go
@@ -54,6 +54,7 @@
 	Chain     *filter.Chain
 	Hops      *hop.Server
 	Callers   *caller.Server
+	Addresses *addresses
 	Operators *operator.Server
 }
 
@@ -66,6 +67,7 @@
 		return err
 	}
 	n.join()
+	n.tellKeyWindow()
 	ctx, stop := context.WithCancelCause(context.Background())
 	var wg sync.WaitGroup
 	for _, f := range []func(context.Context) error{n.Link.Run, n.Operators.Run, n.follow, n.claims, n.housekeep} {
@@ -111,7 +113,7 @@
 	n.Fleet.OnRights = n.configure
 	n.Operators.State = n.state
 	n.Operators.Hosts = n.hosts
-	n.Operators.Health = n.Fleet.Health
+	n.Operators.Health = n.health
 }
 
 // configure follows a change of the table, the rights or the owners.
@@ -135,6 +137,14 @@
 	r.Digest(d)
 }
 
+// health tells why this host should not be offered to callers.
+func (n *Node) health() error {
+	if err := n.Fleet.Health(); err != nil {
+		return err
+	}
+	return n.Addresses.ready()
+}
+
 func (n *Node) follow(ctx context.Context) error {
 	n.Fleet.Run(ctx)
 	return nil
@@ -157,13 +167,17 @@
 		case <-sweep.C:
 			n.Upstreams.Sweep()
 		case <-turn.C:
-			n.Keeper.With(func(now clock.Millis, k *once.Keeper) {
-				n.Fleet.SetKeyWindow(k.Window(now))
-			})
+			n.tellKeyWindow()
 		}
 	}
 }
 
+func (n *Node) tellKeyWindow() {
+	var window uint32
+	n.Keeper.With(func(now clock.Millis, k *once.Keeper) { window = k.Window(now) })
+	n.Fleet.SetKeyWindow(window)
+}
+
 // shutDown is graceful: the host leaves the answers to callers and gives up its
 // upstreams, serves on until kept answers have run out, closes connections
 // between requests, and waits for what is in flight. A second signal skips the
--- a/siskinpathd/serve/serve.go
+++ b/siskinpathd/serve/serve.go
@@ -45,6 +45,7 @@
 	newServices,
 	newChain,
 	newHopServer,
+	newAddresses,
 	newCallers,
 	newOperators,
 }
@@ -160,13 +161,15 @@
 	return &hop.Server{Clock: c, FromHost: ch.FromHost(), FromCaller: ch.FromCaller()}
 }
 
-func newCallers(cfg *settings.Settings, c clock.Clock, ch *filter.Chain, f *follow.Driver, log *slog.Logger) *caller.Server {
+func newAddresses(c clock.Clock, f *follow.Driver) *addresses { return &addresses{fleet: f, clock: c} }
+
+func newCallers(cfg *settings.Settings, c clock.Clock, ch *filter.Chain, a *addresses, log *slog.Logger) *caller.Server {
 	return &caller.Server{
 		Listen:         cfg.Listen.Caller,
 		HostID:         cfg.ID,
 		Clock:          c,
 		Chain:          ch.FromCaller(),
-		Addresses:      (&addresses{fleet: f, clock: c}).answer,
+		Addresses:      a.answer,
 		MaxBodyBytes:   cfg.Limits.MaxBodyBytes,
 		MaxHeaderBytes: cfg.Limits.MaxHeaderBytes,
 		MaxConnections: cfg.Limits.MaxConnections,
--- a/siskinpathd/serve/state.go
+++ b/siskinpathd/serve/state.go
@@ -33,7 +33,7 @@
 		Fleet:      n.Fleet.State(),
 		Services:   n.Services.States(),
 	}
-	if err := n.Fleet.Health(); err != nil {
+	if err := n.health(); err != nil {
 		s.Healthy, s.Unhealthy = false, err.Error()
 	}
 	if t := n.Fleet.Table(); t != nil {
