--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -6,43 +6,56 @@
 	// stragglerFactor times the 90th percentile is the age from which a request
 	// in flight makes its upstream a straggler.
 	stragglerFactor = 2.5
-	queueLook       = 8 // queued requests looked at for a free upstream
+	// stragglerWait times the mean is the wait from which a straggler's slot is
+	// used all the same: its slots are part of the service's capacity.
+	stragglerWait = 0.5
+	queueLook     = 8 // queued requests looked at for a free upstream
 )
 
-// choice is the best upstream of each kind for one request.
+// candidates are the upstreams with a free slot for one request.
+type candidates struct {
+	good       []*upstream
+	stragglers []*upstream // passed over while the queue is short
+	last       []*upstream // failing or draining
+}
+
+// choice is the best upstream of each kind, nil for none.
 type choice struct {
-	good      *upstream // ordinary
-	straggler *upstream // passed over while the queue is short
-	last      *upstream // failing or draining
+	good      *upstream
+	straggler *upstream
+	last      *upstream
 }
 
 // choose looks for a free slot for r.
-func (s *Shard) choose(now clock.Millis, r *request) choice {
-	var c choice
-	var costs [3]float64
+func (s *Shard) choose(now clock.Millis, r *request) (c choice) {
+	s.gather(now, r)
+	if list := s.found.good; len(list) > 0 {
+		c.good = list[s.policy.Choose(now, list)]
+	}
+	if list := s.found.stragglers; len(list) > 0 {
+		c.straggler = list[youngest{}.Choose(now, list)]
+	}
+	if list := s.found.last; len(list) > 0 {
+		c.last = list[s.policy.Choose(now, list)]
+	}
+	return c
+}
+
+// gather sorts the upstreams that could take r now by kind.
+func (s *Shard) gather(now clock.Millis, r *request) {
+	f := &s.found
+	f.good, f.stragglers, f.last = f.good[:0], f.stragglers[:0], f.last[:0]
 	for _, u := range s.upstreams {
-		if !s.takes(now, u) || r.hasTried(u) && s.otherThan(r) || r.runsAt(u) {
-			continue
-		}
-		cost := u.cost(&s.Tuning)
 		switch {
+		case !s.takes(now, u), r.runsAt(u), r.hasTried(u) && s.otherThan(r):
 		case u.standing == lastUsed:
-			better(s, &c.last, &costs[0], u, cost)
+			f.last = append(f.last, u)
 		case s.straggling(now, u):
-			better(s, &c.straggler, &costs[1], u, float64(u.oldestAge(now)))
+			f.stragglers = append(f.stragglers, u)
 		default:
-			better(s, &c.good, &costs[2], u, cost)
+			f.good = append(f.good, u)
 		}
 	}
-	return c
-}
-
-// better replaces *best by u when u costs less, and at times when it costs the same.
-func better(s *Shard, best **upstream, least *float64, u *upstream, cost float64) {
-	if *best == nil || cost < *least || cost == *least && s.Rand.Uint64()&1 == 0 {
-		*best = u
-		*least = cost
-	}
 }
 
 // takes tells whether u has a slot and a token free.
@@ -77,13 +90,12 @@
 	return float64(u.oldestAge(now)) > stragglerFactor*s.latencies.p90
 }
 
-// pick settles which of a choice is used, when n requests wait: a straggler
-// only when waiting would take longer than it has taken already.
+// pick settles which of a choice is used, when n requests wait.
 func (s *Shard) pick(now clock.Millis, c choice, n int) *upstream {
 	if c.good != nil {
 		return c.good
 	}
-	if c.straggler != nil && s.waitFor(n) > c.straggler.oldestAge(now) {
+	if c.straggler != nil && float64(s.waitFor(n)) > stragglerWait*s.latencies.mean {
 		return c.straggler
 	}
 	return nil
