member: a pause withholds rights for a turn; fleet: mechanisms switched off one at a time

Cause: after a long pause only the taking of new rights waited for a turn, so a right lost and regained in one event stayed unseen by the driver and the bucket of the budget kept its probe. Freshness itself now waits.

--- /dev/null
+++ b/core/fleet/directed_test.go
@@ -0,0 +1,110 @@
+package fleet
+
+import (
+	"strings"
+	"testing"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/member"
+)
+
+// directed is a course of events that brings about one rare danger.
+type directed struct {
+	hosts int
+	links LinkFaults
+	tune  func(*member.View)
+	drive func(f *Fleet)
+}
+
+// run returns the first violation of one seed.
+func (d directed) run(seed uint64, spoil Spoil) string {
+	f := New(Config{Seed: seed, Hosts: d.hosts, Links: d.links, Tune: d.tune, Spoil: spoil})
+	f.Run(15 * clock.Second)
+	d.drive(f)
+	f.Run(f.Now + 30*clock.Second)
+	return f.Check.Violation
+}
+
+// wantOnlyWith checks that the danger is met, and shows only when spoiled.
+func (d directed) wantOnlyWith(t *testing.T, spoil Spoil) {
+	t.Helper()
+	const most = 12
+	found := 0
+	for seed := range uint64(most) {
+		if violation := d.run(seed, Spoil{}); violation != "" {
+			t.Errorf("seed %d, nothing switched off: %s", seed, violation)
+		}
+		if violation := d.run(seed, spoil); strings.HasPrefix(violation, OneHolder) {
+			found++
+		}
+	}
+	if found == 0 {
+		t.Errorf("no violation in %d seeds with the mechanism switched off", most)
+	}
+	t.Logf("%d of %d seeds violate with the mechanism switched off, 0 with it", found, most)
+}
+
+// waitEpoch runs in steps of a millisecond until the row has a newer epoch.
+func waitEpoch(f *Fleet, longest clock.Millis) {
+	epoch := f.Platform.Row.Epoch
+	for until := f.Now + longest; f.Now < until && f.Platform.Row.Epoch == epoch; {
+		f.Run(f.Now + 1)
+	}
+}
+
+func TestDirected(t *testing.T) {
+	slowFence := func(v *member.View) { v.FenceAfter, v.SettleAfter = 12*clock.Second, 13*clock.Second }
+	for _, c := range []struct {
+		name  string
+		d     directed
+		spoil Spoil
+	}{
+		{"epoch settled at once", directed{hosts: 5, drive: minorityWithPlatform}, Spoil{Row: forgetPrevious}},
+		{"removed hosts forgotten", directed{hosts: 5, tune: slowFence, drive: movedTwice}, Spoil{Row: forgetEarlier}},
+		{"late heartbeats count as fresh", directed{hosts: 3, links: LinkFaults{Delay: 0.5}, drive: longFreeze}, Spoil{Beat: freshen}},
+		{"late reads count as fresh", directed{hosts: 3, drive: hungReader}, Spoil{LateReads: true}},
+	} {
+		t.Run(strings.ReplaceAll(c.name, " ", "_"), func(t *testing.T) {
+			t.Parallel()
+			c.d.wantOnlyWith(t, c.spoil)
+		})
+	}
+}
+
+// minorityWithPlatform lets a host leave, and cuts the two hosts that know of
+// it from the three that don't, the leaving one among these.
+func minorityWithPlatform(f *Fleet) {
+	f.Hosts[4].Leave()
+	waitEpoch(f, 10*clock.Second)
+	f.Plan([]Fault{{At: f.Now, For: clock.Hour, Kind: Partition, Host: 2}})
+	for _, h := range f.Hosts[2:] {
+		h.Lost = true
+	}
+}
+
+// movedTwice removes a host that is cut from its peers, keeps the news from it,
+// and moves its upstreams once more right away.
+func movedTwice(f *Fleet) {
+	f.Hosts[4].Cut = true
+	waitEpoch(f, 20*clock.Second)
+	f.Hosts[4].Lost = true
+	f.Hosts[1].Leave()
+}
+
+// longFreeze freezes a host until others have taken its upstreams. When it
+// wakes, late messages wait for it and nobody can be asked.
+func longFreeze(f *Fleet) {
+	f.Plan([]Fault{
+		{At: f.Now, For: 25 * clock.Second, Kind: Freeze, Host: 2},
+		{At: f.Now + 24*clock.Second, For: clock.Hour, Kind: CutBoth, Host: 2},
+	})
+}
+
+// hungReader cuts a host from everybody while a read of the platform hangs on
+// its way back, until others have taken its upstreams.
+func hungReader(f *Fleet) {
+	f.Platform.Hang = 25 * clock.Second
+	f.Run(f.Now + readEvery)
+	f.Platform.Hang = 0
+	f.Plan([]Fault{{At: f.Now, For: clock.Hour, Kind: CutBoth, Host: 2}})
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -24,9 +24,19 @@
 	Links LinkFaults           // while faults last
 	Trace func(line string)    // told of every change worth a line
 	Skip  map[string]bool      // names of checks left out
+	Spoil Spoil                // mechanisms switched off
 	Start map[int]clock.Millis // hosts that start later than at 0
 }
 
+// Spoil switches a mechanism off at the interfaces of the decision machines, to
+// show that the checks notice.
+type Spoil struct {
+	Beat        func(to *Host, beat member.Heartbeat) member.Heartbeat // changes what a host hears
+	Row         func(a member.Assignment) member.Assignment            // changes what a host writes
+	LateReads   bool                                                   // a read of the platform counts from its end
+	KeepBuckets bool                                                   // a right lost doesn't empty its bucket
+}
+
 // Fleet is the hosts, the platform, the links and the clock.
 type Fleet struct {
 	Config
--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -141,7 +141,7 @@
 		h.budget.SetRate(now, r.Service, r.Upstream, probe.Part(s.ProbesPerSecond, len(s.Upstreams)))
 	}
 	for key, r := range h.rights {
-		if _, ok := next[key]; !ok {
+		if _, ok := next[key]; !ok && !h.fleet.Spoil.KeepBuckets {
 			h.budget.Drop(r.Service, r.Upstream)
 		}
 	}
--- a/core/fleet/link.go
+++ b/core/fleet/link.go
@@ -67,6 +67,10 @@
 		d += l.fleet.between(0, 10*clock.Second)
 	}
 	h.later(d, func() {
+		beat := beat
+		if l.fleet.Spoil.Beat != nil {
+			beat = l.fleet.Spoil.Beat(h, beat)
+		}
 		h.event(func(now clock.Millis) []member.Action { return h.View.Heard(now, beat) })
 	})
 }
--- a/core/fleet/platform.go
+++ b/core/fleet/platform.go
@@ -15,6 +15,8 @@
 	LoseReply float64 // chance that a write is applied and its reply lost
 	LateApply float64 // chance that a write given up on is applied later
 
+	Hang clock.Millis // replies to reads take so much longer, and the reader waits for them
+
 	Row    member.Assignment
 	Writes int
 	Reads  int
@@ -39,7 +41,11 @@
 		}
 		p.Reads++
 		row := p.Row
+		back := back + p.Hang
 		h.later(back, func() {
+			if p.fleet.Spoil.LateReads {
+				startedAt = h.Time()
+			}
 			h.event(func(now clock.Millis) []member.Action { return h.View.AssignmentRead(now, startedAt, row) })
 		})
 	})
@@ -97,6 +103,9 @@
 	if p.Row.Epoch != a.Epoch {
 		return false
 	}
+	if p.fleet.Spoil.Row != nil {
+		a = p.fleet.Spoil.Row(a)
+	}
 	p.Writes++
 	a.Epoch++
 	p.Row = a
--- /dev/null
+++ b/core/fleet/spoil_test.go
@@ -0,0 +1,88 @@
+package fleet
+
+import (
+	"strings"
+	"testing"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/member"
+)
+
+// TestMechanisms switches off one mechanism at a time and wants the checks to
+// find the violation that the mechanism prevents.
+func TestMechanisms(t *testing.T) {
+	base := scenario{hosts: 5, faults: 14, span: 40 * clock.Second}
+	for _, c := range []struct {
+		name    string
+		spoiled scenario
+		want    string
+	}{
+		{"a read of the platform is good for ever", base.tuned(func(v *member.View) { v.FenceAfter = clock.Hour }), OneHolder},
+		{"news of a host is good for ever", base.tuned(func(v *member.View) { v.HearFor = clock.Hour }), OneHolder},
+		{"a new owner does not wait out the fence", base.tuned(func(v *member.View) { v.SettleAfter = 1 }), OneHolder},
+		{"a new owner does not know what moved", base.spoiled(Spoil{Row: forgetMoved}), OneHolder},
+		{"a lost right keeps its bucket", base.spoiled(Spoil{KeepBuckets: true}), ProbeBudget},
+	} {
+		t.Run(strings.ReplaceAll(c.name, " ", "_"), func(t *testing.T) {
+			t.Parallel()
+			c.spoiled.wantViolation(t, c.want)
+		})
+	}
+}
+
+func (s scenario) tuned(tune func(*member.View)) scenario {
+	s.tune = tune
+	return s
+}
+
+func (s scenario) spoiled(spoil Spoil) scenario {
+	s.spoil = spoil
+	return s
+}
+
+// wantViolation runs seeds until one of them shows the violation.
+func (s scenario) wantViolation(t *testing.T, name string) {
+	t.Helper()
+	const most = 200
+	events := 0
+	for seed := range uint64(most) {
+		o := s.run(seed, nil, nil)
+		events += o.events
+		if strings.HasPrefix(o.violation, name) {
+			t.Logf("found at seed %d after %d events: %s", seed, events, o.violation)
+			return
+		}
+	}
+	t.Errorf("no violation of %s in %d seeds, %d events", name, most, events)
+}
+
+func forgetMoved(a member.Assignment) member.Assignment {
+	a.Moved = nil
+	return a
+}
+
+func forgetPrevious(a member.Assignment) member.Assignment {
+	a.Earlier = append(a.Earlier, a.Previous...)
+	a.Previous = nil
+	return a
+}
+
+func forgetEarlier(a member.Assignment) member.Assignment {
+	a.Earlier = nil
+	return a
+}
+
+// freshen makes a late reply to the third host look like one to its newest heartbeat.
+func freshen(to *Host, beat member.Heartbeat) member.Heartbeat {
+	if to.Index != 2 {
+		return beat
+	}
+	known := append([]member.Known{}, beat.Known...)
+	for i := range known {
+		if known[i].Host.ID == to.ID {
+			known[i].Sequence = to.View.Sequence()
+		}
+	}
+	beat.Known = known
+	return beat
+}
--- a/core/member/fence.go
+++ b/core/member/fence.go
@@ -168,7 +168,7 @@
 		v.mineDirty = false
 		v.findMine()
 	}
-	if now < v.takeAfter || now < v.quietUntil || now >= v.freshUntil {
+	if now < v.takeAfter || now >= v.freshUntil {
 		return
 	}
 	for _, key := range v.mine {
@@ -196,6 +196,9 @@
 // settled: by our own read of the platform, or by a majority of the members.
 func (v *View) freshness(now clock.Millis) clock.Millis {
 	until := never
+	if now < v.quietUntil {
+		return until
+	}
 	if v.platformSeen {
 		until = v.platformAt + v.FenceAfter
 	}
--- a/core/member/status.go
+++ b/core/member/status.go
@@ -162,3 +162,6 @@
 
 // Epoch returns the epoch of the newest assignment this host knows; 0 when none.
 func (v *View) Epoch() uint64 { return v.current.Epoch }
+
+// Sequence returns the sequence of this host's latest turn of heartbeats.
+func (v *View) Sequence() uint64 { return v.sequence }
