once: prove at most one run over a fleet in virtual time

A fleet of keepers with kills, freezes between MaySend and the first byte, cuts, an unreachable platform and writes whose replies are lost or that are applied late. After each run and answer: one run a key, no not_run for what ran, each answer its own, each request answered.

The question carried no attempt. Ruled out: asking by incarnation alone, which was what failed. Now the question carries the row as it was found, and a claim is given up only if the row names an attempt that is known never to have been sent.

--- a/core/once/claim.go
+++ b/core/once/claim.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 
+	"github.com/pkg/errors"
+
 	"siskinpath/core/clock"
 )
 
@@ -51,6 +53,17 @@
 	Organisation string `json:"organisation"`
 }
 
+// decodeClaim reads the value of a claim's row.
+func decodeClaim(value string) (row claimRow, err error) {
+	if err := json.Unmarshal([]byte(value), &row); err != nil {
+		return claimRow{}, errors.WithMessage(err, "claim")
+	}
+	if row.Incarnation == 0 {
+		return claimRow{}, errors.New("claim: incarnation is missing")
+	}
+	return row, nil
+}
+
 // RowKey returns the key of the claim's row. Services and organisations have no
 // slash in their names, so two keys never share a row.
 func RowKey(service, organisation, key string) string {
@@ -95,10 +108,6 @@
 
 // askedForClaim decides on a key for which another host found this host's claim.
 func (k *Keeper) askedForClaim(req Request) Decision {
-	if req.Claimant != k.Incarnation {
-		// Not this process but an earlier one of the same host has the claim.
-		return unknown(ReasonHostGone)
-	}
 	r := k.byName[nameOf(req)]
 	if r == nil {
 		return unknown(ReasonClaimForgotten)
@@ -111,6 +120,12 @@
 	if r.phase != idle {
 		return k.known(r, req)
 	}
+	// The row may name an earlier process of this host, or an attempt that has
+	// been forgotten: of these this record knows nothing.
+	row, err := decodeClaim(req.ClaimRow)
+	if err != nil || row.Incarnation != k.Incarnation || row.Attempt < r.unsentSince {
+		return unknown(ReasonClaimForgotten)
+	}
 	r.held = false
 	k.counts.ClaimsGivenUp++
 	return Decision{Verdict: Refuse, Reply: r.reply, GivenUp: true}
@@ -210,14 +225,14 @@
 
 // taken looks at a row that is not as the write expected it.
 func (k *Keeper) taken(r *record, out ClaimOutcome) {
-	var row claimRow
-	if err := json.Unmarshal([]byte(out.Value), &row); err != nil || row.Incarnation == 0 {
+	row, err := decodeClaim(out.Value)
+	if err != nil {
 		k.counts.ClaimsUnreadable++
 		k.settle(r, ReasonClaimUnreadable)
 		return
 	}
 	if row.Incarnation != k.Incarnation {
-		k.takenElsewhere(r, row.Incarnation, out.Version)
+		k.takenElsewhere(r, row.Incarnation, out)
 		return
 	}
 	switch {
@@ -233,14 +248,14 @@
 }
 
 // takenElsewhere passes a request to the claimant, if it can be asked.
-func (k *Keeper) takenElsewhere(r *record, inc, version uint64) {
+func (k *Keeper) takenElsewhere(r *record, inc uint64, out ClaimOutcome) {
 	host, p := r.find(inc)
 	if p != Present {
 		k.settle(r, absenceReason(p))
 		return
 	}
-	r.host, r.claimant = host, inc
-	r.expectVersion = version
+	r.host, r.claimRow = host, out.Value
+	r.expectVersion = out.Version
 	r.phase = passing
 	k.forgetClaim(r)
 }
@@ -279,7 +294,7 @@
 	case r.phase == running:
 		return Decision{Verdict: Run, Record: rec}, true
 	case r.phase == passing:
-		return Decision{Verdict: Pass, Record: rec, Host: r.host, Claimed: true, Claimant: r.claimant}, true
+		return Decision{Verdict: Pass, Record: rec, Host: r.host, Claimed: true, ClaimRow: r.claimRow}, true
 	case r.phase == idle:
 		return Decision{Verdict: Refuse, Record: rec, Reply: r.reply}, true
 	case r.phase == ended && r.reply.Outcome == OutcomeUnknown:
--- a/core/once/claim_test.go
+++ b/core/once/claim_test.go
@@ -36,8 +36,9 @@
 		k := newKeeper()
 		req := requestFor("order/17")
 		asked := req
-		asked.Mode, asked.Claimant = ModeClaimed, testIncarnation
+		asked.Mode = ModeClaimed
 		w := claim(k, 0, req, nobody)
+		asked.ClaimRow = w.Value
 		convey.So(w.RowKey, convey.ShouldEqual, "claim/payments/farm/order/17")
 		convey.So(w.ExpectVersion, convey.ShouldEqual, uint64(0))
 		_, ok := k.ClaimDecided(w.Record)
@@ -112,9 +113,21 @@
 		})
 		convey.Convey("claimed by a process that ran here before is not given up", func() {
 			k.ClaimResult(0, w.Record, ClaimOutcome{Kind: ClaimDown})
-			asked.Claimant = 5
+			asked.ClaimRow = foreignRow(5, 9)
 			convey.So(begin(k, 0, asked, nobody, Unknown).GivenUp, convey.ShouldBeFalse)
 		})
+		convey.Convey("claimed by an attempt that is forgotten is not given up", func() {
+			k.ClaimResult(0, w.Record, ClaimOutcome{Kind: ClaimCommitted})
+			k.MaySend(0, w.Record)
+			k.End(0, w.Record, Reply{Status: 200})
+			later := 2 * DefaultRetainFor
+			k.Tick(later)
+			w2 := claim(k, later, req, nobody)
+			k.ClaimResult(later, w2.Record, ClaimOutcome{Kind: ClaimDown})
+			convey.So(begin(k, later, asked, nobody, Unknown).GivenUp, convey.ShouldBeFalse)
+			asked.ClaimRow = w2.Value
+			convey.So(begin(k, later, asked, nobody, Refuse).GivenUp, convey.ShouldBeTrue)
+		})
 	})
 }
 
@@ -129,7 +142,7 @@
 			k.ClaimResult(0, w.Record, taken)
 			d := decided(k, w.Record, Pass)
 			convey.So(d.Host, convey.ShouldEqual, "gh-2")
-			convey.So(d.Claimant, convey.ShouldEqual, uint64(5))
+			convey.So(d.ClaimRow, convey.ShouldEqual, taken.Value)
 			convey.So(k.MaySend(0, w.Record), convey.ShouldBeFalse)
 			k.TakeOver(0, w.Record)
 			again := k.ClaimsWanted(0)
--- /dev/null
+++ b/core/once/prove_test.go
@@ -0,0 +1,77 @@
+package once
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+)
+
+// Seeds of a run in CI, and of the tests that take a mechanism away.
+const (
+	defaultSeeds = 40
+	offSeeds     = 200
+)
+
+func seedCount(t *testing.T) uint64 {
+	text := os.Getenv("SISKINPATH_SEEDS")
+	if text == "" {
+		return defaultSeeds
+	}
+	n, err := strconv.ParseUint(text, 10, 32)
+	if err != nil {
+		t.Fatalf("SISKINPATH_SEEDS: %q is not a number", text)
+	}
+	return n
+}
+
+// shortest returns the shorter of two traces, leaving out the empty one.
+func shortest(a, b string) string {
+	if a == "" || b != "" && len(b) < len(a) {
+		return b
+	}
+	return a
+}
+
+func TestProveAtMostOnce(t *testing.T) {
+	var total figures
+	var trace string
+	seeds := seedCount(t)
+	for seed := range seeds {
+		f := runFleet(seed, allOn)
+		total.add(f.figures)
+		if f.firstBad != "" {
+			trace = shortest(trace, fmt.Sprintf("seed %d: %s", seed, f.firstBad))
+		}
+	}
+	fmt.Printf("once: seeds %d, events %d, violations %d\n", seeds, total.events, total.violations)
+	fmt.Printf("once: tries %d, runs %d, of these while the platform was down %d\n", total.tries, total.runs, total.runsInOutage)
+	fmt.Printf("once: answered %d, not_run %d, unknown %d, lost with their host %d\n", total.answered, total.notRun, total.unknown, total.lost)
+	fmt.Printf("once: claim tries %d, writes %d, transactions %d, reads %d, take-overs %d\n",
+		total.claimTries, total.claimWrites, total.claimTransactions, total.claimReads, total.takeOvers)
+	fmt.Printf("once: not_run to a retry after an earlier try had run %d\n", total.lateNotRun)
+	if total.violations > 0 {
+		t.Fatalf("%d violations; the shortest trace:\n%s", total.violations, trace)
+	}
+	if total.runsInOutage == 0 || total.takeOvers == 0 || total.claimReads == 0 {
+		t.Fatal("the faults did not come about")
+	}
+}
+
+func TestProveEachMechanismIsNeeded(t *testing.T) {
+	names := map[mechanism]string{
+		noRetention: "retention", noReadBack: "read_back", noMaySend: "may_send",
+		noIncarnation: "incarnation", noClaimRow: "claim_row",
+	}
+	for off := noRetention; off <= noClaimRow; off++ {
+		t.Run(names[off], func(t *testing.T) {
+			for seed := range uint64(offSeeds) {
+				if f := runFleet(seed, off); f.figures.violations > 0 {
+					fmt.Printf("once: without %s: seed %d has %d violations\n", names[off], seed, f.figures.violations)
+					return
+				}
+			}
+			t.Fatalf("no violation without %s in %d seeds", names[off], offSeeds)
+		})
+	}
+}
--- a/core/once/record.go
+++ b/core/once/record.go
@@ -43,7 +43,7 @@
 	expectVersion uint64 // version the row must have for the write
 	find          Finder
 	host          string // for passing: the claimant
-	claimant      uint64 // for passing: its incarnation
+	claimRow      string // for passing: the row that names it
 }
 
 // open reports whether the record waits for the platform.
--- a/core/once/types.go
+++ b/core/once/types.go
@@ -101,7 +101,7 @@
 	Fingerprint  uint64       // of method, uri and body
 	Deadline     clock.Millis // point in time from which it may not be sent
 	Mode         Mode
-	Claimant     uint64 // for ModeClaimed: the incarnation that the claim's row names
+	ClaimRow     string // for ModeClaimed: the value of the claim's row as the other host found it
 }
 
 // RecordID names one run of a key, or one try to get it, within one Keeper. The
@@ -115,6 +115,6 @@
 	Reply    Reply    // for Answer, Unknown, Refuse and Invalid
 	Host     string   // for Pass: the id of the host to ask
 	Claimed  bool     // for Pass: ask it with ModeClaimed rather than ModeDecide
-	Claimant uint64   // for Pass with Claimed: Request.Claimant for the other host
+	ClaimRow string   // for Pass with Claimed: Request.ClaimRow for the other host
 	GivenUp  bool     // for ModeClaimed: this host never sent it and now never will
 }
