once: a request passed to a claimant ends with its deadline

Cause: a record that was passed on ended only by End; had its driver not called that, later requests for the key waited for it without end. Now Tick drops it at its deadline. The unit test showed the wait before.

--- a/core/once/claim.go
+++ b/core/once/claim.go
@@ -256,8 +256,7 @@
 	}
 	r.host, r.claimRow = host, out.Value
 	r.expectVersion = out.Version
-	r.phase = passing
-	k.forgetClaim(r)
+	r.phase = passing // still among k.claims, so that its deadline ends it
 }
 
 // settle records that the outcome of a claimed key can't be told.
@@ -281,7 +280,6 @@
 	}
 	k.counts.TakeOvers++
 	r.phase = claimWanted
-	k.claims = append(k.claims, r)
 }
 
 // ClaimDecided returns what became of a claim: Run, Pass to the claimant, Unknown
@@ -316,7 +314,8 @@
 	r.reply = Reply{Outcome: NotRun, Reason: reason, RetryAfter: spread(r.name.key, after)}
 }
 
-// expireClaims gives up the claims whose deadline has passed.
+// expireClaims gives up the claims whose deadline has passed. Of one that was
+// passed on, this host knows nothing more.
 func (k *Keeper) expireClaims() {
 	var due []*record
 	for _, r := range k.claims {
@@ -325,6 +324,10 @@
 		}
 	}
 	for _, r := range due {
+		if r.phase == passing {
+			k.drop(r)
+			continue
+		}
 		k.giveUp(r, ReasonDeadline, retryAfterExpiry)
 	}
 }
--- a/core/once/claim_test.go
+++ b/core/once/claim_test.go
@@ -148,6 +148,14 @@
 			again := k.ClaimsWanted(0)
 			convey.So(again[0].ExpectVersion, convey.ShouldEqual, uint64(3))
 		})
+		convey.Convey("does not hold later requests up once its deadline has passed", func() {
+			w := claim(k, 0, req, finder("gh-2", Present))
+			k.ClaimResult(0, w.Record, taken)
+			k.Tick(req.Deadline)
+			convey.So(k.State().Records, convey.ShouldEqual, 0)
+			req.Deadline *= 2
+			begin(k, clock.Hour, req, finder("gh-2", Present), Claim)
+		})
 		convey.Convey("is unknown at once when it can't be asked, for good when it is gone", func() {
 			for _, p := range []Presence{Gone, Unreachable, Never} {
 				k := newKeeper()
--- a/core/once/keeper.go
+++ b/core/once/keeper.go
@@ -274,6 +274,9 @@
 	if k.byID[r.id] != r {
 		return
 	}
+	if r.claimed {
+		k.forgetClaim(r)
+	}
 	delete(k.byID, r.id)
 	if k.byName[r.name] == r {
 		delete(k.byName, r.name)
