siskinctl: show, check, diff, apply, edit, set, leave, history, versions, hosts, state

The commands drive the editor of core/table against the platform and ask the hosts' operators' listeners which version is in force. apply wants the version that its file was made from, so that an old file can't undo edits by accident.

--- a/core/table/merge.go
+++ b/core/table/merge.go
@@ -1,10 +1,10 @@
 package table
 
 import (
+	"bytes"
+	"encoding/csv"
 	"slices"
 	"strings"
-
-	"github.com/pkg/errors"
 )
 
 // Conflict is a row that two edits changed differently. The rows are given in
@@ -80,18 +80,24 @@
 
 // fromCells builds a table from rows that Format could have written.
 func fromCells(rows map[rowKey][]string) *Table {
-	var b strings.Builder
-	b.WriteString(formatCells(Columns()) + "\n")
-	for _, key := range sortedKeys(rows) {
-		b.WriteString(formatCells(rows[key]) + "\n")
-	}
-	t, err := Parse([]byte(b.String()))
-	var faults Faults
-	if errors.As(err, &faults) && t == nil {
+	t, _ := Parse(formatRows(rows))
+	if t == nil {
 		return &Table{}
 	}
 	return t
 }
 
+// formatRows returns rows in the text form, with the header.
+func formatRows(rows map[rowKey][]string) []byte {
+	var b bytes.Buffer
+	w := csv.NewWriter(&b)
+	_ = w.Write(Columns())
+	for _, key := range sortedKeys(rows) {
+		_ = w.Write(rows[key])
+	}
+	w.Flush()
+	return b.Bytes()
+}
+
 // formatCells returns a row in the text form without its line end.
 func formatCells(cells []string) string { return strings.Join(cells, ",") }
--- /dev/null
+++ b/core/table/set.go
@@ -0,0 +1,46 @@
+package table
+
+import (
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// Cell is a cell's new text.
+type Cell struct {
+	Column string
+	Value  string
+}
+
+// Set returns t with cells of one row changed. With add, a row that is not there
+// is added; otherwise it is an error. The version stays that of t.
+func Set(t *Table, service, upstream string, cells []Cell, add bool) (changed *Table, err error) {
+	defer func() { err = errors.WithMessagef(err, "set %s %s", service, upstream) }()
+	rows := cellsByKey(t)
+	key := rowKey{service, upstream}
+	row := slices.Clone(rows[key])
+	switch {
+	case row == nil && !add:
+		return nil, errors.New("there is no such row; see siskinctl show, or add it with --add")
+	case row == nil:
+		row = make([]string, len(Columns()))
+		row[0], row[1] = service, upstream
+	}
+	for _, c := range cells {
+		i := slices.Index(Columns(), c.Column)
+		if i < 0 {
+			return nil, errors.Errorf("column %s: unknown column; use one of %v", c.Column, Columns()[2:])
+		}
+		if i < 2 {
+			return nil, errors.Errorf("column %s: it names the row; add another row and remove this one", c.Column)
+		}
+		row[i] = c.Value
+	}
+	rows[key] = row
+	changed, err = Parse(formatRows(rows))
+	if err != nil {
+		return nil, err
+	}
+	changed.Version = versionOf(t)
+	return changed, nil
+}
--- /dev/null
+++ b/siskinctl/cmd_check.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"github.com/pkg/errors"
+
+	"siskinpath/core/table"
+)
+
+var checkCommand = command{"check", "Check a table file without applying it.", func() any { return &checkCmd{} }}
+
+type checkCmd struct {
+	File string `arg:"" help:"Table file, - for standard input."`
+}
+
+type checkReply struct {
+	Sound     bool          `json:"sound"`
+	Services  int           `json:"services"`
+	Upstreams int           `json:"upstreams"`
+	Faults    []table.Fault `json:"faults"`
+}
+
+// Run checks a file.
+func (c *checkCmd) Run(a *app) error {
+	t, err := parseFile(c.File)
+	faults := table.Faults{}
+	if err != nil && !errors.As(err, &faults) {
+		return err
+	}
+	reply := checkReply{Sound: err == nil, Faults: faults}
+	if t != nil {
+		reply.Services = len(t.Services)
+		for _, s := range t.Services {
+			reply.Upstreams += len(s.Upstreams)
+		}
+	}
+	if a.JSON {
+		_ = a.printJSON(reply)
+	} else if err == nil {
+		a.printf("%s is sound: %d services, %d upstreams\n", c.File, reply.Services, reply.Upstreams)
+	}
+	return err
+}
--- /dev/null
+++ b/siskinctl/cmd_diff.go
@@ -0,0 +1,34 @@
+package main
+
+import "siskinpath/core/table"
+
+var diffCommand = command{"diff", "Print what a table file would change.", func() any { return &diffCmd{} }}
+
+type diffCmd struct {
+	File    string `arg:"" help:"Table file, - for standard input."`
+	Version uint64 `help:"Compare with an earlier version instead of the newest." placeholder:"N"`
+}
+
+type diffReply struct {
+	Version uint64         `json:"version"`
+	Changes []table.Change `json:"changes"`
+}
+
+// Run compares a file with a version.
+func (c *diffCmd) Run(a *app) error {
+	mine, err := parseFile(c.File)
+	if err != nil {
+		return err
+	}
+	s, err := a.at(c.Version)
+	if err != nil {
+		return err
+	}
+	changes := table.Diff(s.Table, mine)
+	if a.JSON {
+		return a.printJSON(diffReply{s.Version, changes})
+	}
+	a.printChanges(changes)
+	a.printf("%d rows differ from %s\n", len(changes), s)
+	return nil
+}
--- /dev/null
+++ b/siskinctl/cmd_edit.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+
+	"siskinpath/core/table"
+)
+
+var editCommand = command{"edit", "Edit the table in $EDITOR and apply it.", func() any { return &editCmd{} }}
+
+type editCmd struct {
+	edit
+	Editor string `help:"Editor to start." env:"EDITOR" default:"vi" hidden:""`
+}
+
+// Run lets the operator edit the newest version, with all its rows as they stand.
+func (c *editCmd) Run(a *app) error {
+	s, err := a.current()
+	if err != nil {
+		return err
+	}
+	text := []byte(s.Row.CSV)
+	if s.Version == 0 || s.Faults == nil {
+		text = table.Format(s.Table)
+	}
+	mine, err := c.ask(a, text)
+	if err != nil {
+		return err
+	}
+	return c.commit(a, s.asBase(), mine)
+}
+
+// ask has text edited. The file is kept when it can't be used, so that no work
+// is lost.
+func (c *editCmd) ask(a *app, text []byte) (t *table.Table, err error) {
+	dir, err := os.MkdirTemp("", "siskinctl-")
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(dir, "table.csv")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return nil, err
+	}
+	cmd := exec.Command("sh", "-c", c.Editor+` "$1"`, "sh", path)
+	cmd.Stdin, cmd.Stdout, cmd.Stderr = os.Stdin, a.out, a.err
+	if err := cmd.Run(); err != nil {
+		return nil, errors.WithMessagef(err, "editor %s", c.Editor)
+	}
+	t, err = parseFile(path)
+	if err != nil {
+		return nil, errors.WithMessage(err, "nothing was applied; the edited file is kept")
+	}
+	return t, os.RemoveAll(dir)
+}
--- /dev/null
+++ b/siskinctl/cmd_history.go
@@ -0,0 +1,80 @@
+package main
+
+import "siskinpath/core/table"
+
+var historyCommand = command{"history", "Print who changed the table, newest first.", func() any { return &historyCmd{} }}
+
+// historyBatch is how many versions are read at once.
+const historyBatch = 50
+
+type historyCmd struct {
+	Limit int `help:"How many versions to print." default:"20" short:"n"`
+}
+
+type historyEntry struct {
+	Version uint64         `json:"version"`
+	EditID  string         `json:"edit_id"`
+	Author  string         `json:"author"`
+	Time    string         `json:"time"`
+	Changes []table.Change `json:"changes"`
+}
+
+type historyReply struct {
+	Versions []historyEntry `json:"versions"`
+}
+
+// Run prints the newest versions with what each changed.
+func (c *historyCmd) Run(a *app) error {
+	newest, err := a.current()
+	if err != nil {
+		return err
+	}
+	entries, err := c.entries(a, newest.Version)
+	if err != nil {
+		return err
+	}
+	if a.JSON {
+		return a.printJSON(historyReply{entries})
+	}
+	if len(entries) == 0 {
+		a.printf("%s\n", newest)
+	}
+	for _, e := range entries {
+		a.printf("version %d by %s at %s, %d rows changed, edit %s\n", e.Version, e.Author, e.Time, len(e.Changes), e.EditID)
+		a.printChanges(e.Changes)
+	}
+	return nil
+}
+
+// entries reads versions from newest downwards. One more than is printed is read,
+// to tell what the last one changed.
+func (c *historyCmd) entries(a *app, newest uint64) (entries []historyEntry, err error) {
+	var later *stored
+	for to := newest; to > 0 && len(entries) < c.Limit; to -= min(to, historyBatch) {
+		var keys []string
+		for v := to; v > to-min(to, historyBatch); v-- {
+			keys = append(keys, table.HistoryKey(v))
+		}
+		rows, err := a.read(keys...)
+		if err != nil {
+			return nil, err
+		}
+		for i, row := range rows {
+			row.Version = to - uint64(i)
+			s, _ := decodeStored(row) // one that can't be read is shown without changes
+			s.Version = row.Version
+			if later != nil && len(entries) < c.Limit {
+				entries = append(entries, entry(*later, s.Table))
+			}
+			later = &s
+		}
+	}
+	if later != nil && len(entries) < c.Limit {
+		entries = append(entries, entry(*later, nil))
+	}
+	return entries, nil
+}
+
+func entry(s stored, before *table.Table) historyEntry {
+	return historyEntry{s.Version, s.Row.EditID, s.Row.Author, s.Row.Time, table.Diff(before, s.Table)}
+}
--- /dev/null
+++ b/siskinctl/cmd_leave.go
@@ -0,0 +1,17 @@
+package main
+
+import "siskinpath/core/table"
+
+var leaveCommand = command{"leave", "Mark an upstream as leaving: it gets no new work.", func() any { return &leaveCmd{} }}
+
+type leaveCmd struct {
+	edit
+	Service  string `arg:"" help:"Service."`
+	Upstream string `arg:"" help:"Upstream."`
+}
+
+// Run marks the upstream.
+func (c *leaveCmd) Run(a *app) error {
+	cell := table.Cell{Column: table.ColumnState, Value: string(table.Leaving)}
+	return c.set(a, c.Service, c.Upstream, []table.Cell{cell}, false)
+}
--- /dev/null
+++ b/siskinctl/cmd_set.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"siskinpath/core/table"
+)
+
+var setCommand = command{"set", "Change cells of one row.", func() any { return &setCmd{} }}
+
+type setCmd struct {
+	edit
+	Add      bool     `help:"Add the row when it is not there."`
+	Service  string   `arg:"" help:"Service."`
+	Upstream string   `arg:"" help:"Upstream, * for the limits of the service."`
+	Cells    []string `arg:"" help:"Cells to change, as in weight=50." name:"column=value"`
+}
+
+// Run changes the cells.
+func (c *setCmd) Run(a *app) error {
+	cells := make([]table.Cell, len(c.Cells))
+	for i, text := range c.Cells {
+		column, value, ok := strings.Cut(text, "=")
+		if !ok {
+			return usageError(errors.Errorf("%q has no =; write it as in weight=50", text))
+		}
+		cells[i] = table.Cell{Column: column, Value: value}
+	}
+	return c.set(a, c.Service, c.Upstream, cells, c.Add)
+}
+
+// set changes cells of a row of the newest version.
+func (e *edit) set(a *app, service, upstream string, cells []table.Cell, add bool) error {
+	s, err := a.current()
+	if err != nil {
+		return err
+	}
+	base, err := s.sound()
+	if err != nil {
+		return err
+	}
+	mine, err := table.Set(base, service, upstream, cells, add)
+	if err != nil {
+		return err
+	}
+	return e.commit(a, base, mine)
+}
--- /dev/null
+++ b/siskinctl/cmd_show.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"siskinpath/core/table"
+)
+
+var showCommand = command{"show", "Print the table.", func() any { return &showCmd{} }}
+
+type showCmd struct {
+	Version uint64 `help:"An earlier version instead of the newest." placeholder:"N"`
+	CSV     bool   `help:"Print the table as a file to edit." name:"csv"`
+	Service string `arg:"" optional:"" help:"Only this service."`
+}
+
+type showReply struct {
+	Version uint64        `json:"version"`
+	Author  string        `json:"author"`
+	Time    string        `json:"time"`
+	Columns []string      `json:"columns"`
+	Rows    [][]string    `json:"rows"`
+	Faults  []table.Fault `json:"faults"`
+}
+
+// Run prints a version of the table.
+func (c *showCmd) Run(a *app) error {
+	s, err := a.at(c.Version)
+	if err != nil {
+		return err
+	}
+	t := only(s.Table, c.Service)
+	text := string(table.Format(t))
+	switch {
+	case a.JSON:
+		faults := table.Faults{}
+		_ = errors.As(s.Faults, &faults)
+		return a.printJSON(showReply{s.Version, s.Row.Author, s.Row.Time, table.Columns(), cells(text)[1:], faults})
+	case c.CSV:
+		a.notef("%s\n", s)
+		a.printf("%s", text)
+	default:
+		a.printf("%s\n", s)
+		a.columns(cells(text))
+	}
+	if s.Faults != nil {
+		a.notef("rows at fault are left out:\n%v\n", s.Faults)
+	}
+	return nil
+}
+
+// only returns the part of a table that is one service, or all of it.
+func only(t *table.Table, service string) *table.Table {
+	if service == "" || t == nil {
+		return t
+	}
+	part := &table.Table{Version: t.Version}
+	if s := t.Service(service); s != nil {
+		part.Services = []table.Service{*s}
+	}
+	return part
+}
+
+// cells splits what table.Format wrote: no cell needs quotes.
+func cells(text string) (rows [][]string) {
+	for line := range strings.Lines(text) {
+		rows = append(rows, strings.Split(strings.TrimSuffix(line, "\n"), ","))
+	}
+	return rows
+}
--- /dev/null
+++ b/siskinctl/cmd_state.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"net/netip"
+
+	"github.com/pkg/errors"
+
+	"siskinpath/siskinctl/operator"
+)
+
+var stateCommand = command{"state", "Print the state of a host's process, as JSON.", func() any { return &stateCmd{} }}
+
+type stateCmd struct {
+	Name string `arg:"" help:"The host's id, or its operators' address." name:"host"`
+}
+
+// Run prints the dump.
+func (c *stateCmd) Run(a *app) error {
+	address, err := c.address(a)
+	if err != nil {
+		return err
+	}
+	state, err := operator.State(address)
+	if err != nil {
+		return err
+	}
+	a.printf("%s\n", state)
+	return nil
+}
+
+func (c *stateCmd) address(a *app) (string, error) {
+	if _, err := netip.ParseAddrPort(c.Name); err == nil {
+		return c.Name, nil
+	}
+	hosts, err := a.hosts()
+	if err != nil {
+		return "", err
+	}
+	for _, h := range hosts {
+		if h.ID == c.Name {
+			return h.OperatorAddress, nil
+		}
+	}
+	return "", errors.Errorf("host %s is not listed; see siskinctl hosts", c.Name)
+}
--- /dev/null
+++ b/siskinctl/cmd_versions.go
@@ -0,0 +1,81 @@
+package main
+
+import "strconv"
+
+var versionsCommand = command{"versions", "Print which version each host has in force.", func() any { return &versionsCmd{} }}
+
+type versionsCmd struct {
+	Wait    bool   `help:"Wait until every host that can be reached has it."`
+	Version uint64 `help:"The version that is looked for instead of the newest." placeholder:"N"`
+}
+
+type versionsReply struct {
+	Version uint64        `json:"version"`
+	InForce bool          `json:"in_force"` // on every host that can be reached
+	Hosts   []hostVersion `json:"hosts"`
+}
+
+// Run asks all hosts.
+func (c *versionsCmd) Run(a *app) error {
+	want, err := c.wanted(a)
+	if err != nil {
+		return err
+	}
+	versions, err := c.ask(a, want)
+	if err != nil {
+		return err
+	}
+	if want == 0 {
+		want = newest(versions)
+	}
+	missing := notInForce(versions, want)
+	if a.JSON {
+		_ = a.printJSON(versionsReply{want, missing == nil, versions})
+		return missing
+	}
+	a.printVersions(versions)
+	if missing == nil {
+		a.printf("version %d is in force on every host that can be reached\n", want)
+	}
+	return missing
+}
+
+func (c *versionsCmd) ask(a *app, want uint64) ([]hostVersion, error) {
+	if c.Wait {
+		return a.askUntil(want)
+	}
+	hosts, err := a.hosts()
+	if err != nil {
+		return nil, err
+	}
+	return ask(hosts), nil
+}
+
+// wanted returns the version that is looked for: the platform's newest, or 0
+// when a host is asked instead, for the newest of any host.
+func (c *versionsCmd) wanted(a *app) (uint64, error) {
+	if c.Version > 0 || a.Host != "" {
+		return c.Version, nil
+	}
+	s, err := a.current()
+	return s.Version, err
+}
+
+func newest(versions []hostVersion) (version uint64) {
+	for _, v := range versions {
+		version = max(version, v.Version)
+	}
+	return version
+}
+
+func (a *app) printVersions(versions []hostVersion) {
+	rows := [][]string{{"host", "availability_zone", "table_version"}}
+	for _, v := range versions {
+		cell := strconv.FormatUint(v.Version, 10)
+		if !v.Reached {
+			cell = "not reached"
+		}
+		rows = append(rows, []string{v.ID, v.AvailabilityZone, cell})
+	}
+	a.columns(rows)
+}
--- /dev/null
+++ b/siskinctl/commit.go
@@ -0,0 +1,178 @@
+package main
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"siskinpath/core/table"
+	"siskinpath/siskinctl/platform"
+)
+
+// editIDBytes is the length of an edit's random id.
+const editIDBytes = 12
+
+// acceptedReply is what is printed of an accepted edit.
+type acceptedReply struct {
+	Version   uint64         `json:"version"`
+	Unchanged bool           `json:"unchanged"` // the table held all of the edit already
+	Merged    bool           `json:"merged"`    // others' edits since the base are kept
+	Changes   []table.Change `json:"changes"`
+}
+
+// conflictReply is what is printed of a refused edit.
+type conflictReply struct {
+	Conflicts []table.Conflict `json:"conflicts"`
+}
+
+// edit is how commands that change the table end.
+type edit struct {
+	Wait bool `help:"Wait until the edit is in force on every host that can be reached."`
+}
+
+// commit makes mine, an edit of base, the newest version, and prints how that
+// ended.
+func (e *edit) commit(a *app, base, mine *table.Table) error {
+	client, err := a.platformClient()
+	if err != nil {
+		return err
+	}
+	id := make([]byte, editIDBytes)
+	_, _ = rand.Read(id)
+	editor := &table.Editor{
+		EditID: hex.EncodeToString(id),
+		Author: a.Author,
+		Time:   time.Now().UTC().Format(time.RFC3339),
+		Base:   base,
+		Mine:   mine,
+	}
+	step := a.drive(client, editor)
+	if err := a.printEnd(step, table.Diff(base, mine)); err != nil {
+		return err
+	}
+	if !e.Wait {
+		return nil
+	}
+	return a.waitInForce(step.Version)
+}
+
+// drive carries out an editor's steps to the end.
+func (a *app) drive(client *platform.Client, editor *table.Editor) table.Step {
+	end := time.Now().Add(a.Timeout)
+	step := editor.Start()
+	for {
+		switch step.Kind {
+		case table.StepRead:
+			rows, err := a.readUntil(client, end, step.Keys...)
+			if err != nil {
+				return editor.Down(err)
+			}
+			step = editor.Rows(rows)
+		case table.StepCommit:
+			step = transact(client, editor, step, end)
+		default:
+			return step
+		}
+	}
+}
+
+// transact carries out a commit. One that certainly was not applied is tried
+// again until end.
+func transact(client *platform.Client, editor *table.Editor, step table.Step, end time.Time) table.Step {
+	for {
+		version, err := client.Transact(step.Checks, step.Puts)
+		switch {
+		case err == nil:
+			return editor.Committed(version)
+		case errors.Is(err, platform.ErrConflict):
+			return editor.Refused()
+		case !errors.Is(err, platform.ErrNotApplied):
+			return editor.Lost()
+		case time.Now().Add(retryPause).After(end):
+			return editor.Down(err)
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+// printEnd prints the last step of an edit and returns its error.
+func (a *app) printEnd(step table.Step, changes []table.Change) error {
+	switch step.Kind {
+	case table.StepAccepted:
+		return a.printAccepted(step, changes)
+	case table.StepConflict:
+		return a.printConflicts(step.Conflicts)
+	case table.StepDown:
+		if step.Uncertain {
+			return &exitError{exitPlatform, errors.WithMessage(step.Err,
+				"not confirmed: the edit may have been accepted, see siskinctl history once the platform is back")}
+		}
+		return &exitError{exitPlatform, errors.WithMessage(step.Err, "the edit was not accepted")}
+	}
+	return step.Err
+}
+
+func (a *app) printAccepted(step table.Step, changes []table.Change) error {
+	if a.JSON {
+		return a.printJSON(acceptedReply{
+			Version:   step.Version,
+			Unchanged: step.Unchanged,
+			Merged:    step.Merged,
+			Changes:   changes,
+		})
+	}
+	a.printChanges(changes)
+	switch {
+	case step.Unchanged:
+		a.printf("nothing to change: version %d has it all\n", step.Version)
+	case step.Merged:
+		a.printf("accepted as version %d, merged with the edits since\n", step.Version)
+	default:
+		a.printf("accepted as version %d\n", step.Version)
+	}
+	return nil
+}
+
+func (a *app) printConflicts(conflicts []table.Conflict) error {
+	err := &exitError{exitConflict, errors.New("refused: another edit changed the same rows; look at both and edit again")}
+	if a.JSON {
+		_ = a.printJSON(conflictReply{conflicts})
+		return err
+	}
+	for _, c := range conflicts {
+		a.printf("%s %s\n  base   %s\n  mine   %s\n  theirs %s\n", c.Service, c.Upstream,
+			orAbsent(c.Base), orAbsent(c.Mine), orAbsent(c.Theirs))
+	}
+	return err
+}
+
+func orAbsent(row string) string {
+	if row == "" {
+		return "(no such row)"
+	}
+	return row
+}
+
+// printChanges prints a diff for people.
+func (a *app) printChanges(changes []table.Change) {
+	for _, c := range changes {
+		a.printf("%s %s %s\n", c.Kind, c.Service, c.Upstream)
+		for _, cell := range c.Cells {
+			switch c.Kind {
+			case table.Added:
+				a.printf("  %s %s\n", cell.Column, cell.New)
+			case table.Changed:
+				a.printf("  %s %s -> %s\n", cell.Column, orEmpty(cell.Old), orEmpty(cell.New))
+			}
+		}
+	}
+}
+
+func orEmpty(text string) string {
+	if text == "" {
+		return "(empty)"
+	}
+	return text
+}
--- /dev/null
+++ b/siskinctl/exit.go
@@ -0,0 +1,22 @@
+package main
+
+// Exit statuses.
+const (
+	exitOK       = 0
+	exitFault    = 1
+	exitUsage    = 2
+	exitConflict = 3
+	exitPlatform = 4 // the platform can't be reached
+	exitNotYet   = 5 // not in force everywhere
+)
+
+// exitError is an error with an exit status.
+type exitError struct {
+	status int
+	cause  error
+}
+
+func (e *exitError) Error() string { return e.cause.Error() }
+func (e *exitError) Unwrap() error { return e.cause }
+
+func usageError(err error) error { return &exitError{exitUsage, err} }
--- /dev/null
+++ b/siskinctl/inforce.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"siskinpath/siskinctl/operator"
+)
+
+// askPause is the time between two rounds of asking all hosts.
+const askPause = 100 * time.Millisecond
+
+// hostVersion is which version a host has in force.
+type hostVersion struct {
+	ID               string `json:"id"`
+	AvailabilityZone string `json:"availability_zone"`
+	Version          uint64 `json:"table_version"` // 0 when none
+	Reached          bool   `json:"reached"`
+	Error            string `json:"error,omitempty"`
+}
+
+// ask asks every host which version it has in force.
+func ask(hosts []hostAddress) []hostVersion {
+	versions := make([]hostVersion, len(hosts))
+	var wg sync.WaitGroup
+	for i, h := range hosts {
+		wg.Go(func() {
+			v := hostVersion{ID: h.ID, AvailabilityZone: h.AvailabilityZone}
+			version, err := operator.TableVersion(h.OperatorAddress, h.ID)
+			if err != nil {
+				v.Error = err.Error()
+			} else {
+				v.Reached, v.Version = true, version
+			}
+			versions[i] = v
+		})
+	}
+	wg.Wait()
+	return versions
+}
+
+// behind returns the hosts that can be reached and have an older version.
+func behind(versions []hostVersion, version uint64) (ids []string) {
+	for _, v := range versions {
+		if v.Reached && v.Version < version {
+			ids = append(ids, v.ID)
+		}
+	}
+	return ids
+}
+
+func unreached(versions []hostVersion) (ids []string) {
+	for _, v := range versions {
+		if !v.Reached {
+			ids = append(ids, v.ID)
+		}
+	}
+	return ids
+}
+
+// waitInForce waits until every host that can be reached has version in force,
+// and prints how long that took.
+func (a *app) waitInForce(version uint64) error {
+	start := time.Now()
+	versions, err := a.askUntil(version)
+	if err != nil {
+		return err
+	}
+	if err := notInForce(versions, version); err != nil {
+		return err
+	}
+	if !a.JSON {
+		a.printf("version %d is in force on %d hosts after %d ms\n", version, len(versions)-len(unreached(versions)),
+			time.Since(start).Milliseconds())
+	}
+	if ids := unreached(versions); len(ids) > 0 {
+		a.notef("not reached: %s\n", strings.Join(ids, " "))
+	}
+	return nil
+}
+
+// askUntil asks all hosts again and again until each that can be reached has
+// version in force, or until the timeout.
+func (a *app) askUntil(version uint64) (versions []hostVersion, err error) {
+	for end := time.Now().Add(a.Timeout); ; time.Sleep(askPause) {
+		hosts, err := a.hosts()
+		if err != nil {
+			return nil, err
+		}
+		versions = ask(hosts)
+		if notInForce(versions, version) == nil || time.Now().After(end) {
+			return versions, nil
+		}
+	}
+}
+
+// notInForce returns an error unless version is in force on every host that can
+// be reached, and on one at least.
+func notInForce(versions []hostVersion, version uint64) error {
+	if ids := behind(versions, version); len(ids) > 0 {
+		return &exitError{exitNotYet, errors.Errorf("version %d is not yet in force on %s", version, strings.Join(ids, " "))}
+	}
+	if len(unreached(versions)) == len(versions) {
+		return &exitError{exitNotYet, errors.New("no host can be reached; see siskinctl hosts")}
+	}
+	return nil
+}
+
+// hostAddress is where a host's operators' listener is.
+type hostAddress struct {
+	ID               string `json:"id"`
+	AvailabilityZone string `json:"availability_zone"`
+	State            string `json:"state"` // live or leaving; empty when the platform was not asked
+	CallerAddress    string `json:"caller_address"`
+	OperatorAddress  string `json:"operator_address"`
+}
+
+// hosts lists all hosts by id: as the platform does, or as the host given by
+// --host knows them.
+func (a *app) hosts() (hosts []hostAddress, err error) {
+	if a.Host != "" {
+		hosts, err = hostsByHost(a.Host)
+	} else {
+		hosts, err = a.hostsByPlatform()
+	}
+	slices.SortFunc(hosts, func(x, y hostAddress) int { return strings.Compare(x.ID, y.ID) })
+	return hosts, err
+}
+
+func (a *app) hostsByPlatform() (hosts []hostAddress, err error) {
+	client, err := a.platformClient()
+	if err != nil {
+		return nil, err
+	}
+	listed, err := client.Hosts()
+	for _, h := range listed {
+		hosts = append(hosts, hostAddress{h.ID, h.AvailabilityZone, h.State, h.CallerAddress, h.OperatorAddress})
+	}
+	return hosts, errors.WithMessage(err, "ask a host instead with --host")
+}
+
+func hostsByHost(address string) (hosts []hostAddress, err error) {
+	known, err := operator.Hosts(address)
+	for _, h := range known {
+		hosts = append(hosts, hostAddress{ID: h.ID, AvailabilityZone: h.AvailabilityZone, OperatorAddress: h.OperatorAddress})
+	}
+	return hosts, err
+}
+
+// columns prints rows of cells in aligned columns.
+func (a *app) columns(rows [][]string) {
+	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		_, _ = w.Write([]byte(strings.Join(row, "\t") + "\n"))
+	}
+	_ = w.Flush()
+}
--- a/siskinctl/main.go
+++ b/siskinctl/main.go
@@ -1,4 +1,8 @@
 // Command siskinctl is the operators' command line client of siskinpath.
 package main
 
-func main() {}
+import "os"
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
