--- a/siskinpathd/platform/client.go
+++ b/siskinpathd/platform/client.go
@@ -106,8 +106,9 @@
 	return at
 }
 
-// read makes a call that changes nothing and checks that it was answered 200.
-func (c *Client) read(ctx context.Context, method, path string, body, into any) (err error) {
+// read makes a call that changes nothing, and hands the body of its reply of
+// status 200 to decode.
+func (c *Client) read(ctx context.Context, method, path string, body any, decode func(reply []byte) error) (err error) {
 	defer func() {
 		c.count(path, err)
 		err = errors.WithMessagef(err, "platform %s", path)
@@ -119,8 +120,5 @@
 	if status != fasthttp.StatusOK {
 		return statusError(status, reply)
 	}
-	if err := json.Unmarshal(reply, into); err != nil {
-		return &Error{Kind: Garbage, Cause: err}
-	}
-	return nil
+	return decode(reply)
 }
--- /dev/null
+++ b/siskinpathd/platform/client_test.go
@@ -0,0 +1,264 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+	"github.com/smartystreets/goconvey/convey"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/member"
+)
+
+// scripted is a platform that gives one fixed reply, byte by byte as told.
+type scripted struct {
+	listener net.Listener
+	reply    string
+	requests atomic.Int64
+}
+
+func reply(status int, body string) string {
+	return "HTTP/1.1 " + strconv.Itoa(status) + " X\r\nContent-Type: application/json\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+}
+
+// serve answers every request with text, then closes the connection.
+func serve(text string) *scripted {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	convey.So(err, convey.ShouldBeNil)
+	s := &scripted{listener: l, reply: text}
+	go s.run()
+	return s
+}
+
+func (s *scripted) run() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.answer(conn)
+	}
+}
+
+func (s *scripted) answer(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	req, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	s.requests.Add(1)
+	_, _ = io.WriteString(conn, s.reply)
+	if s.reply == "" {
+		_, _ = io.Copy(io.Discard, conn) // no answer until the client gives up
+	}
+}
+
+func (s *scripted) client() *Client {
+	return &Client{Address: s.listener.Addr().String(), Timeout: 300 * clock.Millisecond, Counters: metrics.NewSet()}
+}
+
+func (s *scripted) close() { _ = s.listener.Close() }
+
+var ctx = context.Background()
+
+// kindOf gives the kind of a failed call, with what Unknown says of it.
+func kindOf(err error) (Kind, bool) {
+	var e *Error
+	if !errors.As(err, &e) {
+		return "", false
+	}
+	return e.Kind, Unknown(err)
+}
+
+func transactionShouldFail(text string, want Kind, unknown bool) {
+	s := serve(text)
+	defer s.close()
+	_, err := s.client().Transact(ctx, Transaction{Puts: []Put{{Key: "a", Value: "1"}}})
+	kind, u := kindOf(err)
+	convey.So(kind, convey.ShouldEqual, want)
+	convey.So(u, convey.ShouldEqual, unknown)
+	convey.So(s.requests.Load(), convey.ShouldEqual, 1) // never sent twice
+}
+
+func TestTransact(t *testing.T) {
+	convey.Convey("a commit is told with its versions", t, func() {
+		s := serve(reply(200, `{"committed":true,"rows":[{"key":"a","version":4}]}`))
+		defer s.close()
+		r, err := s.client().Transact(ctx, Transaction{Puts: []Put{{Key: "a", Value: "1"}}})
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(r, convey.ShouldResemble, Result{Committed: true, Rows: []Row{{Key: "a", Version: 4}}})
+	})
+	convey.Convey("a conflict gives the rows in the way and is certainly not applied", t, func() {
+		s := serve(reply(409, `{"committed":false,"rows":[{"key":"a","value":"x","version":7}]}`))
+		defer s.close()
+		r, err := s.client().Transact(ctx, Transaction{Checks: []Check{{Key: "a", Version: 6}}})
+		convey.So(Conflicted(err), convey.ShouldBeTrue)
+		convey.So(Unknown(err), convey.ShouldBeFalse)
+		convey.So(r.Rows, convey.ShouldResemble, []Row{{Key: "a", Value: "x", Version: 7}})
+	})
+	convey.Convey("what the platform refuses is certainly not applied", t, func() {
+		transactionShouldFail(reply(503, ""), NotApplied, false)
+		transactionShouldFail(reply(400, "bad"), NotApplied, false)
+	})
+	convey.Convey("anything else may have been applied", t, func() {
+		transactionShouldFail("", Lost, true)
+		transactionShouldFail("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{\"comm", Lost, true)
+		transactionShouldFail("nonsense\r\n\r\n", Lost, true)
+		transactionShouldFail(reply(500, "oops"), Lost, true)
+		transactionShouldFail(reply(302, ""), Lost, true)
+		transactionShouldFail(reply(200, "}{"), Garbage, true)
+		transactionShouldFail(reply(200, `{"rows":[]}`), Garbage, true)
+		transactionShouldFail(reply(200, `{"committed":false}`), Garbage, true)
+		transactionShouldFail(reply(409, `{"committed":true}`), Garbage, true)
+		transactionShouldFail(reply(200, `{"committed":true,"rows":[]}`), Garbage, true)
+		transactionShouldFail(reply(200, `{"committed":true,"rows":[{"key":"b","version":1}]}`), Garbage, true)
+		transactionShouldFail(reply(200, `{"committed":true,"rows":[{"key":"a","version":-1}]}`), Garbage, true)
+	})
+	convey.Convey("a refused connection is certainly not applied, nor is a call given up before it", t, func() {
+		s := serve("")
+		s.close()
+		_, err := s.client().Transact(ctx, Transaction{})
+		convey.So(Unknown(err), convey.ShouldBeFalse)
+		done, cancel := context.WithCancel(ctx)
+		cancel()
+		_, err = s.client().Transact(done, Transaction{})
+		convey.So(Unknown(err), convey.ShouldBeFalse)
+	})
+	convey.Convey("an error of no known kind counts as unknown", t, func() {
+		convey.So(Unknown(io.EOF), convey.ShouldBeTrue)
+		convey.So(Unknown(nil), convey.ShouldBeFalse)
+	})
+}
+
+func readShouldFail(text string, want Kind) {
+	s := serve(text)
+	defer s.close()
+	c := s.client()
+	_, err := c.Read(ctx, "a", "b")
+	kind, _ := kindOf(err)
+	convey.So(kind, convey.ShouldEqual, want)
+	convey.So(s.requests.Load(), convey.ShouldEqual, 1)
+	convey.So(c.Counters.GetOrCreateCounter(`platform_calls_total{path="/v1/read",result="`+string(want)+`"}`).Get(), convey.ShouldEqual, 1)
+	convey.So(c.Counters.GetOrCreateCounter(`platform_calls_total{path="/v1/read",result="ok"}`).Get(), convey.ShouldEqual, 0)
+}
+
+func TestRead(t *testing.T) {
+	convey.Convey("rows come in the order asked", t, func() {
+		s := serve(reply(200, `{"rows":[{"key":"a","value":"1","version":2},{"key":"b","version":0}]}`))
+		defer s.close()
+		rows, err := s.client().Read(ctx, "a", "b")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(rows, convey.ShouldResemble, []Row{{Key: "a", Value: "1", Version: 2}, {Key: "b"}})
+		versions, err := s.client().ReadVersions(ctx, "a", "b")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(versions[0].Version, convey.ShouldEqual, 2)
+	})
+	convey.Convey("garbage is an error and counted once", t, func() {
+		readShouldFail(reply(200, `null`), Garbage)
+		readShouldFail(reply(200, `[]`), Garbage)
+		readShouldFail(reply(200, `{"rows":[{"key":"a"}]}`), Garbage)
+		readShouldFail(reply(200, `{"rows":[{"key":"b"},{"key":"a"}]}`), Garbage)
+		readShouldFail(reply(200, `{"rows":[{"key":"a","value":3},{"key":"b"}]}`), Garbage)
+		readShouldFail(reply(503, ""), NotApplied)
+		readShouldFail(reply(500, strings.Repeat("x", 1000)), Lost)
+		readShouldFail("", Lost)
+		readShouldFail("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n{", Lost)
+	})
+}
+
+const goodHost = `{"id":"gh-1","availability_zone":"z","state":"leaving","peer_address":"127.0.0.1:1","caller_address":"127.0.0.1:2","operator_address":"127.0.0.1:3"}`
+
+func TestHosts(t *testing.T) {
+	convey.Convey("the list is read", t, func() {
+		s := serve(reply(200, `{"hosts":[`+goodHost+`]}`))
+		defer s.close()
+		hosts, err := s.client().Hosts(ctx)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(hosts, convey.ShouldResemble, []member.ListedHost{{
+			ID: "gh-1", AvailabilityZone: "z", Leaving: true,
+			PeerAddress: "127.0.0.1:1", CallerAddress: "127.0.0.1:2", OperatorAddress: "127.0.0.1:3",
+		}})
+	})
+	convey.Convey("an impossible host is left out and counted, the others stay", t, func() {
+		shouldLeaveOut(goodHost, 1) // listed twice
+		shouldLeaveOut(strings.Replace(otherHost, "leaving", "gone", 1), 1)
+		shouldLeaveOut(strings.Replace(otherHost, "gh-2", "", 1), 1)
+		shouldLeaveOut(strings.Replace(otherHost, "127.0.0.1:1", "here", 1), 1)
+		shouldLeaveOut(`null,{},{"state":"live"}`, 3)
+	})
+	convey.Convey("what is no list is garbage", t, func() {
+		for _, bad := range []string{`{"hosts":{}}`, `{}`, `null`, `{"hosts":null}`, `}{`} {
+			s := serve(reply(200, bad))
+			_, err := s.client().Hosts(ctx)
+			kind, _ := kindOf(err)
+			convey.So(kind, convey.ShouldEqual, Garbage)
+			s.close()
+		}
+	})
+}
+
+var otherHost = strings.Replace(goodHost, "gh-1", "gh-2", 1)
+
+func shouldLeaveOut(bad string, want uint64) {
+	s := serve(reply(200, `{"hosts":[`+goodHost+`,`+bad+`]}`))
+	defer s.close()
+	c := s.client()
+	hosts, err := c.Hosts(ctx)
+	convey.So(err, convey.ShouldBeNil)
+	convey.So(hosts, convey.ShouldHaveLength, 1)
+	convey.So(hosts[0].ID, convey.ShouldEqual, "gh-1")
+	convey.So(c.Counters.GetOrCreateCounter(`platform_hosts_left_out_total`).Get(), convey.ShouldEqual, want)
+}
+
+func FuzzDecodeTransaction(f *testing.F) {
+	f.Add(200, []byte(`{"committed":true,"rows":[{"key":"a","version":1}]}`))
+	f.Add(409, []byte(`{"committed":false,"rows":[{"key":"a","value":"x","version":1}]}`))
+	f.Add(200, []byte(`{"committed":null}`))
+	f.Add(200, []byte("\x00\xff"))
+	t := Transaction{Puts: []Put{{Key: "a"}}}
+	f.Fuzz(func(tt *testing.T, status int, body []byte) {
+		r, err := decodeTransaction(t, status, body)
+		if err == nil && (!r.Committed || len(r.Rows) != 1 || r.Rows[0].Version == 0) {
+			tt.Fatal("a commit without the versions of its puts")
+		}
+	})
+}
+
+func FuzzDecodeHosts(f *testing.F) {
+	f.Add([]byte(`{"hosts":[` + goodHost + `]}`))
+	f.Add([]byte(`{"hosts":[null,{"id":"\u0000"}]}`))
+	f.Add([]byte(`{"hosts":[` + goodHost + `,` + goodHost + `]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		hosts, _, err := decodeHosts(body)
+		if err != nil {
+			return
+		}
+		for _, h := range hosts {
+			if h.ID == "" || h.PeerAddress == "" {
+				t.Fatal("a host without id or address")
+			}
+		}
+	})
+}
+
+func FuzzDecodeRows(f *testing.F) {
+	f.Add([]byte(`{"rows":[{"key":"a","version":1},{"key":"b","version":0}]}`))
+	f.Add([]byte(`{"rows":[{"key":"a","version":1e99},{"key":"b"}]}`))
+	f.Add([]byte(`{"rows":null}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		rows, err := decodeRows([]string{"a", "b"}, body)
+		if err == nil && (len(rows) != 2 || rows[0].Key != "a" || rows[1].Key != "b") {
+			t.Fatal("rows that were not asked for")
+		}
+	})
+}
--- a/siskinpathd/platform/hosts.go
+++ b/siskinpathd/platform/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/netip"
 
 	"github.com/valyala/fasthttp"
@@ -28,41 +29,50 @@
 	OperatorAddress  string `json:"operator_address"`
 }
 
-// Hosts reads the list of live and leaving hosts. The list lags.
+// Hosts reads the list of live and leaving hosts. The list lags. Hosts listed
+// with something impossible are left out and counted, so that one of them
+// doesn't hide the others.
 func (c *Client) Hosts(ctx context.Context) (hosts []member.ListedHost, err error) {
-	var reply hostsReply
-	err = c.read(ctx, fasthttp.MethodGet, pathHosts, nil, &reply)
-	if err != nil {
-		return nil, err
+	err = c.read(ctx, fasthttp.MethodGet, pathHosts, nil, func(reply []byte) error {
+		all, leftOut, err := decodeHosts(reply)
+		hosts = all
+		c.Counters.GetOrCreateCounter(`platform_hosts_left_out_total`).Add(leftOut)
+		return err
+	})
+	return hosts, err
+}
+
+func decodeHosts(reply []byte) (hosts []member.ListedHost, leftOut int, err error) {
+	var r hostsReply
+	if err := json.Unmarshal(reply, &r); err != nil {
+		return nil, 0, &Error{Kind: Garbage, Cause: err}
+	}
+	if r.Hosts == nil {
+		return nil, 0, garbage("no list of hosts in %s", excerpt(reply))
 	}
 	seen := map[string]bool{}
-	for _, row := range reply.Hosts {
-		if what := row.fault(); what != "" {
-			return nil, c.bad(pathHosts, garbage("host %q: %s", row.ID, what))
-		}
-		if seen[row.ID] {
-			return nil, c.bad(pathHosts, garbage("host %q is listed twice", row.ID))
+	for _, row := range r.Hosts {
+		if !row.possible() || seen[row.ID] {
+			leftOut++
+			continue
 		}
 		seen[row.ID] = true
 		hosts = append(hosts, row.host())
 	}
-	return hosts, nil
+	return hosts, leftOut, nil
 }
 
-// fault says what is wrong with the row, or "".
-func (r hostRow) fault() string {
-	if r.ID == "" {
-		return "no id"
-	}
-	if r.State != stateLive && r.State != stateLeaving {
-		return "unknown state " + excerpt([]byte(r.State))
+// possible tells whether the row can be what the platform meant.
+func (r hostRow) possible() bool {
+	if r.ID == "" || r.State != stateLive && r.State != stateLeaving {
+		return false
 	}
 	for _, a := range []string{r.PeerAddress, r.CallerAddress, r.OperatorAddress} {
 		if _, err := netip.ParseAddrPort(a); err != nil {
-			return "no address: " + excerpt([]byte(a))
+			return false
 		}
 	}
-	return ""
+	return true
 }
 
 func (r hostRow) host() member.ListedHost {
--- a/siskinpathd/platform/rows.go
+++ b/siskinpathd/platform/rows.go
@@ -64,26 +64,28 @@
 }
 
 func (c *Client) rows(ctx context.Context, path string, keys []string) (rows []Row, err error) {
-	var reply rowsReply
-	err = c.read(ctx, fasthttp.MethodPost, path, keysRequest{Keys: keys}, &reply)
-	if err != nil {
-		return nil, err
+	err = c.read(ctx, fasthttp.MethodPost, path, keysRequest{Keys: keys}, func(reply []byte) (err error) {
+		rows, err = decodeRows(keys, reply)
+		return err
+	})
+	return rows, err
+}
+
+// decodeRows reads the rows and makes sure that they are those asked for.
+func decodeRows(keys []string, reply []byte) ([]Row, error) {
+	var r rowsReply
+	if err := json.Unmarshal(reply, &r); err != nil {
+		return nil, &Error{Kind: Garbage, Cause: err}
 	}
-	if len(reply.Rows) != len(keys) {
-		return nil, c.bad(path, garbage("%d rows for %d keys", len(reply.Rows), len(keys)))
+	if len(r.Rows) != len(keys) {
+		return nil, garbage("%d rows for %d keys", len(r.Rows), len(keys))
 	}
-	for i, row := range reply.Rows {
+	for i, row := range r.Rows {
 		if row.Key != keys[i] {
-			return nil, c.bad(path, garbage("row %q where %q was asked for", row.Key, keys[i]))
+			return nil, garbage("row %q where %q was asked for", row.Key, keys[i])
 		}
 	}
-	return reply.Rows, nil
-}
-
-// bad counts and annotates a reply that was JSON, but not what was asked for.
-func (c *Client) bad(path string, e *Error) error {
-	c.count(path, e)
-	return errors.WithMessagef(e, "platform %s", path)
+	return r.Rows, nil
 }
 
 // Transact applies t once. Without an error it has been committed. With an error
