--- /dev/null
+++ b/standin/caller/summary.go
@@ -0,0 +1,82 @@
+package caller
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// told is a kind of attempt: what was said and why.
+type told struct {
+	outcome Outcome
+	reason  string
+	service string
+}
+
+// Reasons returns one line per outcome and reason of attempts that were not
+// answered, with their number, most first.
+func (l *Load) Reasons() []string {
+	counts := map[told]int{}
+	for _, e := range l.Ledger.Entries() {
+		for _, a := range e.Attempts {
+			if a.Outcome != Answered {
+				counts[told{a.Outcome, a.Reason, e.Service}]++
+			}
+		}
+	}
+	kinds := make([]told, 0, len(counts))
+	for k := range counts {
+		kinds = append(kinds, k)
+	}
+	slices.SortFunc(kinds, func(a, b told) int {
+		if d := counts[b] - counts[a]; d != 0 {
+			return d
+		}
+		return strings.Compare(a.service+string(a.outcome)+a.reason, b.service+string(b.outcome)+b.reason)
+	})
+	lines := make([]string, 0, len(kinds))
+	for _, k := range kinds {
+		lines = append(lines, fmt.Sprintf("%s: %d attempts %s %s", k.service, counts[k], k.outcome, k.reason))
+	}
+	return lines
+}
+
+// Seconds returns one line per second since the first request, with the number
+// of requests by final outcome.
+func (l *Load) Seconds() []string {
+	entries := l.Ledger.Entries()
+	bySecond := map[int64]map[Outcome]int{}
+	first, last := int64(0), int64(0)
+	for _, e := range entries {
+		if len(e.Attempts) == 0 {
+			continue
+		}
+		at := e.Attempts[0].SentMs / 1000
+		if at == 0 {
+			continue
+		}
+		if first == 0 || at < first {
+			first = at
+		}
+		last = max(last, at)
+		if bySecond[at] == nil {
+			bySecond[at] = map[Outcome]int{}
+		}
+		bySecond[at][e.Final]++
+	}
+	var lines []string
+	for at := first; at <= last && first > 0; at++ {
+		lines = append(lines, secondLine(at-first, bySecond[at]))
+	}
+	return lines
+}
+
+func secondLine(at int64, counts map[Outcome]int) string {
+	line := fmt.Sprintf("second %d:", at)
+	for _, o := range []Outcome{Answered, NotRun, Unknown, NoReply, NotSent, Rejected} {
+		if counts[o] > 0 {
+			line += fmt.Sprintf(" %s %d", o, counts[o])
+		}
+	}
+	return line
+}
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -150,8 +151,8 @@
 		figure.Figure{Name: "run_seconds", Value: time.Since(m.begun).Round(time.Millisecond).Seconds()},
 	)
 	figure.Write(m.Out, figures)
-	for _, e := range findings.Examples {
-		m.say("%s", e)
+	for _, line := range slices.Concat(m.load.Seconds(), m.load.Reasons(), findings.Examples) {
+		_, _ = fmt.Fprintln(m.Log, line)
 	}
 	if !findings.Clean() || upstreams.overBudget || m.late+cut+left > 0 || !m.load.AnyAnswered() {
 		return ErrBroken
