siskinpathd: tell the key window before serving; not healthy without an assignment

Cause: a host told its key window first after 500 ms, so address answers given before carried window 0; callers keep them for 5 s and every key made with them was answered unknown, key_too_old. And a host was healthy as soon as it had a table, 2.2 s before the first assignment, and refused meanwhile with no_upstream.

--- a/siskinpathd/peer/follow/status.go
+++ b/siskinpathd/peer/follow/status.go
@@ -97,8 +97,10 @@
 		switch {
 		case d.view.State(now).Leaving:
 			return errors.New("this host is leaving")
-		case d.follower.InForce() != nil:
+		case d.follower.InForce() != nil && d.view.Epoch() > 0:
 			return nil
+		case d.follower.InForce() != nil:
+			return errors.New("no assignment known yet: nobody owns an upstream")
 		case failure != nil:
 			return errors.WithMessage(failure, "no table in force yet, waiting for the platform or a majority of hosts")
 		case d.platform.tried:
--- a/siskinpathd/serve/node.go
+++ b/siskinpathd/serve/node.go
@@ -66,6 +66,7 @@
 		return err
 	}
 	n.join()
+	n.tellKeyWindow() // before the first answer to callers and the first heartbeat
 	ctx, stop := context.WithCancelCause(context.Background())
 	var wg sync.WaitGroup
 	for _, f := range []func(context.Context) error{n.Link.Run, n.Operators.Run, n.follow, n.claims, n.housekeep} {
@@ -157,13 +158,18 @@
 		case <-sweep.C:
 			n.Upstreams.Sweep()
 		case <-turn.C:
-			n.Keeper.With(func(now clock.Millis, k *once.Keeper) {
-				n.Fleet.SetKeyWindow(k.Window(now))
-			})
+			n.tellKeyWindow()
 		}
 	}
 }
 
+// tellKeyWindow tells the fleet how keys made from now on begin.
+func (n *Node) tellKeyWindow() {
+	n.Keeper.With(func(now clock.Millis, k *once.Keeper) {
+		n.Fleet.SetKeyWindow(k.Window(now))
+	})
+}
+
 // shutDown is graceful: the host leaves the answers to callers and gives up its
 // upstreams, serves on until kept answers have run out, closes connections
 // between requests, and waits for what is in flight. A second signal skips the
