standin upstream: the test waits until a closed connection's place is free

Ruled out: the reading ahead of a connection, cut answers (their tests never failed). Change: the test waits for the count; the check itself is as before. Conclusion: the test was wrong, not the stand-in.

--- a/standin/upstream/server_test.go
+++ b/standin/upstream/server_test.go
@@ -112,6 +112,7 @@
 		_, err = net.Dial("tcp", u.Address)
 		So(err, ShouldNotBeNil)
 		So(u.change([]byte(`{"closed":false}`)), ShouldBeNil)
+		waitStats(u, func(s Stats) bool { return s.Open == 0 })
 		again := dial(u)
 		defer again.Close()
 		again.send("/x?work_ms=1", "")
