member: news spreads by age, not by turn

Cause: with a plain rotation and entries in turn the oldest news of a host was 15.0 s at 100 hosts and 5.8 s at 44 (BenchmarkCost), above HearFor. Now a reply carries the freshest news first, and of three heartbeats a turn one follows the rotation, one goes to a host that may be lost, one to the host of the oldest news. After: 1.7 s at 22, 2.5 s at 44, 5.5 s at 100 (p999 4.8 s), at the same 3.5 KB/s sent. Tried and not kept: both other heartbeats to hosts still heard; a host past HearFor then waited up to 21 s for its turn. Planning is skipped when nothing it is made from has changed. go test ./core/fleet passes.

--- /dev/null
+++ b/core/fleet/cost_test.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+
+	"siskinpath/core/clock"
+)
+
+// BenchmarkCost measures what membership costs each host of a calm fleet, at
+// the size to design for: bytes and messages sent, the age of news, the size of
+// the row, and processor time (that of the fakes included).
+func BenchmarkCost(b *testing.B) {
+	for _, hosts := range []int{5, 22, 44, 100} {
+		b.Run(fmt.Sprintf("%d_hosts", hosts), func(b *testing.B) {
+			const warm, span = 20 * clock.Second, 20 * clock.Second
+			zones := []string{"z1", "z2", "z3", "z4", "z5", "z6"}
+			f := New(Config{Seed: 1, Hosts: hosts, Zones: zones, Table: SmallTable(zones)})
+			f.Run(warm)
+			before := f.sent()
+			var ages []clock.Millis
+			b.ResetTimer()
+			for b.Loop() {
+				before, ages = f.sent(), ages[:0]
+				for until := f.Now + span; f.Now < until; {
+					f.Run(f.Now + clock.Second)
+					ages = append(ages, f.ages()...)
+				}
+			}
+			hostSeconds := float64(hosts) * float64(span/clock.Second)
+			sent := f.sent()
+			slices.Sort(ages)
+			row, _ := json.Marshal(f.Platform.Row)
+			b.ReportMetric(float64(sent.bytes-before.bytes)/hostSeconds, "bytes_sent/s")
+			b.ReportMetric(float64(sent.messages-before.messages)/hostSeconds, "messages_sent/s")
+			b.ReportMetric(float64(ages[len(ages)/2]), "age_ms_p50")
+			b.ReportMetric(float64(ages[len(ages)*999/1000]), "age_ms_p999")
+			b.ReportMetric(float64(ages[len(ages)-1]), "age_ms_max")
+			b.ReportMetric(float64(len(row)), "row_bytes")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/hostSeconds/1e7, "core_%")
+		})
+	}
+}
+
+// sentSoFar is what all hosts have sent.
+type sentSoFar struct{ bytes, messages int }
+
+func (f *Fleet) sent() sentSoFar {
+	var s sentSoFar
+	for _, h := range f.Hosts {
+		s.bytes += h.SentBytes
+		s.messages += h.SentMessages
+	}
+	return s
+}
+
+// ages returns the age of every host's news at every other.
+func (f *Fleet) ages() []clock.Millis {
+	var ages []clock.Millis
+	for _, h := range f.Hosts {
+		for _, s := range h.View.Status(h.Time()) {
+			if s.ID != h.ID {
+				ages = append(ages, s.HeardAge)
+			}
+		}
+	}
+	return ages
+}
--- a/core/member/heartbeat.go
+++ b/core/member/heartbeat.go
@@ -10,6 +10,8 @@
 // Bounds on what heartbeats carry and cause.
 const (
 	maxDeathsSent  = 4
+	askAgainWait   = 750 * clock.Millisecond
+	maxRelays      = 2 // news of a host goes out so often before older news of others
 	fetchAgainWait = 300 * clock.Millisecond
 )
 
@@ -104,6 +106,7 @@
 	if stated > p.heardAt {
 		p.heardAt = stated
 		p.receivedAt = now
+		p.relayed = 0
 	}
 	if k.Sequence >= p.sequence {
 		p.sequence = k.Sequence
@@ -128,7 +131,7 @@
 	host.Incarnation = ref.Incarnation
 	*p = peer{
 		host: host, listed: listed, listedLeaving: leaving, heardAt: never, receivedAt: never,
-		directAt: never, platformAt: never, foundAt: now, seenAt: now,
+		directAt: never, platformAt: never, foundAt: now, seenAt: now, askedAt: now,
 	}
 	return true
 }
@@ -190,13 +193,28 @@
 	return v.table.Version
 }
 
-// sendTurn sends this turn's heartbeats to the next hosts of the rotation.
+// sendTurn sends this turn's heartbeats: one to the next host of the rotation,
+// one to a host that may be lost, the others to those of the oldest news.
 func (v *View) sendTurn(now clock.Millis) []Action {
 	v.sequence++
 	v.turnAt[v.sequence%uint64(len(v.turnAt))] = now
+	if len(v.order) == 0 {
+		return nil
+	}
+	targets := []*peer{v.nextInOrder()}
+	targets[0].askedAt = now
+	for i := range v.Fanout - 1 {
+		longest := v.HearFor
+		if i == 0 {
+			longest = v.RemoveAfter
+		}
+		if p := v.oldest(now, longest); p != nil {
+			p.askedAt = now
+			targets = append(targets, p)
+		}
+	}
 	var actions []Action
-	for range min(v.Fanout, len(v.order)) {
-		p := v.nextInOrder()
+	for _, p := range targets {
 		if p.host.PeerAddress == "" {
 			continue
 		}
@@ -219,6 +237,21 @@
 	return p
 }
 
+// oldest returns the host with the oldest news that is no older than longest,
+// but for those just asked.
+func (v *View) oldest(now, longest clock.Millis) *peer {
+	var found *peer
+	for _, p := range v.peers {
+		if v.dead[p.ref()] || p.host.Incarnation == 0 || now-p.heardAt > longest || now-p.askedAt < askAgainWait {
+			continue
+		}
+		if found == nil || p.heardAt < found.heardAt || p.heardAt == found.heardAt && p.host.ID < found.host.ID {
+			found = p
+		}
+	}
+	return found
+}
+
 // beat is a heartbeat without second-hand news.
 func (v *View) beat(now clock.Millis) Heartbeat {
 	beat := Heartbeat{
@@ -239,17 +272,22 @@
 	return beat
 }
 
-// someKnown takes the next hosts heard, in rotation.
+// someKnown takes the freshest news, each piece of it once or twice.
 func (v *View) someKnown(now clock.Millis, except string) []Known {
 	ids := v.heardIDs(now)
+	slices.SortStableFunc(ids, func(a, b string) int {
+		p, q := v.peers[a], v.peers[b]
+		return cmp.Or(cmp.Compare(p.relayed/maxRelays, q.relayed/maxRelays), cmp.Compare(q.heardAt, p.heardAt))
+	})
 	var some []Known
-	for range ids {
+	for _, id := range ids {
 		if len(some) == v.MaxKnown {
 			break
 		}
-		v.knownAt = (v.knownAt + 1) % len(ids)
-		if id := ids[v.knownAt]; id != except {
-			some = append(some, v.knownOf(now, v.peers[id]))
+		if id != except {
+			p := v.peers[id]
+			p.relayed++
+			some = append(some, v.knownOf(now, p))
 		}
 	}
 	return some
--- a/core/member/peers.go
+++ b/core/member/peers.go
@@ -26,6 +26,8 @@
 	heardAt      clock.Millis
 	receivedAt   clock.Millis
 	directAt     clock.Millis
+	askedAt      clock.Millis // our latest heartbeat to it
+	relayed      int          // replies that carried the newest news
 	sequence     uint64
 	epoch        uint64
 	tableVersion uint64
@@ -43,7 +45,7 @@
 func (v *View) peer(id string) *peer {
 	p := v.peers[id]
 	if p == nil {
-		p = &peer{host: Host{ID: id}, heardAt: never, receivedAt: never, directAt: never, platformAt: never, foundAt: never}
+		p = &peer{host: Host{ID: id}, heardAt: never, receivedAt: never, directAt: never, platformAt: never, foundAt: never, askedAt: never}
 		v.peers[id] = p
 		v.insertInOrder(id)
 	}
--- a/core/member/propose.go
+++ b/core/member/propose.go
@@ -102,27 +102,49 @@
 	return rank
 }
 
+// planned remembers what the last plan was made from, and whether it fitted the
+// current assignment already.
+type planned struct {
+	members      []Host
+	tableVersion uint64
+	epoch        uint64
+	deaths       Ref // the last one known
+	fits         bool
+}
+
+func (p planned) madeFrom(other planned) bool {
+	return p.tableVersion == other.tableVersion && p.epoch == other.epoch && p.deaths == other.deaths && sameHosts(p.members, other.members)
+}
+
 // desired works out the assignment that fits what this host knows, and whether
 // it differs from the current one.
 func (v *View) desired(now clock.Millis) (Assignment, bool) {
-	members := v.desiredMembers(now)
-	next := Assignment{
-		Epoch:        v.current.Epoch,
-		TableVersion: v.table.Version,
-		Members:      members,
-		Owners:       plan(v.table, members, v.held),
+	from := planned{members: v.desiredMembers(now), tableVersion: v.table.Version, epoch: v.current.Epoch}
+	if n := len(v.deaths); n > 0 {
+		from.deaths = v.deaths[n-1]
 	}
-	if len(members) == 0 {
-		return next, false
+	if len(from.members) == 0 || v.planned.fits && v.planned.madeFrom(from) {
+		return Assignment{}, false
 	}
-	sameMembers := slices.EqualFunc(members, v.current.Members, func(a, b Host) bool { return refOf(a) == refOf(b) })
-	if sameMembers && maps.Equal(next.Owners, v.current.Owners) {
+	next := Assignment{
+		Epoch:        from.epoch,
+		TableVersion: from.tableVersion,
+		Members:      from.members,
+		Owners:       plan(v.table, from.members, v.held),
+	}
+	from.fits = sameHosts(next.Members, v.current.Members) && maps.Equal(next.Owners, v.current.Owners)
+	v.planned = from
+	if from.fits {
 		return next, false
 	}
 	v.addHistory(now, &next)
 	return next, true
 }
 
+func sameHosts(a, b []Host) bool {
+	return slices.EqualFunc(a, b, func(a, b Host) bool { return refOf(a) == refOf(b) })
+}
+
 // desiredMembers returns who should be a member, sorted by id.
 func (v *View) desiredMembers(now clock.Millis) []Host {
 	var members, leaving []Host
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -48,7 +48,6 @@
 	peers    map[string]*peer
 	order    []string // ids in rotation
 	nextPeer int
-	knownAt  int // rotation of second-hand news
 	deadAt   int // rotation of deaths
 	dead     map[Ref]bool
 	deaths   []Ref // in order of discovery, bounded
@@ -73,6 +72,7 @@
 
 	writing   bool
 	proposed  Assignment
+	planned   planned
 	wantSince clock.Millis
 	wantDelay clock.Millis
 	nextWrite clock.Millis
