--- a/core/table/follower.go
+++ b/core/table/follower.go
@@ -12,7 +12,7 @@
 // answered, or a majority of the listed hosts have told their versions. Exported
 // fields are set before the first use.
 type Follower struct {
-	Self string // this host's id; it has no say in its own majority
+	Self string // this host's id; it has no say in the majority that it needs
 
 	table   *Table
 	value   string // of the row in force, as the platform holds it
@@ -22,7 +22,8 @@
 	answered        bool // the platform has answered since the start
 	platformVersion uint64
 	listed          []string
-	heard           map[string]uint64 // host to the version it has in force
+	heard           map[string]uint64 // host to the newest version it had in force
+	ownBefore       uint64            // newest version that this host had in force in an earlier process
 	copied          *copiedRow        // newest copy of a peer, until it may be taken
 	counts          FollowerCounts
 }
@@ -118,9 +119,11 @@
 	return nil
 }
 
-// Heard takes a peer's word on which version it has in force, 0 for none.
+// Heard takes the word, first or second hand, that a host has a version in force,
+// 0 for none. Of this host itself it tells what an earlier process had.
 func (f *Follower) Heard(now clock.Millis, host string, version uint64) {
 	if host == f.Self {
+		f.ownBefore = max(f.ownBefore, version)
 		return
 	}
 	if f.heard == nil {
@@ -193,6 +196,7 @@
 }
 
 func (f *Follower) newestHeard() (version uint64) {
+	version = f.ownBefore
 	for _, v := range f.heard {
 		version = max(version, v)
 	}
--- a/core/table/merge.go
+++ b/core/table/merge.go
@@ -78,13 +78,14 @@
 	return false
 }
 
-// fromCells builds a table from rows that Format could have written.
+// fromCells builds a table from rows that Format could have written, all of them:
+// whether they go together is for Check to say.
 func fromCells(rows map[rowKey][]string) *Table {
-	t, _ := Parse(formatRows(rows))
-	if t == nil {
-		return &Table{}
-	}
-	return t
+	p := newParser()
+	p.eachRowAlone = true
+	p.parse(formatRows(rows))
+	p.t.sort()
+	return p.t
 }
 
 // formatRows returns rows in the text form, with the header.
--- a/core/table/parse.go
+++ b/core/table/parse.go
@@ -19,7 +19,7 @@
 // The error is a Faults with everything that is wrong. The table then holds what
 // is sound, for a host to serve; it is nil when nothing is.
 func Parse(text []byte) (t *Table, err error) {
-	p := &parser{t: &Table{}, seen: map[rowKey]int{}, addresses: map[addressKey]string{}, upstreams: map[string]int{}}
+	p := newParser()
 	p.parse(text)
 	p.withoutUpstreams()
 	p.t.sort()
@@ -63,6 +63,16 @@
 	seen         map[rowKey]int // row to the line it stands on
 	addresses    map[addressKey]string
 	upstreams    map[string]int // service to its rows of upstreams, faulty ones too
+	eachRowAlone bool           // rows are not compared with each other
+}
+
+func newParser() *parser {
+	return &parser{
+		t:         &Table{},
+		seen:      map[rowKey]int{},
+		addresses: map[addressKey]string{},
+		upstreams: map[string]int{},
+	}
 }
 
 func (p *parser) fault(row int, column, fix, problem string, args ...any) {
@@ -216,7 +226,7 @@
 		c.fault(ColumnAvailabilityZone, nameFix, "%q is not a name", u.AvailabilityZone)
 	}
 	at := addressKey{service, u.Address}
-	if other, twice := p.addresses[at]; twice && u.Address != "" {
+	if other, twice := p.addresses[at]; twice && u.Address != "" && !p.eachRowAlone {
 		c.fault(ColumnAddress, "give each upstream its own address", "%s is the address of %s already", u.Address, other)
 	}
 	if !c.sound() {
