--- /dev/null
+++ b/siskinpathd/peer/corrupt_test.go
@@ -0,0 +1,297 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"math"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
+
+	"siskinpath/core/member"
+	"siskinpath/core/route"
+	"siskinpath/siskinpathd/peer/peerpb"
+)
+
+// rawPeer is another host that speaks the transport, and then whatever it likes.
+type rawPeer struct {
+	mux *yamux.Session
+}
+
+func dialRaw(h *testHost) *rawPeer {
+	var conn net.Conn
+	until(func() bool {
+		c, err := net.Dial("tcp", h.link.Self.PeerAddress)
+		conn = c
+		return err == nil
+	})
+	cfg := muxConfig()
+	mux, err := yamux.Client(conn, cfg)
+	convey.So(err, convey.ShouldBeNil)
+	return &rawPeer{mux: mux}
+}
+
+func (p *rawPeer) open() *yamux.Stream {
+	stream, err := p.mux.OpenStream()
+	convey.So(err, convey.ShouldBeNil)
+	return stream
+}
+
+// send ignores a link closed meanwhile; the verdict is on what the host does.
+func (p *rawPeer) send(stream *yamux.Stream, m proto.Message) {
+	_, _ = writeFrame(stream, m, math.MaxInt32)
+}
+
+// introduce opens a control stream as a host.
+func (p *rawPeer) introduce(id string, incarnation uint64) *yamux.Stream {
+	stream := p.open()
+	p.send(stream, &peerpb.Open{Kind: &peerpb.Open_Control{Control: &peerpb.Control{HostId: id, Incarnation: incarnation}}})
+	return stream
+}
+
+func (p *rawPeer) shouldBeClosed() {
+	select {
+	case <-p.mux.CloseChan():
+	case <-time.After(patience):
+		panic("the link stayed open")
+	}
+}
+
+func heartbeatMessage(hb *peerpb.Heartbeat) *peerpb.ControlMessage {
+	return &peerpb.ControlMessage{Kind: &peerpb.ControlMessage_Heartbeat{Heartbeat: hb}}
+}
+
+func TestCorruptFrames(t *testing.T) {
+	convey.Convey("a host with one good link", t, func() {
+		a, b := pair()
+		defer a.kill()
+		defer b.kill()
+		raw := dialRaw(a)
+		defer func() { _ = raw.mux.Close() }()
+		shouldSurvive := func(links uint64) {
+			raw.shouldBeClosed()
+			shouldCount(a, `peer_corrupt_frames_total`, links)
+			reply, err := b.link.Call(context.Background(), "a", &peerpb.CallRequest{DeadlineMs: 60000, Body: []byte("x")})
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(string(reply.GetBody()), convey.ShouldEqual, "x")
+			convey.So(a.deaths, convey.ShouldBeEmpty)
+		}
+		convey.Convey("closes a link whose first frame is no message", func() {
+			_, _ = raw.open().Write([]byte("\x05\xff\xff\xff\xff\xff"))
+			shouldSurvive(1)
+		})
+		convey.Convey("closes a link whose frame is announced larger than allowed", func() {
+			_, _ = raw.open().Write([]byte("\xff\xff\xff\xff\x7f"))
+			shouldSurvive(1)
+		})
+		convey.Convey("closes a link whose stream is for nothing known", func() {
+			raw.send(raw.open(), &peerpb.Open{})
+			shouldSurvive(1)
+		})
+		convey.Convey("closes a link of a nameless host", func() {
+			raw.introduce("", 1)
+			shouldSurvive(1)
+		})
+		convey.Convey("closes a link with two control streams", func() {
+			raw.introduce("c", 5)
+			until(func() bool { return a.link.Linked("c") })
+			raw.introduce("c", 5)
+			shouldSurvive(1)
+		})
+		convey.Convey("closes a link whose heartbeat is of another incarnation", func() {
+			raw.send(raw.introduce("c", 5), heartbeatMessage(&peerpb.Heartbeat{Incarnation: 6}))
+			shouldSurvive(1)
+			convey.So(a.heartbeats, convey.ShouldBeEmpty)
+		})
+		convey.Convey("closes a link whose heartbeat introduces another host", func() {
+			self := hostToWire(member.Host{ID: "d", Incarnation: 5, PeerAddress: "127.0.0.1:1", CallerAddress: "127.0.0.1:1", OperatorAddress: "127.0.0.1:1"})
+			raw.send(raw.introduce("c", 5), heartbeatMessage(&peerpb.Heartbeat{Incarnation: 5, Self: self}))
+			shouldSurvive(1)
+			convey.So(a.heartbeats, convey.ShouldBeEmpty)
+		})
+		convey.Convey("closes a link with an empty control message", func() {
+			raw.send(raw.introduce("c", 5), &peerpb.ControlMessage{})
+			shouldSurvive(1)
+		})
+		convey.Convey("closes a link with a digest of nothing", func() {
+			raw.send(raw.introduce("c", 5), &peerpb.ControlMessage{Kind: &peerpb.ControlMessage_Digest{Digest: &peerpb.Digest{}}})
+			shouldSurvive(1)
+			convey.So(a.digests, convey.ShouldBeEmpty)
+		})
+		convey.Convey("closes a link with a call larger than allowed and doesn't run it", func() {
+			raw.introduce("c", 5)
+			call := &peerpb.CallRequest{DeadlineMs: 60000, Body: make([]byte, defaultBodyBytes+1)}
+			_, _ = writeFrame(raw.open(), &peerpb.Open{Kind: &peerpb.Open_Call{Call: call}}, math.MaxInt32)
+			shouldSurvive(1)
+			convey.So(receive(a.calls), convey.ShouldEqual, "b") // only the good one
+			convey.So(a.calls, convey.ShouldBeEmpty)
+		})
+		convey.Convey("closes a link that speaks no transport at all", func() {
+			conn, err := net.Dial("tcp", a.link.Self.PeerAddress)
+			convey.So(err, convey.ShouldBeNil)
+			_, _ = conn.Write(bytes.Repeat([]byte("GET / HTTP/1.1\r\n"), 10))
+			_, _ = io.Copy(io.Discard, conn) // returns when the host closes it
+			_ = raw.mux.Close()
+			shouldSurvive(0)
+		})
+		convey.Convey("runs no call that is cut off, and keeps the link", func() {
+			raw.introduce("c", 5)
+			var whole bytes.Buffer
+			call := &peerpb.CallRequest{DeadlineMs: 60000, Body: make([]byte, 1000)}
+			_, _ = writeFrame(&whole, &peerpb.Open{Kind: &peerpb.Open_Call{Call: call}}, math.MaxInt32)
+			stream := raw.open()
+			_, err := stream.Write(whole.Bytes()[:500])
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(stream.Close(), convey.ShouldBeNil)
+			_, _ = io.Copy(io.Discard, stream) // returns when the host closes it
+			convey.So(a.calls, convey.ShouldBeEmpty)
+			convey.So(raw.mux.IsClosed(), convey.ShouldBeFalse)
+			shouldCount(a, `peer_corrupt_frames_total`, 0)
+		})
+	})
+}
+
+func TestIncarnations(t *testing.T) {
+	convey.Convey("heartbeats of one host come in the order of its incarnations", t, func() {
+		a := newTestHost("a", 1, freeAddress()).run()
+		defer a.kill()
+		old, young := dialRaw(a), dialRaw(a)
+		defer func() { _ = old.mux.Close() }()
+		defer func() { _ = young.mux.Close() }()
+		oldControl := old.introduce("c", 5)
+		old.send(oldControl, heartbeatMessage(&peerpb.Heartbeat{Incarnation: 5, Sequence: 1}))
+		convey.So(receive(a.heartbeats).From.Incarnation, convey.ShouldEqual, member.Incarnation(5))
+		young.send(young.introduce("c", 6), heartbeatMessage(&peerpb.Heartbeat{Incarnation: 6, Sequence: 1}))
+		convey.So(receive(a.heartbeats).From.Incarnation, convey.ShouldEqual, member.Incarnation(6))
+		old.shouldBeClosed()
+		convey.So(a.heartbeats, convey.ShouldBeEmpty)
+	})
+	convey.Convey("a link whose incarnation may be older than the newest is turned away", t, func() {
+		a := newTestHost("a", 1, freeAddress())
+		a.link.once.Do(a.link.start)
+		muxes := []*yamux.Session{}
+		link := func(began uint64) *session {
+			x, y := net.Pipe()
+			_ = y
+			mux, err := yamux.Client(x, muxConfig())
+			convey.So(err, convey.ShouldBeNil)
+			muxes = append(muxes, mux)
+			return &session{link: a.link, began: began, mux: mux, identified: make(chan struct{})}
+		}
+		defer func() {
+			for _, m := range muxes {
+				_ = m.Close()
+			}
+		}()
+		began := a.link.tick()
+		convey.So(a.link.register(link(a.link.tick()), identity{id: "c", incarnation: 6}), convey.ShouldBeTrue)
+		convey.So(a.link.register(link(began), identity{id: "c", incarnation: 5}), convey.ShouldBeFalse)
+		convey.So(a.link.register(link(began), identity{id: "c", incarnation: 6}), convey.ShouldBeTrue)
+		convey.So(a.link.register(link(a.link.tick()), identity{id: "c", incarnation: 7}), convey.ShouldBeTrue)
+		convey.So(a.link.register(link(began), identity{id: "c", incarnation: 6}), convey.ShouldBeFalse)
+	})
+}
+
+func TestFrozenPeer(t *testing.T) {
+	convey.Convey("a peer that has stopped reading blocks no sender, and its link ends", t, func() {
+		a := newTestHost("a", 1, freeAddress()).run()
+		defer a.kill()
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		convey.So(err, convey.ShouldBeNil)
+		defer func() { _ = l.Close() }()
+		frozen := make(chan net.Conn, 10)
+		go freezeAfterHello(l, frozen)
+		host := member.Host{ID: "b", Incarnation: 2, PeerAddress: l.Addr().String()}
+		a.link.Dial(host)
+		until(func() bool { return a.link.Linked("b") })
+		hb := member.Heartbeat{From: a.link.Self}
+		for range 5000 {
+			hb.Known = append(hb.Known, member.Known{Host: member.Host{ID: "some-other-host", Incarnation: 1}})
+		}
+		for range 2000 {
+			a.link.SendHeartbeat(host, hb)
+			a.link.SendDigest("b", "booking", route.Digest{Free: 1})
+			a.link.Fetch("b", 1, 1)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		_, err = a.link.Call(ctx, "b", &peerpb.CallRequest{DeadlineMs: 200, Body: make([]byte, defaultBodyBytes)})
+		convey.So(err, convey.ShouldNotBeNil)
+		until(func() bool { return !a.link.Linked("b") })
+		convey.So(a.deaths, convey.ShouldBeEmpty) // silence is no proof
+	})
+}
+
+// freezeAfterHello answers the handshake of the first link and then reads nothing.
+func freezeAfterHello(l net.Listener, frozen chan<- net.Conn) {
+	for first := true; ; first = false {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		frozen <- conn
+		if first {
+			hello(conn)
+		}
+	}
+}
+
+// hello writes the frames of a control stream by hand: the transport's header
+// is version, type 0 (data), flags 1 (SYN), stream 2, length.
+func hello(conn net.Conn) {
+	var open bytes.Buffer
+	_, _ = writeFrame(&open, &peerpb.Open{Kind: &peerpb.Open_Control{Control: &peerpb.Control{HostId: "b", Incarnation: 2}}}, math.MaxInt32)
+	header := []byte{0, 0, 0, 1, 0, 0, 0, 2, 0, 0, 0, byte(open.Len())}
+	_, _ = conn.Write(append(header, open.Bytes()...))
+}
+
+func FuzzControlMessage(f *testing.F) {
+	seed := func(m proto.Message) {
+		var b bytes.Buffer
+		_, _ = writeFrame(&b, m, math.MaxInt32)
+		f.Add(b.Bytes())
+	}
+	seed(heartbeatMessage(&peerpb.Heartbeat{Incarnation: 2, Known: []*peerpb.Known{{Id: "c", Incarnation: 1}}, Dead: []*peerpb.Death{{}}}))
+	seed(&peerpb.ControlMessage{Kind: &peerpb.ControlMessage_Digest{Digest: &peerpb.Digest{Service: "s", Free: math.MaxUint32}}})
+	seed(&peerpb.ControlMessage{Kind: &peerpb.ControlMessage_TableCopy{TableCopy: &peerpb.TableCopy{Value: []byte("x")}}})
+	f.Add([]byte("\xff\xff\xff\xff\x0f"))
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		m := &peerpb.ControlMessage{}
+		if _, err := readFrame(bufio.NewReader(bytes.NewReader(frame)), m, maxControlFrame); err != nil {
+			return
+		}
+		host := member.Host{ID: "b", Incarnation: 2}
+		if w := m.GetHeartbeat(); w != nil {
+			hb, err := heartbeatFromWire(w, &host)
+			if err == nil && (hb.From.ID != "b" || hb.From.Incarnation != 2 || hb.PlatformAge < -1) {
+				t.Fatal("a heartbeat of another host")
+			}
+		}
+		if w := m.GetDigest(); w != nil {
+			service, d, err := digestFromWire(w)
+			if err == nil && (service == "" || min(d.Free, d.Queued, d.Slots) < 0) {
+				t.Fatal("an impossible digest")
+			}
+		}
+	})
+}
+
+func FuzzOpen(f *testing.F) {
+	var b bytes.Buffer
+	_, _ = writeFrame(&b, &peerpb.Open{Kind: &peerpb.Open_Call{Call: &peerpb.CallRequest{Body: []byte("x")}}}, math.MaxInt32)
+	f.Add(b.Bytes())
+	f.Add([]byte("\x80"))
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		m := &peerpb.Open{}
+		n, err := readFrame(bufio.NewReader(bytes.NewReader(frame)), m, 1<<16)
+		if err == nil && n > 1<<16+muxHeaderBytes+3 {
+			t.Fatal("a frame over its bound")
+		}
+	})
+}
--- a/siskinpathd/peer/link.go
+++ b/siskinpathd/peer/link.go
@@ -55,11 +55,12 @@
 	ticks   atomic.Uint64 // orders events within this process
 	deliver sync.Mutex    // held while a heartbeat or a death is told; taken before mu
 
-	mu      sync.Mutex
-	ctx     context.Context // of Run; nil before
-	wg      sync.WaitGroup
-	targets map[string]*target   // by host id
-	hosts   map[string]*sessions // by host id
+	mu       sync.Mutex
+	ctx      context.Context // of Run; nil before
+	wg       sync.WaitGroup
+	listener net.Listener
+	targets  map[string]*target   // by host id
+	hosts    map[string]*sessions // by host id
 }
 
 // Bounds of a link.
@@ -95,21 +96,32 @@
 	l.hosts = map[string]*sessions{}
 }
 
-// Run listens, accepts links and keeps the dialled ones until ctx is done. All
-// links are closed when it returns.
-func (l *Link) Run(ctx context.Context) (err error) {
-	defer func() { err = errors.WithMessage(err, "peer link") }()
+// Bind opens the listener. Call it before this process's incarnation is told to
+// anyone: a host that knows of the incarnation takes a closed port for its death.
+func (l *Link) Bind() (err error) {
 	l.once.Do(l.start)
-	listener, err := net.Listen("tcp", l.Listen)
-	if err != nil {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.listener != nil {
+		return nil
+	}
+	l.listener, err = net.Listen("tcp", l.Listen)
+	return errors.WithMessage(err, "peer link")
+}
+
+// Run accepts links and keeps the dialled ones until ctx is done; it binds when
+// Bind has not been called. All links and the listener are closed when it
+// returns. From then on this process counts as dead, so end it last.
+func (l *Link) Run(ctx context.Context) error {
+	if err := l.Bind(); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = l.listener.Close() })
 	defer stop()
 	l.begin(ctx)
-	l.accept(ctx, listener)
+	l.accept(ctx, l.listener)
 	l.wg.Wait()
 	return nil
 }
--- a/siskinpathd/peer/link_test.go
+++ b/siskinpathd/peer/link_test.go
@@ -77,6 +77,9 @@
 }
 
 func (h *testHost) run() *testHost {
+	if err := h.link.Bind(); err != nil {
+		panic(err)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
 	h.ended = make(chan struct{})
