--- a/siskinpathd/peer/follow/driver.go
+++ b/siskinpathd/peer/follow/driver.go
@@ -27,6 +27,7 @@
 
 // Link is the part of the links to other hosts that the driver needs.
 type Link interface {
+	Bind() error
 	Dial(host member.Host)
 	Keep(ids []string)
 	SendHeartbeat(to member.Host, hb member.Heartbeat)
@@ -98,9 +99,13 @@
 	d.follower = &table.Follower{Self: d.Self.ID}
 }
 
-// Run works until ctx is done.
+// Run works until ctx is done. It tells nobody of this incarnation before the
+// link's port is open; when that fails, the link's own Run says so.
 func (d *Driver) Run(ctx context.Context) {
 	d.once.Do(d.start)
+	if d.Link.Bind() != nil {
+		return
+	}
 	var wg sync.WaitGroup
 	wg.Go(func() { d.tick(ctx) })
 	wg.Go(func() { d.pollRows(ctx) })
--- a/siskinpathd/peer/follow/driver_test.go
+++ b/siskinpathd/peer/follow/driver_test.go
@@ -148,6 +148,7 @@
 	mu      sync.Mutex
 	drivers map[string]*Driver
 	cut     map[string]bool // hosts that nothing reaches or leaves
+	bound   error           // of binding
 }
 
 type fakeLink struct {
@@ -164,6 +165,7 @@
 	return l.links.drivers[id]
 }
 
+func (l fakeLink) Bind() error      { return l.links.bound }
 func (l fakeLink) Dial(member.Host) {}
 func (l fakeLink) Keep([]string)    {}
 
@@ -333,6 +335,19 @@
 	})
 }
 
+func TestUnbound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("a host whose port can't be opened writes itself into nothing", t, func() {
+			f := newFleet()
+			f.links.bound = errors.New("in use")
+			f.add("a", 100)
+			f.platform.put(table.RowKey, tableValue(csvText))
+			f.drivers[0].Run(context.Background()) // returns at once
+			convey.So(f.platform.rows, convey.ShouldNotContainKey, rowAssignment)
+		})
+	})
+}
+
 func TestGarbage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		convey.Convey("garbage in the rows is refused and what is in force stays", t, func() {
