--- a/bench/policy/ours.go
+++ b/bench/policy/ours.go
@@ -29,7 +29,10 @@
 	for _, n := range []int{1, 2, 6, 8, 12, 22} {
 		list = append(list, sim.Policy{Name: fmt.Sprintf("owners_%d", n), Owners: n})
 	}
-	return append(list, sim.Policy{Name: "per_zone_2", PerZone: 2}, sim.Policy{Name: "per_zone_3", PerZone: 3})
+	return append(list,
+		sim.Policy{Name: "per_zone_2", PerZone: 2},
+		sim.Policy{Name: "one_pool_no_links", Owners: 1, NoLinks: true},
+	)
 }
 
 // Unprotected returns the project's own policy without one of the parts that
--- a/bench/sim/run.go
+++ b/bench/sim/run.go
@@ -62,6 +62,9 @@
 
 // Run runs a scenario.
 func Run(sc Scenario) *Result {
+	if sc.Policy.NoLinks {
+		sc.Deployment.Link, sc.Deployment.Near = 0, 0
+	}
 	w := &world{sc: sc, load: 1, result: NewResult()}
 	w.rand = rand.New(rand.NewPCG(sc.Seed, 1))
 	w.faults = rand.New(rand.NewPCG(sc.Seed, 2))
