--- a/bench/sim/scenario.go
+++ b/bench/sim/scenario.go
@@ -26,7 +26,7 @@
 	Probing  bool                                         // the baseline keeps a pool of probes
 	PerZone  int                                          // hosts in each availability zone that own upstreams, for shards
 	Owners   int                                          // the same in all; goes before PerZone when set
-	NoLinks  bool // hosts and upstreams are next to each other
+	NoLinks  bool                                         // hosts and upstreams are next to each other
 	Tuning   route.Tuning
 }
 
--- /dev/null
+++ b/bench/sim/sim_test.go
@@ -0,0 +1,95 @@
+package sim_test
+
+import (
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"siskinpath/bench/policy"
+	"siskinpath/bench/sim"
+)
+
+func scenario(p sim.Policy, load float64, faults ...sim.Fault) sim.Scenario {
+	return sim.Scenario{
+		Deployment: sim.Deployments()[0], Load: load, Stragglers: true, Seed: 1,
+		Length: 2 * sim.Second, Policy: p, Faults: faults,
+	}
+}
+
+func named(name string) sim.Policy {
+	for _, p := range policy.Baselines() {
+		if p.Name == name {
+			return p
+		}
+	}
+	panic("no policy " + name)
+}
+
+// shouldAddUp asserts that every request had one end.
+func shouldAddUp(r *sim.Result) {
+	convey.So(r.Arrived, convey.ShouldBeGreaterThan, 500)
+	convey.So(r.Answered+r.Refused+r.Late+r.Errors, convey.ShouldEqual, r.Arrived)
+}
+
+func TestRun(t *testing.T) {
+	convey.Convey("the same seed gives the same run", t, func() {
+		for _, p := range []sim.Policy{policy.Ours(), named("probing_pool")} {
+			a, b := sim.Run(scenario(p, 0.85)), sim.Run(scenario(p, 0.85))
+			convey.So(a.Latency.Equals(b.Latency), convey.ShouldBeTrue)
+			convey.So(a.Hops, convey.ShouldEqual, b.Hops)
+			convey.So(a.Probes, convey.ShouldEqual, b.Probes)
+		}
+	})
+	convey.Convey("every request ends once, whatever the policy and the load", t, func() {
+		for _, load := range []float64{0.5, 2} {
+			for _, p := range append(policy.Baselines(), policy.Ours()) {
+				sc := scenario(p, load)
+				sc.Deployment = sim.Deployments()[1]
+				shouldAddUp(sim.Run(sc))
+			}
+		}
+	})
+}
+
+func TestOurs(t *testing.T) {
+	convey.Convey("the tail is shorter than that of power of two, without probes and within limits", t, func() {
+		ours := sim.Run(scenario(policy.Ours(), 0.7))
+		theirs := sim.Run(scenario(named("power_of_two"), 0.7))
+		convey.So(ours.Quantile(0.99), convey.ShouldBeLessThan, 0.6*theirs.Quantile(0.99))
+		convey.So(ours.Overshoot, convey.ShouldEqual, 0)
+		convey.So(ours.Probes, convey.ShouldEqual, 0)
+	})
+	convey.Convey("at twice capacity the useful work stays within 10% of its peak", t, func() {
+		peak := sim.Run(scenario(policy.Ours(), 0.95))
+		over := sim.Run(scenario(policy.Ours(), 2))
+		convey.So(over.PerSecond(over.Answered), convey.ShouldBeGreaterThan, 0.9*peak.PerSecond(peak.Answered))
+		convey.So(over.Part(over.Late), convey.ShouldBeLessThan, 0.001)
+	})
+}
+
+func TestFaults(t *testing.T) {
+	fault := func(kind sim.FaultKind, count int) sim.Fault {
+		return sim.Fault{Kind: kind, From: sim.Second / 2, Until: 3 * sim.Second / 2, Count: count}
+	}
+	cases := []struct {
+		name  string
+		fault sim.Fault
+		most  float64 // part not answered in time
+	}{
+		{"upstreams that fail fast", fault(sim.FailFast, 3), 0.002},
+		{"upstreams that drain", fault(sim.Drain, 5), 0.001},
+		{"upstreams that answer nothing", fault(sim.Silent, 3), 0.002},
+		{"cold starts", fault(sim.ColdStart, 8), 0.001},
+		{"reports that lie", fault(sim.DrainLie, 25), 0.001},
+		{"an availability zone lost", sim.Fault{Kind: sim.ZoneLost, From: sim.Second / 2, Count: 1}, 0.01},
+	}
+	for _, c := range cases {
+		convey.Convey(c.name, t, func() {
+			r := sim.Run(scenario(policy.Ours(), 0.55, c.fault))
+			shouldAddUp(r)
+			convey.So(1-r.Part(r.Answered), convey.ShouldBeLessThan, c.most)
+			random := sim.Run(scenario(named("random"), 0.55, c.fault))
+			convey.So(r.Part(r.Answered), convey.ShouldBeGreaterThanOrEqualTo, random.Part(random.Answered))
+		})
+	}
+}
--- /dev/null
+++ b/bench/sim/upstream_test.go
@@ -0,0 +1,70 @@
+package sim
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"siskinpath/core/route"
+)
+
+func newTestUpstream(e *engine, slots int) *upstream {
+	return &upstream{e: e, rand: rand.New(rand.NewPCG(1, 1)), slots: slots, mean: meanService, slow: 1}
+}
+
+// ends collects how jobs ended.
+type ends struct {
+	e    *engine
+	at   []Micros
+	last route.Status
+}
+
+func (s *ends) job() *job {
+	return &job{deadline: 100 * Second, answer: func(status route.Status, _ *route.LoadReport) {
+		s.at = append(s.at, s.e.now)
+		s.last = status
+	}}
+}
+
+func TestUpstream(t *testing.T) {
+	convey.Convey("an upstream", t, func() {
+		e := &engine{}
+		u := newTestUpstream(e, 1)
+		s := &ends{e: e}
+		convey.Convey("queues what has no slot and sheds what has no place", func() {
+			for range 1 + queuedPerSlot {
+				u.arrive(s.job())
+			}
+			convey.So(u.over, convey.ShouldEqual, queuedPerSlot)
+			u.arrive(s.job())
+			e.runUntil(refuseAfter)
+			convey.So(s.last, convey.ShouldEqual, route.Refused)
+		})
+		convey.Convey("takes longer while it is slow, also for work under way", func() {
+			u.arrive(s.job())
+			left := u.running[0].left
+			e.runUntil(left / 2)
+			u.setSlow(8)
+			e.runUntil(Second)
+			convey.So(s.at, convey.ShouldHaveLength, 1)
+			convey.So(float64(s.at[0]), convey.ShouldAlmostEqual, 4.5*float64(left), 10)
+		})
+		convey.Convey("forgets a cancelled request and starts the next", func() {
+			first := s.job()
+			u.arrive(first)
+			u.arrive(s.job())
+			u.cancel(first)
+			convey.So(u.running, convey.ShouldHaveLength, 1)
+			e.runUntil(Second)
+			convey.So(s.at, convey.ShouldHaveLength, 1)
+		})
+		convey.Convey("refuses while it drains and says so", func() {
+			u.draining = true
+			u.arrive(s.job())
+			e.runUntil(refuseAfter)
+			convey.So(s.last, convey.ShouldEqual, route.Refused)
+			convey.So(u.load().Draining, convey.ShouldBeTrue)
+		})
+	})
+}
