--- /dev/null
+++ b/core/member/handover_test.go
@@ -0,0 +1,53 @@
+package member
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"siskinpath/core/clock"
+)
+
+// toldEpoch returns the epoch in the next heartbeat after now.
+func toldEpoch(v *View, now clock.Millis) uint64 {
+	for _, a := range v.Tick(max(now, v.NextTick())) {
+		if a.Kind == SendHeartbeat {
+			return a.Heartbeat.Epoch
+		}
+	}
+	return 0
+}
+
+func TestHandover(t *testing.T) {
+	self := Host{ID: "gh-1", Incarnation: 1, PeerAddress: "127.0.0.1:1"}
+	other := Host{ID: "gh-2", Incarnation: 2, PeerAddress: "127.0.0.1:2"}
+	members := []Host{self, other}
+	moved := func(epoch uint64) Assignment {
+		return Assignment{Epoch: epoch, Members: members, Owners: map[string]string{"booking/b1": "gh-2"}, Moved: map[string]uint64{"booking/b1": epoch}}
+	}
+	start := func(hold bool) *View {
+		v := &View{Self: self, HoldReports: hold}
+		v.AssignmentRead(1000, 1000, Assignment{Epoch: 1, Members: members, Owners: map[string]string{"booking/b1": "gh-1"}})
+		v.Released(1)
+		v.AssignmentRead(2000, 2000, moved(2))
+		return v
+	}
+	Convey("an old owner does not report an epoch while its requests are in flight", t, func() {
+		v := start(true)
+		So(toldEpoch(v, 2300), ShouldEqual, 1)
+		v.Released(2)
+		So(toldEpoch(v, 2600), ShouldEqual, 2)
+	})
+	Convey("it keeps the report back for a bounded time", t, func() {
+		v := start(true)
+		So(toldEpoch(v, 2000+DefaultHandoverFor), ShouldEqual, 2)
+	})
+	Convey("without holding back, the report goes out with requests in flight", t, func() {
+		So(toldEpoch(start(false), 2300), ShouldEqual, 2)
+	})
+	Convey("rights end at once all the same", t, func() {
+		v := start(true)
+		full, cut := v.Holds(2001, "booking", "b1")
+		So(full || cut, ShouldBeFalse)
+	})
+}
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -30,6 +30,8 @@
 	FenceAfter  clock.Millis // a read of the platform is good for so long
 	SettleAfter clock.Millis // from half of the former members knowing an epoch to taking what moved in it; above HearFor and FenceAfter
 	RemoveAfter clock.Millis // a member not heard for so long is removed
+	HandoverFor clock.Millis // reports of an epoch are kept back so long at most
+	HoldReports bool         // reports of an epoch wait for Released
 	Fanout      int          // heartbeats a turn, replies not counted
 	MaxKnown    int          // second-hand entries in a reply
 
@@ -63,6 +65,7 @@
 	held       map[string]Ref // the holder of each key
 	mineDirty  bool
 	adoptedAt  clock.Millis
+	released   uint64 // newest epoch to which Released was called
 	orphans    orphanCache
 	taken      map[string]bool
 	takeAfter  clock.Millis
@@ -94,6 +97,7 @@
 	setDefault(&v.FenceAfter, DefaultFenceAfter)
 	setDefault(&v.SettleAfter, DefaultSettleAfter)
 	setDefault(&v.RemoveAfter, DefaultRemoveAfter)
+	setDefault(&v.HandoverFor, DefaultHandoverFor)
 	setDefault(&v.Fanout, DefaultFanout)
 	setDefault(&v.MaxKnown, DefaultKnown)
 	if v.Rand == nil {
--- a/siskinpathd/peer/follow/assignment.go
+++ b/siskinpathd/peer/follow/assignment.go
@@ -74,5 +74,6 @@
 		return
 	}
 	d.count.epoch.Set(epoch)
+	d.changed()
 	d.Logger.Info("assignment in force", "epoch", epoch)
 }
--- a/siskinpathd/peer/follow/driver.go
+++ b/siskinpathd/peer/follow/driver.go
@@ -95,7 +95,7 @@
 	d.kick = make(chan struct{}, 1)
 	d.notify = make(chan struct{}, 1)
 	d.writes = make(chan member.Assignment, 1)
-	d.view = &member.View{Self: d.Self, Rand: rand.New(rand.NewPCG(d.Rand.Uint64(), d.Rand.Uint64()))}
+	d.view = &member.View{Self: d.Self, HoldReports: true, Rand: rand.New(rand.NewPCG(d.Rand.Uint64(), d.Rand.Uint64()))}
 	d.follower = &table.Follower{Self: d.Self.ID}
 }
 
--- a/siskinpathd/peer/follow/status.go
+++ b/siskinpathd/peer/follow/status.go
@@ -62,6 +62,17 @@
 	d.do(func(now clock.Millis) []member.Action { return d.view.SetLeaving(now) })
 }
 
+// Epoch gives the epoch of the assignment in force.
+func (d *Driver) Epoch() uint64 {
+	return with(d, func(clock.Millis) uint64 { return d.view.Epoch() })
+}
+
+// Released says that nothing is in flight any more under rights that ended with
+// epoch or before.
+func (d *Driver) Released(epoch uint64) {
+	with(d, func(clock.Millis) struct{} { d.view.Released(epoch); return struct{}{} })
+}
+
 // SetKeyWindow sets the window for idempotency keys that others are told.
 func (d *Driver) SetKeyWindow(w uint32) {
 	with(d, func(clock.Millis) struct{} { d.view.SetKeyWindow(w); return struct{}{} })
--- a/siskinpathd/serve/node.go
+++ b/siskinpathd/serve/node.go
@@ -34,6 +34,8 @@
 	// housekeepingTurn is how often the key window is told to the fleet and
 	// records that are no longer retained are dropped.
 	housekeepingTurn = 500 * clock.Millisecond
+	// releaseTurn is how often attempts at lost upstreams are looked for.
+	releaseTurn = 10 * clock.Millisecond
 )
 
 // Node is the daemon: all of its parts.
@@ -122,10 +124,22 @@
 	if t == nil {
 		return
 	}
+	epoch := n.Fleet.Epoch() // before the rights, which may be newer
 	rights := n.Fleet.Rights()
 	n.Upstreams.Configure(t)
 	n.Probes.configure(t, rights)
 	n.Services.Configure(service.Inputs{Table: t, Rights: rights, Owners: n.Fleet.Owners})
+	go n.release(epoch)
+}
+
+// release tells the fleet of an epoch once nothing is in flight any more at
+// upstreams that this host has lost. It gives up waiting when the fleet does.
+func (n *Node) release(epoch uint64) {
+	end := n.Clock.Now() + member.DefaultHandoverFor
+	for n.Services.Stray() > 0 && n.Clock.Now() < end {
+		time.Sleep(releaseTurn.Duration())
+	}
+	n.Fleet.Released(epoch)
 }
 
 func (n *Node) digest(hostID string, d route.Digest, name string) {
--- a/siskinpathd/service/attempt.go
+++ b/siskinpathd/service/attempt.go
@@ -31,11 +31,11 @@
 	}
 	attemptsStarted.Inc()
 	ctx, cancel := context.WithCancel(context.Background())
-	r.attempts[a.Attempt] = cancel
-	go r.attempt(ctx, w, a.Attempt, a.Upstream)
+	r.attempts[a.Attempt] = attempt{upstream: a.Upstream, cancel: cancel}
+	go r.run(ctx, w, a.Attempt, a.Upstream)
 }
 
-func (r *Runner) attempt(ctx context.Context, w *waiter, id route.AttemptID, name string) {
+func (r *Runner) run(ctx context.Context, w *waiter, id route.AttemptID, name string) {
 	guarded := false
 	rep, result, _ := r.Upstreams.Send(ctx, r.Service, name, &upstream.Attempt{
 		Call:         w.call,
@@ -74,7 +74,7 @@
 	if rep != nil {
 		w.replies = append(w.replies, reply{attempt: result.Attempt, reply: rep})
 	}
-	r.attempts[result.Attempt]()
+	r.attempts[result.Attempt].cancel()
 	delete(r.attempts, result.Attempt)
 	r.perform(r.Shard.Finished(r.Clock.Now(), result))
 }
--- a/siskinpathd/service/runner.go
+++ b/siskinpathd/service/runner.go
@@ -48,7 +48,8 @@
 	mu       sync.Mutex
 	nextID   route.RequestID
 	waiting  map[route.RequestID]*waiter
-	attempts map[route.AttemptID]context.CancelFunc
+	attempts map[route.AttemptID]attempt
+	usable   map[string]bool // upstreams of the current configuration
 	timer    *time.Timer
 	armed    clock.Millis
 	owners   []string
@@ -61,6 +62,12 @@
 	replies []reply // whole answers of its attempts, until one of them is chosen
 }
 
+// attempt is one that has not ended.
+type attempt struct {
+	upstream string
+	cancel   context.CancelFunc
+}
+
 type reply struct {
 	attempt route.AttemptID
 	reply   *upstream.Reply
@@ -71,6 +78,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.owners = cfg.Owners
+	r.usable = make(map[string]bool, len(cfg.Upstreams))
+	for i := range cfg.Upstreams {
+		r.usable[cfg.Upstreams[i].Name] = true
+	}
 	r.perform(r.Shard.Configure(r.Clock.Now(), cfg))
 }
 
@@ -81,6 +92,20 @@
 	r.perform(r.Shard.Digest(r.Clock.Now(), d))
 }
 
+// Stray returns the number of attempts in flight at upstreams that this host
+// may no longer use.
+func (r *Runner) Stray() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, a := range r.attempts {
+		if !r.usable[a.upstream] {
+			n++
+		}
+	}
+	return n
+}
+
 // State returns the shard's state for the dump.
 func (r *Runner) State() route.State {
 	r.mu.Lock()
@@ -105,7 +130,7 @@
 	defer r.mu.Unlock()
 	if r.waiting == nil {
 		r.waiting = make(map[route.RequestID]*waiter)
-		r.attempts = make(map[route.AttemptID]context.CancelFunc)
+		r.attempts = make(map[route.AttemptID]attempt)
 	}
 	r.nextID++
 	id := r.nextID
@@ -147,8 +172,8 @@
 	case route.Send:
 		r.send(a)
 	case route.Cancel:
-		if cancel := r.attempts[a.Attempt]; cancel != nil {
-			cancel()
+		if at, ok := r.attempts[a.Attempt]; ok {
+			at.cancel()
 		}
 	case route.Forward:
 		r.forward(a)
--- /dev/null
+++ b/siskinpathd/service/runner_test.go
@@ -0,0 +1,111 @@
+package service
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/once"
+	"siskinpath/core/route"
+	"siskinpath/siskinpathd/call"
+	"siskinpath/siskinpathd/upstream"
+)
+
+// heldUpstreams answer when told to.
+type heldUpstreams struct {
+	started chan struct{}
+	release chan route.Status
+}
+
+func (h *heldUpstreams) Send(_ context.Context, _, _ string, a *upstream.Attempt) (*upstream.Reply, route.Result, error) {
+	if !a.MaySend() {
+		return nil, route.Result{Status: route.NotSent}, nil
+	}
+	h.started <- struct{}{}
+	status := <-h.release
+	if status == route.Succeeded {
+		return &upstream.Reply{Status: 200, Body: []byte("done")}, route.Result{Status: status}, nil
+	}
+	return nil, route.Result{Status: status}, nil
+}
+
+func (h *heldUpstreams) Probe(context.Context, string, string) route.ProbeResult {
+	return route.ProbeResult{}
+}
+
+func oneUpstream(h *heldUpstreams) *Runner {
+	r := &Runner{
+		Service: "rent", HostID: "muc-1", Clock: clock.NewSystem(), Upstreams: h, Hosts: noHosts{}, MaxBodyBytes: 1024,
+		Shard:    &route.Shard{Rand: rand.New(rand.NewPCG(1, 2))},
+		MayUse:   func(string, string) bool { return true },
+		MayProbe: func(string, string) bool { return false },
+	}
+	r.Configure(route.Config{Self: "muc-1", Upstreams: []route.Upstream{{Name: "u1", Weight: 100, Share: 4}}})
+	return r
+}
+
+func newHeld() *heldUpstreams {
+	return &heldUpstreams{started: make(chan struct{}, 8), release: make(chan route.Status, 8)}
+}
+
+func startCall(r *Runner, c *call.Call) chan call.Answer {
+	c.Service = "rent"
+	c.Deadline = r.Clock.Now() + clock.Minute
+	got := make(chan call.Answer, 1)
+	go func() { got <- r.Do(c) }()
+	return got
+}
+
+func TestRunner(t *testing.T) {
+	Convey("an attempt at an upstream that was lost is stray until it ends, and is not cut off", t, func() {
+		h := newHeld()
+		r := oneUpstream(h)
+		got := startCall(r, &call.Call{})
+		<-h.started
+		So(r.Stray(), ShouldEqual, 0)
+		r.Configure(route.Config{Self: "muc-1"})
+		So(r.Stray(), ShouldEqual, 1)
+		h.release <- route.Succeeded
+		So((<-got).Outcome, ShouldEqual, once.Answered)
+		So(r.Stray(), ShouldEqual, 0)
+	})
+	Convey("an attempt that a right no longer covers is barred before its first byte, and did not run", t, func() {
+		h := newHeld()
+		r := oneUpstream(h)
+		r.MayUse = func(string, string) bool { return false }
+		c := &call.Call{}
+		c.Service, c.Deadline = "rent", r.Clock.Now()+50*clock.Millisecond
+		So(r.Do(c).Outcome, ShouldEqual, once.NotRun)
+		So(h.started, ShouldBeEmpty)
+	})
+	Convey("the guard of a key is told of an attempt that did not run, and only of that", t, func() {
+		for _, want := range []struct {
+			status  route.Status
+			outcome once.Outcome
+			freed   int
+		}{{route.Refused, once.NotRun, 1}, {route.Lost, once.OutcomeUnknown, 0}} {
+			h := newHeld()
+			r := oneUpstream(h)
+			freed := 0
+			c := &call.Call{Key: "k", Guard: func() bool { return true }, NotSent: func() { freed++ }}
+			for range 8 {
+				h.release <- want.status
+			}
+			So((<-startCall(r, c)).Outcome, ShouldEqual, want.outcome)
+			So(min(freed, 1), ShouldEqual, want.freed)
+		}
+	})
+	Convey("a caller that goes away has its idempotent request withdrawn", t, func() {
+		h := newHeld()
+		r := oneUpstream(h)
+		gone := make(chan struct{})
+		got := startCall(r, &call.Call{Idempotent: true, Gone: gone})
+		<-h.started
+		close(gone)
+		So((<-got).Reason, ShouldEqual, call.ReasonCallerGone)
+		h.release <- route.Cancelled
+	})
+}
--- a/siskinpathd/service/set.go
+++ b/siskinpathd/service/set.go
@@ -132,6 +132,18 @@
 	}
 }
 
+// Stray returns the number of attempts in flight at upstreams that this host
+// may no longer use.
+func (s *Set) Stray() int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	n := 0
+	for _, r := range s.runners {
+		n += r.Stray()
+	}
+	return n
+}
+
 // States returns the state of each service for the dump.
 func (s *Set) States() map[string]route.State {
 	s.mu.RLock()
