member: an older table never plans; fleet: table edits, 100 hosts, times of takeover

A host whose table is older than the one the row was made from no longer proposes: two hosts on different versions would have rewritten the row in turn. The cut share for lost holders is worked out once an event; Holds for an upstream not held cost 78% of the processor time of 22 hosts with 450 upstreams before. RemoveAfter 10 s -> 7 s: oldest news at 100 hosts is 5.5 s.

--- a/core/fleet/check.go
+++ b/core/fleet/check.go
@@ -105,7 +105,7 @@
 func (c *Checker) probed(service, upstream string) {
 	const kept = 64
 	c.Probes++
-	s := c.fleet.Table.Service(service)
+	s := c.fleet.original.Service(service) // edits only add upstreams, so this part is the largest
 	part := probe.Part(s.ProbesPerSecond, len(s.Upstreams))
 	key := member.Key(service, upstream)
 	times := append(c.probes[key], c.fleet.Now)
--- a/core/fleet/fault.go
+++ b/core/fleet/fault.go
@@ -32,6 +32,7 @@
 	Outage                        // the platform is down
 	SlowPlatform                  // calls to the platform take up to three seconds
 	LostReplies                   // writes are applied and their replies lost, or applied late
+	EditTable                     // operators add upstreams, and take them away again
 	Leaving                       // a host hands over, ends, and starts again
 	numFaults
 )
@@ -39,7 +40,7 @@
 func (k FaultKind) String() string {
 	return [...]string{
 		"kill", "lose_power", "freeze", "cut_peers", "cut_platform", "cut_both", "cut_link", "partition",
-		"outage", "slow_platform", "lost_replies", "leaving",
+		"outage", "slow_platform", "lost_replies", "edit_table", "leaving",
 	}[k]
 }
 
@@ -98,6 +99,8 @@
 		f.Platform.Slow = true
 	case LostReplies:
 		f.Platform.LoseReply, f.Platform.LateApply = 0.5, 0.3
+	case EditTable:
+		f.edit(x.Other % 4)
 	case Leaving:
 		h.Leave()
 	}
@@ -123,6 +126,25 @@
 		f.Platform.Slow = false
 	case LostReplies:
 		f.Platform.LoseReply, f.Platform.LateApply = 0, 0
+	case EditTable:
+		f.edit(0)
+	}
+}
+
+// edit puts a version of the table in force that has some upstreams more than
+// the first; it reaches each host within a few seconds.
+func (f *Fleet) edit(more int) {
+	next := *f.Table
+	next.Version++
+	next.Services = slices.Clone(f.original.Services)
+	last := &next.Services[len(next.Services)-1]
+	*last = service(last.Name, len(last.Upstreams)+more, last.ProbesPerSecond, f.Zones)
+	f.Table = &next
+	f.tracef("table version %d, %d upstreams more", next.Version, more)
+	for _, h := range f.Hosts {
+		if h.View != nil {
+			h.later(f.between(10, 3*clock.Second), h.takeTable)
+		}
 	}
 }
 
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -47,6 +47,8 @@
 	Links    *Links
 	Check    *Checker
 
+	original *table.Table // before any edit
+
 	rand  *rand.Rand
 	queue eventQueue
 	seq   uint64
@@ -61,6 +63,7 @@
 	if f.Table == nil {
 		f.Table = SmallTable(f.Zones)
 	}
+	f.original = f.Table
 	f.Platform = &Platform{fleet: f, Up: true}
 	f.Links = &Links{fleet: f, cut: map[[2]int]bool{}, faults: cfg.Links}
 	f.Check = &Checker{fleet: f, holders: map[string]map[*Host]bool{}, probes: map[string][]clock.Millis{}}
@@ -159,8 +162,8 @@
 // SmallTable is the Ghana deployment: booking with 25 upstreams, payments with 6.
 func SmallTable(zones []string) *table.Table {
 	return &table.Table{Version: 1, Services: []table.Service{
-		service("booking", 25, 4, 10, zones),
-		service("payments", 6, 4, 3, zones),
+		service("booking", 25, 10, zones),
+		service("payments", 6, 3, zones),
 	}}
 }
 
@@ -171,12 +174,15 @@
 	for i := range 14 {
 		n := left / (14 - i)
 		left -= n
-		t.Services = append(t.Services, service(fmt.Sprintf("service-%02d", i+1), n, 4, 10, zones))
+		t.Services = append(t.Services, service(fmt.Sprintf("service-%02d", i+1), n, 10, zones))
 	}
 	return t
 }
 
-func service(name string, upstreams, slots int, probes float64, zones []string) table.Service {
+// slots of every upstream.
+const slots = 4
+
+func service(name string, upstreams int, probes float64, zones []string) table.Service {
 	s := table.Service{Name: name, ProbesPerSecond: probes}
 	for i := range upstreams {
 		s.Upstreams = append(s.Upstreams, table.Upstream{
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -146,6 +146,7 @@
 		{scenario{hosts: 3, faults: 10, span: 40 * clock.Second}, 20, 1},
 		{scenario{hosts: 5, faults: 12, span: 40 * clock.Second}, 20, 1},
 		{scenario{hosts: 20, faults: 20, span: 30 * clock.Second}, 2, 10},
+		{scenario{hosts: 100, faults: 30, span: 8 * clock.Second}, 1, 50},
 	} {
 		t.Run(fmt.Sprintf("%d_hosts", c.hosts), func(t *testing.T) {
 			t.Parallel()
--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -2,10 +2,12 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"siskinpath/core/clock"
 	"siskinpath/core/member"
 	"siskinpath/core/probe"
+	"siskinpath/core/table"
 )
 
 // Spans of a host's driver.
@@ -44,6 +46,7 @@
 	budget  *probe.Budget
 	rights  map[string]member.Right
 	epoch   uint64
+	table   *table.Table // in force here
 	leaving bool
 
 	SentBytes, SentMessages int
@@ -70,13 +73,19 @@
 		f.Tune(h.View)
 	}
 	f.tracef("%s starts", h.ID)
-	h.event(func(now clock.Millis) []member.Action { return h.View.TableInForce(now, f.Table) })
+	h.takeTable()
 	h.every(0, h.tick)
 	h.every(f.between(0, readEvery), h.read)
 	h.every(f.between(0, 200), h.list)
 	h.every(f.between(0, probeEvery), h.probe)
 }
 
+func (h *Host) takeTable() {
+	h.table = h.fleet.Table
+	h.event(func(now clock.Millis) []member.Action { return h.View.TableInForce(now, h.table) })
+	h.takeRights()
+}
+
 // Time is the time on the process's own clock.
 func (h *Host) Time() clock.Millis { return h.fleet.Now + h.offset }
 
@@ -126,19 +135,20 @@
 	}
 }
 
+// takeRights takes up what the view says, as far as the table in force knows it.
 func (h *Host) takeRights() {
 	now := h.Time()
 	next := map[string]member.Right{}
 	full, cut := 0, 0
 	for _, r := range h.View.Rights(now) {
-		if !r.Full {
+		switch part := probePart(h.table, r.Service, r.Upstream); {
+		case !r.Full:
 			cut++
-			continue
+		case part > 0:
+			full++
+			next[member.Key(r.Service, r.Upstream)] = r
+			h.budget.SetRate(now, r.Service, r.Upstream, part)
 		}
-		full++
-		next[member.Key(r.Service, r.Upstream)] = r
-		s := h.fleet.Table.Service(r.Service)
-		h.budget.SetRate(now, r.Service, r.Upstream, probe.Part(s.ProbesPerSecond, len(s.Upstreams)))
 	}
 	for key, r := range h.rights {
 		if _, ok := next[key]; !ok && !h.fleet.Spoil.KeepBuckets {
@@ -149,6 +159,15 @@
 	h.fleet.tracef("%s holds %d, cut share of %d", h.ID, full, cut)
 }
 
+// probePart returns an upstream's part of the budget in a table; 0 when it isn't there.
+func probePart(t *table.Table, service, upstream string) float64 {
+	s := t.Service(service)
+	if s == nil || !slices.ContainsFunc(s.Upstreams, func(u table.Upstream) bool { return u.Name == upstream }) {
+		return 0
+	}
+	return probe.Part(s.ProbesPerSecond, len(s.Upstreams))
+}
+
 func (h *Host) tick() clock.Millis {
 	h.event(h.View.Tick)
 	return max(h.View.NextTick()-h.Time(), 1)
@@ -167,8 +186,8 @@
 // probe sends what the budget allows, asking for the right just before.
 func (h *Host) probe() clock.Millis {
 	now := h.Time()
-	for i := range h.fleet.Table.Services {
-		for _, u := range h.fleet.Table.Services[i].Upstreams {
+	for i := range h.table.Services {
+		for _, u := range h.table.Services[i].Upstreams {
 			if full, _ := h.View.Holds(now, u.Service, u.Name); full && h.budget.Allow(now, u.Service, u.Name) {
 				h.fleet.Check.probed(u.Service, u.Name)
 			}
--- a/core/member/fence.go
+++ b/core/member/fence.go
@@ -167,7 +167,9 @@
 	if v.mineDirty {
 		v.mineDirty = false
 		v.findMine()
+		v.orphans = orphanCache{}
 	}
+	v.orphanKeys = v.findOrphanKeys(now)
 	if now < v.takeAfter || now >= v.freshUntil {
 		return
 	}
--- a/core/member/propose.go
+++ b/core/member/propose.go
@@ -57,10 +57,10 @@
 }
 
 // mayPropose says whether this host may write: it has read the platform just
-// now, the current epoch is settled, and it hears the greater part of the
-// members, or none is left.
+// now, its table is no older than the one the row was made from, the current
+// epoch is settled, and it hears the greater part of the members, or none is left.
 func (v *View) mayPropose(now clock.Millis) bool {
-	if v.table == nil || !v.platformSeen || now-v.platformAt > readRecent || v.dead[v.selfRef()] {
+	if v.table == nil || v.table.Version < v.current.TableVersion || !v.platformSeen || now-v.platformAt > readRecent || v.dead[v.selfRef()] {
 		return false
 	}
 	if v.current.Epoch == 0 {
--- a/core/member/rights.go
+++ b/core/member/rights.go
@@ -17,7 +17,7 @@
 			rights = append(rights, newRight(key, full))
 		}
 	}
-	for _, key := range v.orphanKeys(now) {
+	for _, key := range v.orphanKeys {
 		rights = append(rights, newRight(key, false))
 	}
 	slices.SortFunc(rights, compareRights)
@@ -43,7 +43,7 @@
 	if v.held[key] == v.selfRef() {
 		return v.may(now, key)
 	}
-	_, found := slices.BinarySearch(v.orphanKeys(now), key)
+	_, found := slices.BinarySearch(v.orphanKeys, key)
 	return false, found
 }
 
@@ -65,9 +65,9 @@
 	keys      []string // sorted
 }
 
-// orphanKeys returns the keys of lost holders for which this host is the first
+// findOrphanKeys returns the keys of lost holders for which this host is the first
 // in the order of succession among those it hears.
-func (v *View) orphanKeys(now clock.Millis) []string {
+func (v *View) findOrphanKeys(now clock.Millis) []string {
 	if !v.isMember(v.selfRef()) || v.dead[v.selfRef()] || now-v.adoptedAt < v.RemoveAfter+v.SettleAfter {
 		return nil
 	}
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -13,7 +13,7 @@
 	DefaultHearFor     = 4 * clock.Second
 	DefaultFenceAfter  = 4 * clock.Second
 	DefaultSettleAfter = 5 * clock.Second
-	DefaultRemoveAfter = 10 * clock.Second
+	DefaultRemoveAfter = 7 * clock.Second
 	DefaultFanout      = 3
 	DefaultKnown       = 4
 )
@@ -64,6 +64,7 @@
 	mineDirty  bool
 	adoptedAt  clock.Millis
 	orphans    orphanCache
+	orphanKeys []string // keys of which this host has the cut share for want of their holder, sorted
 	taken      map[string]bool
 	takeAfter  clock.Millis
 	quietUntil clock.Millis
