A refusal never denies an earlier sending that it can't see; hops carry the owner's room

Cause: a retry of a key whose first sending got no answer could be refused as not_run before the record of the key was asked (host busy, platform down), though the first sending ran. And forwarded answers carried no digest, which the routing measurements assume. Ruled out: answering unknown to every such refusal (a first sending would then end for good for want of a slot); asking every host (unsafe while one is cut off). Change: callers say Siskin-Unanswered on such a retry; a host whose record can't tell then answers unknown. Answers of hops carry the owner's digest; a call for decision that came too far is unknown. Conclusion: not_run now speaks of the key wherever the caller needs it to.

--- a/siskinpathd/call/call.go
+++ b/siskinpathd/call/call.go
@@ -26,6 +26,7 @@
 	Depth        int          // calls nested above this one
 	Hops         int          // hosts it has passed through before this one
 	Mode         once.Mode    // why it came here
+	Unanswered   bool         // an earlier sending with the same key got no answer
 	Gone         <-chan struct{}
 
 	// Guard is asked right before the first byte of each attempt and of each
@@ -41,10 +42,21 @@
 type Answer struct {
 	once.Reply
 	Recorded bool          // it was recorded earlier
+	Decided  bool          // NotRun speaks of every sending of the key, not of this one alone
 	GivenUp  bool          // a claim of this host was given up on request
 	Digest   *route.Digest // for a request that came from another host
 }
 
+// Truthful returns the answer that may be given to c. A request that was refused
+// before the record of its key was asked did not run this time, but an earlier
+// sending that got no answer may have.
+func (a Answer) Truthful(c *Call) Answer {
+	if a.Outcome != once.NotRun || a.Decided || c.Key == "" || !c.Unanswered {
+		return a
+	}
+	return Unknown(ReasonEarlierSending)
+}
+
 var seed = maphash.MakeSeed()
 
 // Fingerprint tells two requests apart that carry the same key. It is valid
@@ -101,5 +113,6 @@
 	ReasonDeadlineTooLong = "deadline_too_long"
 	ReasonLost            = "outcome_unknown"
 	ReasonLoop            = "too_many_hops"
+	ReasonEarlierSending  = "earlier_sending"
 	ReasonCallerGone      = "caller_gone"
 )
--- a/siskinpathd/caller/decode.go
+++ b/siskinpathd/caller/decode.go
@@ -19,6 +19,7 @@
 	headerKey          = "Idempotency-Key"
 	headerIdempotent   = "Siskin-Idempotent"
 	headerDepth        = "Siskin-Depth"
+	headerUnanswered   = "Siskin-Unanswered"
 	headerOutcome      = "Siskin-Outcome"
 	headerReason       = "Siskin-Reason"
 	headerRetryAfterMs = "Siskin-Retry-After-Ms"
@@ -64,6 +65,7 @@
 	if c.Depth, err = decodeDepth(h.Peek(headerDepth)); err != nil {
 		return nil, err
 	}
+	c.Unanswered = string(h.Peek(headerUnanswered)) == "true"
 	c.Service, c.URI = splitTarget(string(ctx.RequestURI()))
 	c.Header = copyHeader(h)
 	c.Body = append([]byte(nil), ctx.Request.Body()...)
@@ -156,7 +158,7 @@
 
 // own are headers that the host sets itself or that belong to one connection.
 var own = map[string]bool{
-	headerDeadline: true, headerOrganisation: true, headerKey: true, headerDepth: true, headerIdempotent: true,
+	headerDeadline: true, headerOrganisation: true, headerKey: true, headerDepth: true, headerIdempotent: true, headerUnanswered: true,
 	"Host": true, "Connection": true, "Keep-Alive": true, "Content-Length": true, "Transfer-Encoding": true,
 	"Te": true, "Trailer": true, "Upgrade": true, "Expect": true, "Siskin-Request-Id": true,
 }
--- a/siskinpathd/caller/server.go
+++ b/siskinpathd/caller/server.go
@@ -111,7 +111,7 @@
 	}
 	gone, stop := watch(ctx.Conn())
 	c.Gone = gone
-	a := s.Chain(c)
+	a := s.Chain(c).Truthful(c)
 	stop()
 	writeAnswer(ctx, s.HostID, &a)
 }
--- a/siskinpathd/filter/once.go
+++ b/siskinpathd/filter/once.go
@@ -62,7 +62,7 @@
 		return o.wait(ended, c)
 	case once.Answer:
 		onceAnswers.Inc()
-		return call.Answer{Reply: withStatus(d.Reply), Recorded: true}
+		return call.Answer{Reply: withStatus(d.Reply), Recorded: true, Decided: true}
 	case once.Pass:
 		return o.pass(d, c, next)
 	case once.Claim:
@@ -72,6 +72,7 @@
 	case once.Refuse:
 		a := call.NotRun(d.Reply.Reason, d.Reply.RetryAfter)
 		a.GivenUp = d.GivenUp
+		a.Decided = d.GivenUp || o.decides(c.Key)
 		return a
 	case once.Invalid:
 		return call.BadRequest(d.Reply.Reason)
@@ -101,16 +102,23 @@
 	c.NotSent = func() { o.Keeper.notSent(rec) }
 	a := next(c)
 	o.Keeper.end(rec, a.Reply)
+	a.Decided = true
 	return a
 }
 
+// decides tells whether a key can have run nowhere but on this host.
+func (o *Once) decides(key string) bool {
+	incarnation, _, ok := once.Owner(key)
+	return ok && incarnation == o.Keeper.Once.Incarnation
+}
+
 // wait gives a second request for a running key the end of the first.
 func (o *Once) wait(ended <-chan once.Reply, c *call.Call) call.Answer {
 	timer := time.NewTimer((c.Deadline - o.Clock.Now()).Duration())
 	defer timer.Stop()
 	select {
 	case r := <-ended:
-		return call.Answer{Reply: withStatus(r), Recorded: true}
+		return call.Answer{Reply: withStatus(r), Recorded: true, Decided: true}
 	case <-timer.C:
 		return call.Unknown(once.ReasonStillRunning)
 	}
--- a/siskinpathd/filter/once_test.go
+++ b/siskinpathd/filter/once_test.go
@@ -173,3 +173,29 @@
 		So(u.runs.Load(), ShouldEqual, 0)
 	})
 }
+
+func TestTruthfulRefusals(t *testing.T) {
+	down := &fakeClaims{decision: once.Decision{Verdict: once.Refuse, Reply: once.Reply{Reason: "platform_down"}}}
+	Convey("a retry whose earlier sending got no answer is not told that it did not run, unless the record says so", t, func() {
+		o, c := newOnce(&fakeDeciders{}, down)
+		u := &upstreamCount{answer: answered("paid")}
+		retry := keyed(c, "plain-key", "ring-7")
+		So(o.Apply(retry, u.next).Truthful(retry).Outcome, ShouldEqual, once.NotRun)
+		retry.Unanswered = true
+		So(o.Apply(retry, u.next).Truthful(retry).Outcome, ShouldEqual, once.OutcomeUnknown)
+	})
+	Convey("the host that decides about a key knows that it never ran", t, func() {
+		o, c := newOnce(&fakeDeciders{}, down)
+		retry := keyed(c, ownKey(o, "a"), "ring-7")
+		retry.Unanswered = true
+		refuse := func(*call.Call) call.Answer { return call.NotRun("overloaded", 100) }
+		So(o.Apply(retry, refuse).Truthful(retry).Outcome, ShouldEqual, once.NotRun)
+	})
+	Convey("a refusal before the record was asked says nothing of an earlier sending", t, func() {
+		_, c := newOnce(&fakeDeciders{}, down)
+		retry := keyed(c, "plain-key", "ring-7")
+		retry.Unanswered = true
+		busy := &Admission{MaxInFlight: 0}
+		So(busy.Apply(retry, nil).Truthful(retry).Reason, ShouldEqual, call.ReasonEarlierSending)
+	})
+}
--- a/siskinpathd/hop/hop.go
+++ b/siskinpathd/hop/hop.go
@@ -70,7 +70,11 @@
 		hopsLost.Inc()
 		return call.Unknown(call.ReasonLost), peer.NotSent(err)
 	}
-	return answer(rep), false
+	a := answer(rep)
+	if a.Digest != nil {
+		a.Digest.Host = host
+	}
+	return a, false
 }
 
 func request(c *call.Call, mode peerpb.CallMode, left clock.Millis) *peerpb.CallRequest {
@@ -137,6 +141,7 @@
 	}}
 	a.GivenUp = rep.GetClaimGivenUp()
 	a.Recorded = rep.GetRecorded()
+	a.Decided = rep.GetDecided()
 	if d := rep.GetDigest(); d != nil {
 		a.Digest = &route.Digest{Free: int(d.GetFree()), Queued: int(d.GetQueued()), Slots: int(d.GetSlots())}
 	}
@@ -148,20 +153,35 @@
 	Clock      clock.Clock
 	FromHost   filter.Next // the chain of a call that its first host decided to run
 	FromCaller filter.Next // the chain of a call that this host decides about
+	// Load tells how much room this host has for a service.
+	Load func(service string) (d route.Digest, ok bool)
 }
 
 // Serve is the peer link's OnCall. ctx ends when the other host no longer waits.
 func (s *Server) Serve(ctx context.Context, _ string, req *peerpb.CallRequest) *peerpb.CallReply {
 	if req.GetHops() > maxHops || req.GetService() == "" || req.GetMethod() == "" {
 		hopsRefused.Inc()
-		return reply(call.NotRun(call.ReasonLoop, 0))
+		return reply(refusal(req.GetMode()))
 	}
 	hopsServed.Inc()
 	c := s.call(ctx, req)
-	if req.GetMode() == peerpb.CallMode_CALL_MODE_RUN {
-		return reply(s.FromHost(c))
+	if req.GetMode() != peerpb.CallMode_CALL_MODE_RUN {
+		return reply(s.FromCaller(c))
+	}
+	rep := reply(s.FromHost(c))
+	if d, ok := s.Load(c.Service); ok {
+		rep.Digest = &peerpb.Digest{Free: uint32(max(d.Free, 0)), Queued: uint32(d.Queued), Slots: uint32(d.Slots)}
+	}
+	return rep
+}
+
+// refusal answers a call that has come too far. One that this host should decide
+// about may have run here earlier.
+func refusal(mode peerpb.CallMode) call.Answer {
+	if mode == peerpb.CallMode_CALL_MODE_RUN {
+		return call.NotRun(call.ReasonLoop, 0)
 	}
-	return reply(s.FromCaller(c))
+	return call.Unknown(call.ReasonLoop)
 }
 
 func (s *Server) call(ctx context.Context, req *peerpb.CallRequest) *call.Call {
@@ -200,5 +220,6 @@
 		RetryAfterMs: uint64(a.RetryAfter),
 		ClaimGivenUp: a.GivenUp,
 		Recorded:     a.Recorded,
+		Decided:      a.Decided,
 	}
 }
--- /dev/null
+++ b/siskinpathd/hop/hop_test.go
@@ -0,0 +1,94 @@
+package hop
+
+import (
+	"context"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/once"
+	"siskinpath/core/route"
+	"siskinpath/siskinpathd/call"
+	"siskinpath/siskinpathd/peer/peerpb"
+)
+
+// wire passes calls to a Server by way of their encoded form.
+type wire struct {
+	server *Server
+	err    error
+}
+
+func (w *wire) Call(ctx context.Context, _ string, req *peerpb.CallRequest) (*peerpb.CallReply, error) {
+	if w.err != nil {
+		return nil, w.err
+	}
+	b, err := proto.Marshal(req)
+	So(err, ShouldBeNil)
+	var got peerpb.CallRequest
+	So(proto.Unmarshal(b, &got), ShouldBeNil)
+	return w.server.Serve(ctx, "gh-1", &got), nil
+}
+
+func (w *wire) SendDigest(string, string, route.Digest) {}
+
+func pair(answer func(c *call.Call) call.Answer) (*Hosts, *string) {
+	chain := new(string)
+	via := func(name string) func(c *call.Call) call.Answer {
+		return func(c *call.Call) call.Answer { *chain = name; return answer(c) }
+	}
+	c := clock.NewSystem()
+	server := &Server{Clock: c, FromHost: via("from_host"), FromCaller: via("from_caller"),
+		Load: func(string) (route.Digest, bool) { return route.Digest{Free: 3, Queued: 0, Slots: 8}, true }}
+	return &Hosts{Link: &wire{server: server}, Clock: c}, chain
+}
+
+func TestHop(t *testing.T) {
+	Convey("a call arrives as it was sent, with less time left, and its answer comes back whole", t, func() {
+		var got call.Call
+		h, chain := pair(func(c *call.Call) call.Answer {
+			got = *c
+			return call.Answer{Reply: once.Reply{Outcome: once.Answered, Status: 201, Header: [][2]string{{"X", "y"}}, Body: []byte("b")}}
+		})
+		sent := &call.Call{Service: "rent", Organisation: "yard-3", Key: "k", Method: "POST", URI: "/debit?x=1", Header: [][2]string{{"A", "b"}},
+			Body: []byte("body"), Deadline: h.Clock.Now() + clock.Second, Depth: 4, Hops: 1}
+		a, notSent := h.Forward(context.Background(), "gh-2", sent)
+		So(notSent, ShouldBeFalse)
+		So(a.Status, ShouldEqual, 201)
+		So(a.Header, ShouldResemble, [][2]string{{"X", "y"}})
+		So(*a.Digest, ShouldResemble, route.Digest{Host: "gh-2", Free: 3, Slots: 8})
+		So(*chain, ShouldEqual, "from_host")
+		So(got.Deadline, ShouldBeBetweenOrEqual, sent.Deadline-clock.Second, sent.Deadline+clock.Second)
+		got.Deadline, got.Gone = sent.Deadline, nil
+		So(got, ShouldResemble, *sent)
+	})
+	Convey("a call that the other host decides about goes through its record of keys", t, func() {
+		h, chain := pair(func(c *call.Call) call.Answer {
+			So(c.Mode, ShouldEqual, once.ModeClaimed)
+			a := call.NotRun("deadline", 70)
+			a.GivenUp = true
+			return a
+		})
+		a, _ := h.Decide(context.Background(), "gh-2", &call.Call{Service: "rent", Method: "POST", Key: "k", Mode: once.ModeClaimed, Deadline: h.Clock.Now() + clock.Second})
+		So(*chain, ShouldEqual, "from_caller")
+		So(a.GivenUp, ShouldBeTrue)
+		So(a.Outcome, ShouldEqual, once.NotRun)
+		So(a.RetryAfter, ShouldEqual, clock.Millis(70))
+	})
+	Convey("a call that has passed through too many hosts is refused", t, func() {
+		h, chain := pair(func(*call.Call) call.Answer { return call.Unknown("reached") })
+		a, _ := h.Forward(context.Background(), "gh-2", &call.Call{Service: "rent", Method: "GET", Hops: maxHops + 1})
+		So(a.Outcome, ShouldEqual, once.NotRun)
+		So(*chain, ShouldEqual, "")
+	})
+	Convey("an outcome that this version doesn't know is unknown", t, func() {
+		So(answer(&peerpb.CallReply{Outcome: 99, Body: []byte("b")}).Outcome, ShouldEqual, once.OutcomeUnknown)
+	})
+	Convey("a call whose end is lost may have run", t, func() {
+		h := &Hosts{Link: &wire{err: context.DeadlineExceeded}, Clock: clock.NewSystem()}
+		a, notSent := h.Forward(context.Background(), "gh-2", &call.Call{Service: "rent", Method: "GET"})
+		So(a.Outcome, ShouldEqual, once.OutcomeUnknown)
+		So(notSent, ShouldBeFalse)
+	})
+}
--- a/siskinpathd/serve/serve.go
+++ b/siskinpathd/serve/serve.go
@@ -157,8 +157,8 @@
 	}
 }
 
-func newHopServer(c clock.Clock, ch *filter.Chain) *hop.Server {
-	return &hop.Server{Clock: c, FromHost: ch.FromHost(), FromCaller: ch.FromCaller()}
+func newHopServer(c clock.Clock, ch *filter.Chain, s *service.Set) *hop.Server {
+	return &hop.Server{Clock: c, FromHost: ch.FromHost(), FromCaller: ch.FromCaller(), Load: s.Load}
 }
 
 func newAddresses(c clock.Clock, f *follow.Driver) *addresses { return &addresses{fleet: f, clock: c} }
--- a/siskinpathd/service/runner.go
+++ b/siskinpathd/service/runner.go
@@ -106,6 +106,13 @@
 	return n
 }
 
+// Load returns how much room this host has, to go with an answer to another.
+func (r *Runner) Load() route.Digest {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Shard.Load(r.Clock.Now())
+}
+
 // State returns the shard's state for the dump.
 func (r *Runner) State() route.State {
 	r.mu.Lock()
--- a/siskinpathd/service/set.go
+++ b/siskinpathd/service/set.go
@@ -31,6 +31,16 @@
 	return s.runners[service]
 }
 
+// Load returns how much room this host has for a service; false when it has no
+// such service.
+func (s *Set) Load(service string) (d route.Digest, ok bool) {
+	r := s.Get(service)
+	if r == nil {
+		return d, false
+	}
+	return r.Load(), true
+}
+
 // Inputs are what the runners' configuration is made from.
 type Inputs struct {
 	Table  *table.Table
