--- a/bench/sim/scenario.go
+++ b/bench/sim/scenario.go
@@ -12,6 +12,7 @@
 	Deployment Deployment
 	Load       float64 // 1 keeps every slot busy
 	Stragglers bool    // upstreams slow down now and then
+	Mixed      bool    // every second request has a short deadline
 	Seed       uint64
 	Length     Micros  // measured; the warm-up comes before
 	Policy     Policy  // on the hosts
@@ -25,6 +26,7 @@
 	Probing  bool                                         // the baseline keeps a pool of probes
 	PerZone  int                                          // hosts in each availability zone that own upstreams, for shards
 	Owners   int                                          // the same in all; goes before PerZone when set
+	NoLinks  bool // hosts and upstreams are next to each other
 	Tuning   route.Tuning
 }
 
