--- /dev/null
+++ b/core/fleet/golden_test.go
@@ -0,0 +1,37 @@
+package fleet
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"siskinpath/core/clock"
+)
+
+// TestSession replays a whole session of five hosts to its golden file: start, a
+// host that joins, one killed, one killed while the platform is down, one that
+// freezes, is replaced and wakes, one that leaves.
+func TestSession(t *testing.T) {
+	var lines []string
+	f := New(Config{
+		Seed: 1, Hosts: 5, Start: map[int]clock.Millis{4: 8 * clock.Second},
+		Trace: func(line string) { lines = append(lines, line) },
+	})
+	const s = clock.Second
+	f.Plan([]Fault{
+		{At: 20 * s, For: 15 * s, Kind: Kill, Host: 1},
+		{At: 50 * s, For: 20 * s, Kind: Outage},
+		{At: 55 * s, For: 10 * s, Kind: Kill, Host: 3},
+		{At: 85 * s, For: 20 * s, Kind: Freeze, Host: 2},
+		{At: 120 * s, For: 10 * s, Kind: Leaving, Host: 0},
+	})
+	f.Run(150 * s)
+	if f.Check.Violation != "" {
+		t.Error(f.Check.Violation)
+	}
+	if !f.Served() {
+		t.Error("not every upstream is held at the end")
+	}
+	goldie.New(t).Assert(t, "session", []byte(strings.Join(lines, "\n")+"\n"))
+}
--- /dev/null
+++ b/core/member/view_test.go
@@ -0,0 +1,235 @@
+package member
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/table"
+)
+
+const start = clock.Hour
+
+func host(id string, incarnation Incarnation) Host {
+	return Host{ID: id, Incarnation: incarnation, AvailabilityZone: "a", PeerAddress: id + ":1", CallerAddress: id + ":2"}
+}
+
+func newView(id string) *View {
+	return &View{Self: host(id, 1), Rand: rand.New(rand.NewPCG(1, 1))}
+}
+
+// assignment has members a, b and c, of which a owns s/u.
+func assignment(epoch uint64) Assignment {
+	return Assignment{
+		Epoch: epoch, TableVersion: 1, Members: []Host{host("a", 1), host("b", 1), host("c", 1)},
+		Owners: map[string]string{"s/u": "a"},
+	}
+}
+
+// answerFrom is a reply to the view's latest turn.
+func answerFrom(v *View, h Host, epoch uint64) Heartbeat {
+	return Heartbeat{
+		From: h, Sequence: 1, Epoch: epoch, PlatformAge: -1,
+		Known: []Known{{Host: Host{ID: v.Self.ID, Incarnation: v.Self.Incarnation}, Sequence: v.sequence}},
+	}
+}
+
+func count(actions []Action, kind ActionKind) int {
+	n := 0
+	for _, a := range actions {
+		if a.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+func shouldHold(v *View, now clock.Millis, full, cut bool) {
+	gotFull, gotCut := v.Holds(now, "s", "u")
+	convey.So(gotFull, convey.ShouldEqual, full)
+	convey.So(gotCut, convey.ShouldEqual, cut)
+}
+
+func shouldBe(v *View, id string, incarnation Incarnation, want Presence) {
+	_, got := v.Find(id, incarnation)
+	convey.So(got, convey.ShouldEqual, want)
+}
+
+func TestRights(t *testing.T) {
+	convey.Convey("an owner that has read the platform", t, func() {
+		v := newView("a")
+		v.AssignmentRead(start, start, assignment(1))
+		shouldHold(v, start, false, false)
+		now := start + v.Turn
+		actions := v.Tick(now)
+		convey.So(count(actions, RightsChanged), convey.ShouldEqual, 1)
+		shouldHold(v, now, true, false)
+		convey.Convey("has the cut share when the read is old", func() {
+			shouldHold(v, start+v.FenceAfter-1, true, false)
+			shouldHold(v, start+v.FenceAfter, false, true)
+		})
+		convey.Convey("goes on with a majority that answers", func() {
+			v.Heard(now, answerFrom(v, host("b", 1), 1))
+			shouldHold(v, now+v.HearFor-1, true, false)
+			shouldHold(v, now+v.HearFor, false, true)
+		})
+		convey.Convey("doesn't count hosts of a newer epoch", func() {
+			actions := v.Heard(now, answerFrom(v, host("b", 1), 2))
+			convey.So(count(actions, FetchNewer), convey.ShouldEqual, 1)
+			shouldHold(v, start+v.FenceAfter, false, true)
+		})
+		convey.Convey("stops at once when it is another's", func() {
+			next := assignment(2)
+			next.Owners = map[string]string{"s/u": "b"}
+			v.AssignmentCopied(now, next)
+			shouldHold(v, now, false, false)
+		})
+		convey.Convey("never goes back to an older epoch", func() {
+			v.AssignmentCopied(now, assignment(3))
+			v.AssignmentRead(now, now, assignment(2))
+			convey.So(v.Epoch(), convey.ShouldEqual, 3)
+		})
+		convey.Convey("is withheld for a turn after a pause", func() {
+			woken := now + clock.Minute
+			v.AssignmentRead(woken, woken, assignment(1))
+			shouldHold(v, woken, false, true)
+			v.Tick(woken + v.Turn)
+			shouldHold(v, woken+v.Turn, true, false)
+		})
+		convey.Convey("stops when others say that it is dead", func() {
+			beat := answerFrom(v, host("b", 1), 1)
+			beat.Dead = []Death{{ID: "a", Incarnation: 1}}
+			v.Heard(now, beat)
+			shouldHold(v, now, false, false)
+		})
+	})
+}
+
+func TestSuccession(t *testing.T) {
+	convey.Convey("when the owner is proven dead", t, func() {
+		views := []*View{newView("b"), newView("c")}
+		holders := 0
+		for _, v := range views {
+			v.AssignmentRead(start, start, assignment(1))
+			v.Tick(start + DefaultTurn)
+			shouldHold(v, start+DefaultTurn, false, false)
+			v.ProvenDead(start+DefaultTurn, Death{ID: "a", Incarnation: 1})
+			if full, _ := v.Holds(start+DefaultTurn, "s", "u"); full {
+				holders++
+			}
+		}
+		convey.So(holders, convey.ShouldEqual, 1)
+	})
+}
+
+func TestNews(t *testing.T) {
+	convey.Convey("a view with a known host", t, func() {
+		v := newView("a")
+		v.HostList(start, []ListedHost{{ID: "b", PeerAddress: "b:1"}})
+		actions := v.Tick(start)
+		convey.So(count(actions, SendHeartbeat), convey.ShouldEqual, 1)
+		shouldBe(v, "b", 1, Never)
+		convey.Convey("answers a heartbeat, which proves nothing of its age", func() {
+			actions := v.Heard(start, Heartbeat{From: host("b", 1), Sequence: 9, PlatformAge: -1})
+			convey.So(count(actions, SendHeartbeat), convey.ShouldEqual, 1)
+			convey.So(actions[0].Heartbeat.Known[0].Sequence, convey.ShouldEqual, 9)
+			shouldBe(v, "b", 1, Never)
+		})
+		convey.Convey("hears a reply, as old as the heartbeat that it answers", func() {
+			v.Heard(start+100, answerFrom(v, host("b", 1), 0))
+			shouldBe(v, "b", 1, Present)
+			v.Tick(start + v.HearFor)
+			shouldBe(v, "b", 1, Present)
+			v.Tick(start + v.HearFor + 1)
+			shouldBe(v, "b", 1, Unreachable)
+		})
+		convey.Convey("takes no reply to another incarnation of itself", func() {
+			beat := answerFrom(v, host("b", 1), 0)
+			beat.Known[0].Host.Incarnation = 7
+			v.Heard(start, beat)
+			shouldBe(v, "b", 1, Never)
+		})
+		convey.Convey("takes a new incarnation as the end of the old", func() {
+			v.Heard(start+10, answerFrom(v, host("b", 1), 0))
+			v.Tick(start + v.Turn)
+			v.Heard(start+v.Turn+10, answerFrom(v, host("b", 2), 0))
+			shouldBe(v, "b", 2, Present)
+			shouldBe(v, "b", 1, Gone)
+			convey.Convey("and does not go back when old news comes late", func() {
+				v.Heard(start+v.Turn+20, answerFrom(v, host("b", 1), 0))
+				shouldBe(v, "b", 2, Present)
+			})
+		})
+		convey.Convey("can't tell which incarnation is newer when both answer one turn", func() {
+			v.Heard(start+10, answerFrom(v, host("b", 2), 0))
+			v.Heard(start+20, answerFrom(v, host("b", 1), 0))
+			shouldBe(v, "b", 2, Present)
+			shouldBe(v, "b", 1, Never)
+		})
+		convey.Convey("hears of others at second hand, older by the age told", func() {
+			beat := answerFrom(v, host("b", 1), 0)
+			beat.Known = append(beat.Known, Known{Host: Host{ID: "c", Incarnation: 1}, Age: 1000})
+			v.Heard(start, beat)
+			shouldBe(v, "c", 1, Present)
+			v.Tick(start + v.HearFor - 999)
+			shouldBe(v, "c", 1, Unreachable)
+			shouldBe(v, "b", 1, Present)
+		})
+	})
+}
+
+func TestPropose(t *testing.T) {
+	convey.Convey("the first host with a table and the platform writes the first assignment", t, func() {
+		v := newView("a")
+		v.TableInForce(start, oneUpstream(1))
+		v.AssignmentRead(start, start, Assignment{})
+		written := wait(v, start, 5*clock.Second)
+		convey.So(written, convey.ShouldNotBeNil)
+		convey.So(written.Epoch, convey.ShouldEqual, 0)
+		convey.So(written.Owners, convey.ShouldResemble, map[string]string{"s/u": "a"})
+		convey.Convey("and knows it when the write has committed", func() {
+			v.WriteFinished(start+5*clock.Second, true, true)
+			convey.So(v.Epoch(), convey.ShouldEqual, 1)
+		})
+		convey.Convey("and not when the reply was lost", func() {
+			v.WriteFinished(start+5*clock.Second, false, false)
+			convey.So(v.Epoch(), convey.ShouldEqual, 0)
+		})
+	})
+	convey.Convey("a host that hears no majority writes nothing", t, func() {
+		v := newView("a")
+		v.TableInForce(start, oneUpstream(1))
+		v.AssignmentRead(start, start, assignment(1))
+		convey.So(wait(v, start, 30*clock.Second), convey.ShouldBeNil)
+	})
+	convey.Convey("a host with an older table than the row's writes nothing", t, func() {
+		v := newView("a")
+		v.TableInForce(start, oneUpstream(1))
+		row := Assignment{Epoch: 1, TableVersion: 2, Members: []Host{host("a", 1)}, Owners: map[string]string{}}
+		v.AssignmentRead(start, start, row)
+		convey.So(wait(v, start, 10*clock.Second), convey.ShouldBeNil)
+		v.TableInForce(start+10*clock.Second, oneUpstream(2))
+		convey.So(wait(v, start+10*clock.Second, 10*clock.Second), convey.ShouldNotBeNil)
+	})
+}
+
+func oneUpstream(version uint64) *table.Table {
+	return &table.Table{Version: version, Services: []table.Service{
+		{Name: "s", Upstreams: []table.Upstream{{Service: "s", Name: "u", AvailabilityZone: "a", Slots: 4}}},
+	}}
+}
+
+// wait ticks with the platform always just read and returns the first assignment proposed.
+func wait(v *View, from, span clock.Millis) *Assignment {
+	for now := from; now < from+span; now += v.Turn {
+		v.AssignmentRead(now, now, Assignment{Epoch: v.current.Epoch})
+		for _, a := range v.Tick(now) {
+			if a.Kind == WriteAssignment {
+				return &a.Assignment
+			}
+		}
+	}
+	return nil
+}
