standin: ports reserved per launcher, races of operators checked for real

Ports now come from blocks that one launcher holds, and the weights of the race lie above the first. Callers give half of the time left to one sending of an idempotent request, and say why a sending failed.

--- a/standin/caller/ledger.go
+++ b/standin/caller/ledger.go
@@ -31,7 +31,7 @@
 	Verdict   answer.Verdict // for Answered with status 200
 	SentMs    int64          // Unix time
 	EndedMs   int64          // Unix time
-	FailedHow string         // the error, for NoReply
+	FailedHow string         // for NoReply and NotSent: timeout, reset, closed, no_connection or no_address
 }
 
 // Entry is one request with all that was told about it.
--- a/standin/caller/request.go
+++ b/standin/caller/request.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,6 +13,10 @@
 	"siskinpath/standin/answer"
 )
 
+// idempotentPart is the part of the time left that a caller gives one sending of
+// an idempotent request, as a divisor, before it tries the next address.
+const idempotentPart = 2
+
 // replyGrace is how long after the deadline a caller still reads the reply.
 const replyGrace = 500 * time.Millisecond
 
@@ -76,7 +82,7 @@
 func (s *sender) attempt(e *Entry, j job, n int, until time.Time) (a Attempt, wait time.Duration) {
 	list, err := j.addresses.Get()
 	if err != nil {
-		return Attempt{Outcome: NotSent, FailedHow: err.Error()}, noAddressPause
+		return Attempt{Outcome: NotSent, FailedHow: "no_address"}, noAddressPause
 	}
 	address := list[n%len(list)]
 	if j.once && e.Key == "" {
@@ -106,9 +112,13 @@
 	left := time.Until(until)
 	build(req, a, e, j, left)
 	start := time.Now()
-	if err := s.pool.Exchange(a.Address, req, resp, until.Add(replyGrace)); err != nil {
+	patience := until.Add(replyGrace)
+	if !j.once {
+		patience = start.Add(left / idempotentPart)
+	}
+	if err := s.pool.Exchange(a.Address, req, resp, patience); err != nil {
 		a.Outcome = NoReply
-		a.FailedHow = err.Error()
+		a.FailedHow = how(err)
 		if errors.Is(err, ErrNotSent) {
 			a.Outcome = NotSent
 		}
@@ -119,6 +129,20 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
+// how names the way in which an exchange failed.
+func how(err error) string {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, ErrNotSent):
+		return "no_connection"
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return "timeout"
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return "reset"
+	}
+	return "closed"
+}
+
 func build(req *fasthttp.Request, a *Attempt, e *Entry, j job, left time.Duration) {
 	uri := fmt.Sprintf("http://%s/v1/call/%s/slots/%d?marker=%s&size=%d", a.Address, j.service, j.id, a.Marker, j.size)
 	if j.workMs > 0 {
--- a/standin/caller/summary.go
+++ b/standin/caller/summary.go
@@ -20,7 +20,7 @@
 	for _, e := range l.Ledger.Entries() {
 		for _, a := range e.Attempts {
 			if a.Outcome != Answered {
-				counts[told{a.Outcome, a.Reason, e.Service}]++
+				counts[told{a.Outcome, a.Reason + a.FailedHow, e.Service}]++
 			}
 		}
 	}
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -63,7 +63,7 @@
 	m.begun = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	defer m.d.Group.Kill()
+	defer m.d.End()
 	if err := m.start(ctx); err != nil {
 		return err
 	}
--- a/standin/launch/deployment.go
+++ b/standin/launch/deployment.go
@@ -22,6 +22,7 @@
 	ListLagMs         int
 
 	Group    Group
+	Ports    Ports
 	Entry    []*EntryHost // in order of their ids
 	Table    Table        // as last written
 	Platform string       // address of its services
@@ -76,7 +77,7 @@
 const readyTimeout = 5 * time.Second
 
 func (d *Deployment) startPlatform() error {
-	port, err := FreePorts(2)
+	port, err := d.Ports.Take(2)
 	if err != nil {
 		return err
 	}
@@ -102,7 +103,7 @@
 func (d *Deployment) program(name string) string { return filepath.Join(d.Bin, name) }
 
 func (d *Deployment) startUpstreams(s Service) error {
-	port, err := FreePorts(s.Upstreams + 1)
+	port, err := d.Ports.Take(s.Upstreams + 1)
 	if err != nil {
 		return err
 	}
@@ -154,5 +155,11 @@
 	return version, err
 }
 
+// End ends every process without warning.
+func (d *Deployment) End() {
+	d.Group.Kill()
+	d.Ports.Release()
+}
+
 // MakeDir makes a directory for one deployment's files.
 func MakeDir() (dir string, err error) { return os.MkdirTemp("", "siskinpath-") }
--- a/standin/launch/entryhost.go
+++ b/standin/launch/entryhost.go
@@ -43,7 +43,7 @@
 }
 
 func (d *Deployment) addHost(i int) error {
-	port, err := FreePorts(portsPerHost)
+	port, err := d.Ports.Take(portsPerHost)
 	if err != nil {
 		return err
 	}
--- a/standin/launch/launch_test.go
+++ b/standin/launch/launch_test.go
@@ -1,6 +1,7 @@
 package launch
 
 import (
+	"net"
 	"syscall"
 	"testing"
 
@@ -45,3 +46,24 @@
 		So(g.Left(), ShouldEqual, 0)
 	})
 }
+
+func TestPorts(t *testing.T) {
+	Convey("Two launchers never get the same ports, and a port in use is passed over", t, func() {
+		var a, b Ports
+		defer a.Release()
+		defer b.Release()
+		first, err := a.Take(10)
+		So(err, ShouldBeNil)
+		other, err := b.Take(1)
+		So(err, ShouldBeNil)
+		So((first-firstPort)/blockSize, ShouldNotEqual, (other-firstPort)/blockSize)
+		ln, err := net.Listen("tcp", Address(first+12))
+		So(err, ShouldBeNil)
+		defer ln.Close()
+		next, err := a.Take(3)
+		So(err, ShouldBeNil)
+		So(next, ShouldEqual, first+13)
+		_, err = a.Take(blockSize)
+		So(err, ShouldNotBeNil)
+	})
+}
--- a/standin/measure/measure.go
+++ b/standin/measure/measure.go
@@ -91,7 +91,7 @@
 		Hosts:             hosts,
 		Services:          services,
 	}
-	defer d.Group.Kill()
+	defer d.End()
 	if err := d.Start(); err != nil {
 		return err
 	}
--- a/standin/prove/judge.go
+++ b/standin/prove/judge.go
@@ -1,6 +1,8 @@
 package prove
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"siskinpath/standin/caller"
@@ -20,6 +22,9 @@
 	}
 	findings := check.Compare(t.load.Ledger.Entries(), runs, t.marks)
 	t.expect(findings.Clean(), "answers against runs: %v", findings.Examples)
+	for _, line := range slices.Concat(t.load.Seconds(), t.load.Reasons()) {
+		_, _ = fmt.Fprintf(t.Log, "  %s\n", line)
+	}
 	t.figures = append(t.figures, t.load.Figures()...)
 	t.figures = append(t.figures, findings.Figures()...)
 	back := t.watch.stop()
--- a/standin/prove/racing_operators.go
+++ b/standin/prove/racing_operators.go
@@ -15,6 +15,7 @@
 	operators        = 4
 	editsPerOperator = 6
 	operatorTimeout  = 10 * time.Second
+	firstWeight      = 200 // above the weight at the start, and rising with each edit
 )
 
 // racingOperators lets operators edit the table at the same time, while the
@@ -44,7 +45,7 @@
 	t *Trial
 
 	mu       sync.Mutex
-	accepted []int // by operator, the weight last accepted; 0 for none
+	accepted []int // by operator, the weight last accepted; 0 for none. Weights only rise
 	good     int
 	refused  int
 }
@@ -54,7 +55,7 @@
 	for o := range operators {
 		wg.Go(func() {
 			for n := range editsPerOperator {
-				r.edit(o, 10*(o+1)+n)
+				r.edit(o, firstWeight+n)
 			}
 		})
 	}
@@ -84,7 +85,7 @@
 	}
 	for o, want := range r.accepted {
 		got := weights[upstreamOf(o)]
-		r.t.expect(want == 0 || got >= want, "%s has weight %d, and %d was accepted", upstreamOf(o), got, want)
+		r.t.expect(got >= want, "%s has weight %d, and %d was accepted", upstreamOf(o), got, want)
 	}
 	r.t.expectInForce(ctx, r.t.d.Entry, version)
 	return nil
--- a/standin/prove/trial.go
+++ b/standin/prove/trial.go
@@ -85,7 +85,7 @@
 		<-t.loaded
 	}
 	t.watch.stop()
-	t.d.Group.Kill()
+	t.d.End()
 }
 
 // say tells what happens, with the seconds since the start.
