--- a/core/member/fence.go
+++ b/core/member/fence.go
@@ -167,8 +167,10 @@
 	if v.mineDirty {
 		v.mineDirty = false
 		v.findMine()
+		v.orphans = orphanCache{}
 	}
-	if now < v.takeAfter || now < v.quietUntil || now >= v.freshUntil {
+	v.orphanKeys = v.findOrphanKeys(now)
+	if now < v.takeAfter || now >= v.freshUntil {
 		return
 	}
 	for _, key := range v.mine {
@@ -196,6 +198,9 @@
 // settled: by our own read of the platform, or by a majority of the members.
 func (v *View) freshness(now clock.Millis) clock.Millis {
 	until := never
+	if now < v.quietUntil {
+		return until
+	}
 	if v.platformSeen {
 		until = v.platformAt + v.FenceAfter
 	}
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -13,7 +13,7 @@
 	DefaultHearFor     = 4 * clock.Second
 	DefaultFenceAfter  = 4 * clock.Second
 	DefaultSettleAfter = 5 * clock.Second
-	DefaultRemoveAfter = 10 * clock.Second
+	DefaultRemoveAfter = 7 * clock.Second
 	DefaultFanout      = 3
 	DefaultKnown       = 4
 )
@@ -30,6 +30,8 @@
 	FenceAfter  clock.Millis // a read of the platform is good for so long
 	SettleAfter clock.Millis // from half of the former members knowing an epoch to taking what moved in it; above HearFor and FenceAfter
 	RemoveAfter clock.Millis // a member not heard for so long is removed
+	HandoverFor clock.Millis // reports of an epoch are kept back so long at most
+	HoldReports bool         // reports of an epoch wait for Released
 	Fanout      int          // heartbeats a turn, replies not counted
 	MaxKnown    int          // second-hand entries in a reply
 
@@ -48,7 +50,6 @@
 	peers    map[string]*peer
 	order    []string // ids in rotation
 	nextPeer int
-	knownAt  int // rotation of second-hand news
 	deadAt   int // rotation of deaths
 	dead     map[Ref]bool
 	deaths   []Ref // in order of discovery, bounded
@@ -64,7 +65,9 @@
 	held       map[string]Ref // the holder of each key
 	mineDirty  bool
 	adoptedAt  clock.Millis
+	released   uint64 // newest epoch to which Released was called
 	orphans    orphanCache
+	orphanKeys []string // keys of which this host has the cut share for want of their holder, sorted
 	taken      map[string]bool
 	takeAfter  clock.Millis
 	quietUntil clock.Millis
@@ -73,6 +76,7 @@
 
 	writing   bool
 	proposed  Assignment
+	planned   planned
 	wantSince clock.Millis
 	wantDelay clock.Millis
 	nextWrite clock.Millis
@@ -94,6 +98,7 @@
 	setDefault(&v.FenceAfter, DefaultFenceAfter)
 	setDefault(&v.SettleAfter, DefaultSettleAfter)
 	setDefault(&v.RemoveAfter, DefaultRemoveAfter)
+	setDefault(&v.HandoverFor, DefaultHandoverFor)
 	setDefault(&v.Fanout, DefaultFanout)
 	setDefault(&v.MaxKnown, DefaultKnown)
 	if v.Rand == nil {
--- a/core/route/request.go
+++ b/core/route/request.go
@@ -8,7 +8,6 @@
 	order      uint64 // of arrival
 	key        int64  // order in the queue, smallest first
 	queueIndex int
-	arrived    clock.Millis
 	deadline   timer
 	running    []*attempt
 	tried      []*upstream // where an attempt failed
@@ -63,6 +62,7 @@
 	request    *request // nil once the request is settled
 	upstream   *upstream
 	started    clock.Millis
+	timedOut   bool // its request's deadline passed while it was in flight
 	hedge      timer
 	prev, next *attempt // in the upstream's order of start
 }
--- a/core/route/shard.go
+++ b/core/route/shard.go
@@ -27,14 +27,17 @@
 	Rand   *rand.Rand // source of all randomness; required
 	Tuning Tuning     // parts that can be turned off, for measurements
 
-	cfg       Config
-	upstreams []*upstream // sorted by name; those that left stay until idle
-	owners    []*owner    // sorted by host
-	requests  map[RequestID]*request
-	attempts  map[AttemptID]*attempt
-	queue     heap[*request]
-	timers    heap[*timer]
-	latencies latencies
+	cfg         Config
+	upstreams   []*upstream // sorted by name; those that left stay until idle
+	owners      []*owner    // sorted by host
+	requests    map[RequestID]*request
+	attempts    map[AttemptID]*attempt
+	queue       heap[*request]
+	queuedSince clock.Millis // when the queue was last empty
+	timers      heap[*timer]
+	latencies   latencies
+	policy      admit.Policy[*upstream]
+	found       candidates
 
 	rate    admit.RateWindow
 	retries admit.Budget
@@ -122,7 +125,6 @@
 		r.drop(a)
 		s.settle(now, r, a, result.Status)
 	}
-	s.dropIdle(a.upstream)
 	s.recycleAttempt(a)
 	s.dispatch(now)
 	s.tell(now)
@@ -143,6 +145,7 @@
 	}
 	s.dispatch(now)
 	s.clearBuckets(now)
+	s.dropGone(now)
 	s.tell(now)
 	return s.out
 }
@@ -181,6 +184,7 @@
 		return
 	}
 	s.started = true
+	s.policy = &cheapest{rand: s.Rand, tuning: &s.Tuning}
 	s.requests = make(map[RequestID]*request)
 	s.attempts = make(map[AttemptID]*attempt)
 	s.retries = admit.Budget{Ratio: retryRatio, Burst: retryBurst}
@@ -193,6 +197,9 @@
 
 func (s *Shard) configureUpstreams(now clock.Millis, wanted []Upstream) {
 	for _, u := range s.upstreams {
+		if u.present {
+			u.gone = now
+		}
 		u.present = false
 	}
 	for _, w := range wanted {
@@ -203,7 +210,7 @@
 		}
 		u.configure(w, s.cfg.AvailabilityZone)
 	}
-	s.upstreams = slices.DeleteFunc(s.upstreams, (*upstream).idleAndGone)
+	s.dropGone(now)
 	slices.SortFunc(s.upstreams, func(a, b *upstream) int { return strings.Compare(a.Name, b.Name) })
 }
 
@@ -216,10 +223,11 @@
 	return nil
 }
 
-func (s *Shard) dropIdle(u *upstream) {
-	if u.idleAndGone() {
-		s.upstreams = slices.DeleteFunc(s.upstreams, (*upstream).idleAndGone)
-	}
+// dropGone forgets upstreams that left the Config a while ago and are idle.
+func (s *Shard) dropGone(now clock.Millis) {
+	s.upstreams = slices.DeleteFunc(s.upstreams, func(u *upstream) bool {
+		return !u.present && u.inFlight == 0 && now-u.gone >= goneKept
+	})
 }
 
 // sooner returns the earlier of two points in time, of which 0 means none.
--- a/core/table/merge.go
+++ b/core/table/merge.go
@@ -1,10 +1,10 @@
 package table
 
 import (
+	"bytes"
+	"encoding/csv"
 	"slices"
 	"strings"
-
-	"github.com/pkg/errors"
 )
 
 // Conflict is a row that two edits changed differently. The rows are given in
@@ -78,19 +78,26 @@
 	return false
 }
 
-// fromCells builds a table from rows that Format could have written.
+// fromCells builds a table from rows that Format could have written, all of them:
+// whether they go together is for Check to say.
 func fromCells(rows map[rowKey][]string) *Table {
-	var b strings.Builder
-	b.WriteString(formatCells(Columns()) + "\n")
+	p := newParser()
+	p.eachRowAlone = true
+	p.parse(formatRows(rows))
+	p.t.sort()
+	return p.t
+}
+
+// formatRows returns rows in the text form, with the header.
+func formatRows(rows map[rowKey][]string) []byte {
+	var b bytes.Buffer
+	w := csv.NewWriter(&b)
+	_ = w.Write(Columns())
 	for _, key := range sortedKeys(rows) {
-		b.WriteString(formatCells(rows[key]) + "\n")
-	}
-	t, err := Parse([]byte(b.String()))
-	var faults Faults
-	if errors.As(err, &faults) && t == nil {
-		return &Table{}
+		_ = w.Write(rows[key])
 	}
-	return t
+	w.Flush()
+	return b.Bytes()
 }
 
 // formatCells returns a row in the text form without its line end.
--- a/siskinpathd/peer/follow/driver.go
+++ b/siskinpathd/peer/follow/driver.go
@@ -27,6 +27,7 @@
 
 // Link is the part of the links to other hosts that the driver needs.
 type Link interface {
+	Bind() error
 	Dial(host member.Host)
 	Keep(ids []string)
 	SendHeartbeat(to member.Host, hb member.Heartbeat)
@@ -94,13 +95,17 @@
 	d.kick = make(chan struct{}, 1)
 	d.notify = make(chan struct{}, 1)
 	d.writes = make(chan member.Assignment, 1)
-	d.view = &member.View{Self: d.Self, Rand: rand.New(rand.NewPCG(d.Rand.Uint64(), d.Rand.Uint64()))}
+	d.view = &member.View{Self: d.Self, HoldReports: true, Rand: rand.New(rand.NewPCG(d.Rand.Uint64(), d.Rand.Uint64()))}
 	d.follower = &table.Follower{Self: d.Self.ID}
 }
 
-// Run works until ctx is done.
+// Run works until ctx is done. It tells nobody of this incarnation before the
+// link's port is open; when that fails, the link's own Run says so.
 func (d *Driver) Run(ctx context.Context) {
 	d.once.Do(d.start)
+	if d.Link.Bind() != nil {
+		return
+	}
 	var wg sync.WaitGroup
 	wg.Go(func() { d.tick(ctx) })
 	wg.Go(func() { d.pollRows(ctx) })
--- a/siskinpathd/serve/node.go
+++ b/siskinpathd/serve/node.go
@@ -34,6 +34,8 @@
 	// housekeepingTurn is how often the key window is told to the fleet and
 	// records that are no longer retained are dropped.
 	housekeepingTurn = 500 * clock.Millisecond
+	// releaseTurn is how often attempts at lost upstreams are looked for.
+	releaseTurn = 10 * clock.Millisecond
 )
 
 // Node is the daemon: all of its parts.
@@ -54,6 +56,7 @@
 	Chain     *filter.Chain
 	Hops      *hop.Server
 	Callers   *caller.Server
+	Addresses *addresses
 	Operators *operator.Server
 }
 
@@ -66,7 +69,7 @@
 		return err
 	}
 	n.join()
-	n.tellKeyWindow() // before the first answer to callers and the first heartbeat
+	n.tellKeyWindow()
 	ctx, stop := context.WithCancelCause(context.Background())
 	var wg sync.WaitGroup
 	for _, f := range []func(context.Context) error{n.Link.Run, n.Operators.Run, n.follow, n.claims, n.housekeep} {
@@ -112,7 +115,7 @@
 	n.Fleet.OnRights = n.configure
 	n.Operators.State = n.state
 	n.Operators.Hosts = n.hosts
-	n.Operators.Health = n.Fleet.Health
+	n.Operators.Health = n.health
 }
 
 // configure follows a change of the table, the rights or the owners.
@@ -121,10 +124,22 @@
 	if t == nil {
 		return
 	}
+	epoch := n.Fleet.Epoch() // before the rights, which may be newer
 	rights := n.Fleet.Rights()
 	n.Upstreams.Configure(t)
 	n.Probes.configure(t, rights)
 	n.Services.Configure(service.Inputs{Table: t, Rights: rights, Owners: n.Fleet.Owners})
+	go n.release(epoch)
+}
+
+// release tells the fleet of an epoch once nothing is in flight any more at
+// upstreams that this host has lost. It gives up waiting when the fleet does.
+func (n *Node) release(epoch uint64) {
+	end := n.Clock.Now() + member.DefaultHandoverFor
+	for n.Services.Stray() > 0 && n.Clock.Now() < end {
+		time.Sleep(releaseTurn.Duration())
+	}
+	n.Fleet.Released(epoch)
 }
 
 func (n *Node) digest(hostID string, d route.Digest, name string) {
@@ -136,6 +151,14 @@
 	r.Digest(d)
 }
 
+// health tells why this host should not be offered to callers.
+func (n *Node) health() error {
+	if err := n.Fleet.Health(); err != nil {
+		return err
+	}
+	return n.Addresses.ready()
+}
+
 func (n *Node) follow(ctx context.Context) error {
 	n.Fleet.Run(ctx)
 	return nil
@@ -163,11 +186,10 @@
 	}
 }
 
-// tellKeyWindow tells the fleet how keys made from now on begin.
 func (n *Node) tellKeyWindow() {
-	n.Keeper.With(func(now clock.Millis, k *once.Keeper) {
-		n.Fleet.SetKeyWindow(k.Window(now))
-	})
+	var window uint32
+	n.Keeper.With(func(now clock.Millis, k *once.Keeper) { window = k.Window(now) })
+	n.Fleet.SetKeyWindow(window)
 }
 
 // shutDown is graceful: the host leaves the answers to callers and gives up its
