route: the last used come back without a probe; a digest is its host's

Cause of the first: an upstream kept only by the floor stayed last in line for good where no probe was allowed or carried out; TestLastUsed fails without the change. Of the second: an answer's digest need not name its host, which Forwarded knows. digest.go, standing.go and probe.go split off. Seen: go test -race ./core/route -rapid.checks=3000.

--- a/core/route/eject_test.go
+++ b/core/route/eject_test.go
@@ -68,6 +68,32 @@
 	})
 }
 
+func TestLastUsed(t *testing.T) {
+	convey.Convey("an upstream that failed while all did comes back without a probe", t, func() {
+		w := newWarmWorld(t, 2, 4)
+		cfg := w.cfg
+		cfg.Upstreams = testUpstreams(2, 4)
+		for i := range cfg.Upstreams {
+			cfg.Upstreams[i].ProbeAllowed = false
+		}
+		w.configure(cfg)
+		for range 50 {
+			w.arrive(Request{Deadline: w.now + clock.Second})
+			for len(w.order) > 0 {
+				w.finish(0, Errored, nil)
+			}
+		}
+		convey.So(w.s.hasGood(), convey.ShouldBeFalse)
+		for range 30 {
+			w.serve(1, "")
+			w.advance(w.now + clock.Second)
+		}
+		for _, u := range w.s.State().Upstreams {
+			convey.So(u.Standing, convey.ShouldEqual, "good")
+		}
+	})
+}
+
 func TestNoAnswers(t *testing.T) {
 	convey.Convey("an upstream that answers nothing is ejected once deadlines have passed there", t, func() {
 		w := newWarmWorld(t, 4, 4)
--- a/core/route/spill.go
+++ b/core/route/spill.go
@@ -8,14 +8,10 @@
 )
 
 const (
-	digestsPerSecond = 5.0 // most digests of one shard
-	digestBurst      = 5.0
-	digestInterval   = clock.Second       // longest time between two digests
-	digestTrusted    = 3 * digestInterval // age from which a digest says nothing
-	digestChange     = 2                  // slots by which free must differ to be worth telling
-	queueWorth       = 0.5                // queued requests for each slot from which another queue is weighed
-	queueRatio       = 2                  // times by which the other queue must be shorter
-	unheardFree      = 1                  // free slots assumed of an owner not heard of
+	digestTrusted = 3 * digestInterval // age from which a digest says nothing
+	queueWorth    = 0.5                // queued requests for each slot from which another queue is weighed
+	queueRatio    = 2                  // times by which the other queue must be shorter
+	unheardFree   = 1                  // free slots assumed of an owner not heard of
 )
 
 // owner is another host that owns upstreams of the service.
@@ -209,7 +205,9 @@
 func (s *Shard) Forwarded(now clock.Millis, f ForwardResult) []Action {
 	s.begin()
 	if f.Digest != nil {
-		s.heardOf(now, *f.Digest)
+		d := *f.Digest
+		d.Host = f.Host
+		s.heardOf(now, d)
 	}
 	r := s.requests[f.Request]
 	if r == nil || !r.forwarded {
@@ -239,55 +237,3 @@
 	}
 	s.place(now, r)
 }
-
-// digestWanted returns when the next digest is due.
-func (s *Shard) digestWanted() clock.Millis {
-	if s.digestDue {
-		return s.digests.NextAt(s.digestAt)
-	}
-	return s.digestAt + digestInterval
-}
-
-// tell sends a digest when there is something worth telling.
-func (s *Shard) tell(now clock.Millis) {
-	if len(s.owners) == 0 || len(s.cfg.Upstreams) == 0 {
-		return
-	}
-	d := s.digest(now)
-	s.digestDue = s.worthTelling(now, d)
-	if !s.digestDue || !s.digests.Take(now) {
-		return
-	}
-	s.digestDue = false
-	s.digestSent = d
-	s.digestAt = now
-	s.counters.Digests++
-	s.emit(Action{Kind: SendDigest, Digest: d})
-}
-
-func (s *Shard) digest(now clock.Millis) Digest {
-	d := Digest{Host: s.cfg.Self, Queued: s.queue.len(), Slots: s.slots()}
-	if d.Queued == 0 {
-		d.Free = s.spare(now)
-	}
-	return d
-}
-
-func (s *Shard) worthTelling(now clock.Millis, d Digest) bool {
-	last := s.digestSent
-	switch {
-	case now-s.digestAt >= digestInterval:
-		return true
-	case (d.Free > 0) != (last.Free > 0), (d.Queued > 0) != (last.Queued > 0):
-		return true
-	case d.Queued > queueRatio*last.Queued+digestChange, last.Queued > queueRatio*d.Queued+digestChange:
-		return true
-	default:
-		return abs(d.Free-last.Free) > max(digestChange, last.Free/2) || abs(d.Slots-last.Slots) > digestChange
-	}
-}
-
-func abs(n int) int { return max(n, -n) }
-
-// Load returns the shard's own digest, to go with an answer to another host.
-func (s *Shard) Load(now clock.Millis) Digest { return s.digest(now) }
--- a/core/route/types.go
+++ b/core/route/types.go
@@ -121,8 +121,8 @@
 type ForwardResult struct {
 	Request    RequestID
 	Host       string
-	NotRun     bool // the other host says that the request did not run, or it never got there
-	Digest     *Digest
+	NotRun     bool    // the other host says that the request did not run, or it never got there
+	Digest     *Digest // of Host, nil when the answer carried none
 	RetryAfter clock.Millis
 }
 
