--- a/core/route/spill.go
+++ b/core/route/spill.go
@@ -11,6 +11,7 @@
 	digestTrusted = 3 * digestInterval // age from which a digest says nothing
 	queueWorth    = 0.5                // queued requests for each slot from which another queue is weighed
 	queueRatio    = 2                  // times by which the other queue must be shorter
+	avoidFor      = clock.Second       // for which an owner is avoided that ran nothing and said nothing of itself
 	unheardFree   = 1                  // free slots assumed of an owner not heard of
 )
 
@@ -19,7 +20,8 @@
 	digest Digest
 	at     clock.Millis
 	heard  bool
-	sent   int // requests passed there since its digest
+	sent   int          // requests passed there since its digest
+	avoid  clock.Millis // until then others go first: it ran nothing and said nothing of itself
 }
 
 // free estimates the owner's free slots.
@@ -31,13 +33,19 @@
 }
 
 // betterThan tells whether a request had better go to o than to other.
-func (o *owner) betterThan(other *owner) bool {
+func (o *owner) betterThan(now clock.Millis, other *owner) bool {
+	if o.avoided(now) != other.avoided(now) {
+		return other.avoided(now)
+	}
 	if o.free() > 0 || other.free() > 0 {
 		return o.free() > other.free()
 	}
 	return o.queuePerSlot() < other.queuePerSlot()
 }
 
+// avoided tells whether other owners go first for now.
+func (o *owner) avoided(now clock.Millis) bool { return now < o.avoid }
+
 // queuePerSlot estimates how many requests wait there for each slot.
 func (o *owner) queuePerSlot() float64 {
 	return float64(max(0, o.digest.Queued+o.sent-o.digest.Free)) / float64(max(1, o.digest.Slots))
@@ -82,6 +90,7 @@
 		o.at = now
 		o.heard = true
 		o.sent = 0
+		o.avoid = 0
 		return o
 	}
 	return nil
@@ -174,14 +183,14 @@
 		if !s.mayForward(r, o) {
 			continue
 		}
-		if trusted && (!o.heard || now-o.at >= digestTrusted) {
+		if trusted && (!o.heard || o.avoided(now) || now-o.at >= digestTrusted) {
 			continue
 		}
 		switch {
-		case best == nil || o.betterThan(best):
+		case best == nil || o.betterThan(now, best):
 			best = o
 			same = 1
-		case !best.betterThan(o):
+		case !best.betterThan(now, o):
 			same++
 			if s.Rand.IntN(same) == 0 {
 				best = o
@@ -208,6 +217,8 @@
 		d := *f.Digest
 		d.Host = f.Host
 		s.heardOf(now, d)
+	} else if f.NotRun {
+		s.avoidOwner(now, f.Host)
 	}
 	r := s.requests[f.Request]
 	if r == nil || !r.forwarded {
@@ -229,6 +240,14 @@
 	return s.out
 }
 
+func (s *Shard) avoidOwner(now clock.Millis, host string) {
+	for _, o := range s.owners {
+		if o.digest.Host == host {
+			o.avoid = now + avoidFor
+		}
+	}
+}
+
 // placeAgain finds another place for a request that another host did not run.
 func (s *Shard) placeAgain(now clock.Millis, r *request) {
 	if !s.retries.Spend() {
--- a/core/route/spill_test.go
+++ b/core/route/spill_test.go
@@ -69,6 +69,27 @@
 		refused := shouldHave(end, Refuse)
 		convey.So(refused.RetryAfter, convey.ShouldBeGreaterThanOrEqualTo, clock.Millis(700))
 	})
+	convey.Convey("an owner that can't be reached is left alone for a while", t, func() {
+		w := newWorld(1, t.Fatalf)
+		w.configure(Config{Self: "self", Owners: []string{"h1", "h2"}})
+		lost := ""
+		for id := range RequestID(20) {
+			sent := shouldHave(w.s.Arrive(w.now, request1(id+1, w.now+clock.Second)), Forward)
+			if lost == "" {
+				lost = sent.Host
+				again := w.s.Forwarded(w.now, ForwardResult{Request: id + 1, Host: lost, NotRun: true})
+				sent = shouldHave(again, Forward)
+			}
+			convey.So(sent.Host, convey.ShouldNotEqual, lost)
+			w.s.Forwarded(w.now, ForwardResult{Request: id + 1, Host: sent.Host})
+		}
+		w.now += avoidFor
+		hosts := make(map[string]bool)
+		for id := range RequestID(20) {
+			hosts[shouldHave(w.s.Arrive(w.now, request1(id+100, w.now+clock.Second)), Forward).Host] = true
+		}
+		convey.So(hosts[lost], convey.ShouldBeTrue)
+	})
 	convey.Convey("an owner with free slots again says so at once", t, func() {
 		w := newWarmWorld(t, 1, 4, "h1")
 		fill(w, 5)
