member: a successor waits for the change of members; handed over requests are waited for

The owner had not changed, so the upstream counted as not moved, but the order of succession follows from the members: in epoch 2 it named gh-03, in epoch 3 gh-02, and both took it. Ruled out: the fence, the age of news, the reports (all hosts had reported epoch 2).

A host tells a new epoch only when its requests at upstreams that were handed over have ended, or after DrainFor, so the next owner waits for them and the slots hold over both. View.InFlight tells how many; nil keeps it off. TestMechanisms finds 5 requests at 4 slots when it is off.

--- a/core/fleet/check.go
+++ b/core/fleet/check.go
@@ -13,6 +13,7 @@
 	OneHolder   = "one_holder"
 	ProbeBudget = "probe_budget"
 	EpochRises  = "epoch_rises"
+	Slots       = "slots"
 )
 
 // Checker checks after each event what must always hold.
@@ -20,7 +21,9 @@
 	fleet     *Fleet
 	Violation string // the first one; empty when none
 
-	Probes  int
+	Probes   int
+	inFlight map[string]map[*member.View]int // requests at each upstream
+
 	MaxCut  int // most hosts at once with the cut share of one upstream
 	holders map[string]map[*Host]bool
 	probes  map[string][]clock.Millis // latest probes of each upstream
@@ -79,6 +82,11 @@
 	for _, hosts := range c.holders {
 		delete(hosts, h)
 	}
+	if h.Mode == Killed {
+		for _, views := range c.inFlight {
+			delete(views, h.View)
+		}
+	}
 }
 
 // Holder returns the running host that holds an upstream fully, or nil.
@@ -139,3 +147,25 @@
 		c.MaxCut = max(c.MaxCut, n)
 	}
 }
+
+// started counts a request under the full right. Over all hosts there may be no
+// more than the upstream has slots.
+func (c *Checker) started(key string, view *member.View) {
+	if c.inFlight[key] == nil {
+		c.inFlight[key] = map[*member.View]int{}
+	}
+	c.inFlight[key][view]++
+	total := 0
+	for _, n := range c.inFlight[key] {
+		total += n
+	}
+	if total > slots {
+		c.violate(Slots, "%d requests at %s, which has %d slots", total, key, slots)
+	}
+}
+
+func (c *Checker) ended(key string, view *member.View) {
+	if c.inFlight[key][view] > 0 {
+		c.inFlight[key][view]--
+	}
+}
--- a/core/fleet/directed_test.go
+++ b/core/fleet/directed_test.go
@@ -61,6 +61,7 @@
 	}{
 		{"epoch settled at once", directed{hosts: 5, drive: minorityWithPlatform}, Spoil{Row: forgetPrevious}},
 		{"removed hosts forgotten", directed{hosts: 5, tune: slowFence, drive: movedTwice}, Spoil{Row: forgetEarlier}},
+		{"change of members forgotten", directed{hosts: 5, drive: killedOnJoin}, Spoil{Row: forgetChanged}},
 		{"late heartbeats count as fresh", directed{hosts: 3, links: LinkFaults{Delay: 0.5}, drive: longFreeze}, Spoil{Beat: freshen}},
 		{"late reads count as fresh", directed{hosts: 3, drive: hungReader}, Spoil{LateReads: true}},
 	} {
@@ -108,3 +109,20 @@
 	f.Platform.Hang = 0
 	f.Plan([]Fault{{At: f.Now, For: clock.Hour, Kind: CutBoth, Host: 2}})
 }
+
+// killedOnJoin kills the owner of a zone in the moment in which the other host of
+// that zone becomes a member, which two hosts don't hear of: the order of
+// succession differs between the epochs.
+func killedOnJoin(f *Fleet) {
+	f.Hosts[1].Stop(Killed)
+	waitEpoch(f, 10*clock.Second)
+	f.Run(f.Now + 5*clock.Second)
+	f.Hosts[1].Boot()
+	waitEpoch(f, 10*clock.Second)
+	f.Hosts[4].Stop(Killed)
+	for _, h := range f.Hosts[2:4] {
+		h.Lost = true
+		f.Links.CutPair(0, h.Index, true)
+		f.Links.CutPair(1, h.Index, true)
+	}
+}
--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -16,6 +16,7 @@
 	listEvery   = 2 * clock.Second
 	probeEvery  = 100 * clock.Millisecond
 	platformMax = 1 * clock.Second // a call to the platform is given up after this
+	requestMax  = 1500 * clock.Millisecond
 )
 
 // Mode says in what way a host doesn't run.
@@ -48,6 +49,7 @@
 	epoch   uint64
 	table   *table.Table // in force here
 	leaving bool
+	running map[string]int // requests in flight at each upstream
 
 	SentBytes, SentMessages int
 }
@@ -62,6 +64,7 @@
 	h.rights = map[string]member.Right{}
 	h.epoch = 0
 	h.leaving = false
+	h.running = map[string]int{}
 	h.View = &member.View{
 		Self: member.Host{
 			ID: h.ID, Incarnation: member.Incarnation(f.rand.Uint64() | 1), AvailabilityZone: h.Zone,
@@ -69,6 +72,8 @@
 		},
 		Rand: rand.New(rand.NewPCG(f.rand.Uint64(), 2)),
 	}
+	running := h.running
+	h.View.InFlight = func(service, upstream string) int { return running[member.Key(service, upstream)] }
 	if f.Tune != nil {
 		f.Tune(h.View)
 	}
@@ -183,19 +188,39 @@
 	return listEvery
 }
 
-// probe sends what the budget allows, asking for the right just before.
+// probe starts probes and requests as budget and slots allow, asking for the
+// right just before.
 func (h *Host) probe() clock.Millis {
 	now := h.Time()
 	for i := range h.table.Services {
 		for _, u := range h.table.Services[i].Upstreams {
-			if full, _ := h.View.Holds(now, u.Service, u.Name); full && h.budget.Allow(now, u.Service, u.Name) {
+			if full, _ := h.View.Holds(now, u.Service, u.Name); !full {
+				continue
+			}
+			if h.budget.Allow(now, u.Service, u.Name) {
 				h.fleet.Check.probed(u.Service, u.Name)
 			}
+			if key := member.Key(u.Service, u.Name); h.running[key] < u.Slots {
+				h.request(key)
+			}
 		}
 	}
 	return probeEvery
 }
 
+// request starts a request. It runs to its end at the upstream, unless the
+// process is killed.
+func (h *Host) request(key string) {
+	c := h.fleet.Check
+	view, running := h.View, h.running
+	running[key]++
+	c.started(key, view)
+	h.fleet.after(h.fleet.between(20, requestMax), func() {
+		c.ended(key, view)
+		h.run(view, func() { running[key]-- })
+	})
+}
+
 // Stop ends or freezes the process.
 func (h *Host) Stop(mode Mode) {
 	h.fleet.tracef("%s %s", h.ID, [...]string{"runs", "freezes", "is killed", "loses power"}[mode])
--- a/core/fleet/spoil_test.go
+++ b/core/fleet/spoil_test.go
@@ -21,6 +21,7 @@
 		{"news of a host is good for ever", base.tuned(func(v *member.View) { v.HearFor = clock.Hour }), OneHolder},
 		{"a new owner does not wait out the fence", base.tuned(func(v *member.View) { v.SettleAfter = 1 }), OneHolder},
 		{"a new owner does not know what moved", base.spoiled(Spoil{Row: forgetMoved}), OneHolder},
+		{"requests in flight are not waited for", base.tuned(func(v *member.View) { v.InFlight = nil }), Slots},
 		{"a lost right keeps its bucket", base.spoiled(Spoil{KeepBuckets: true}), ProbeBudget},
 	} {
 		t.Run(strings.ReplaceAll(c.name, " ", "_"), func(t *testing.T) {
@@ -72,6 +73,11 @@
 	return a
 }
 
+func forgetChanged(a member.Assignment) member.Assignment {
+	a.Changed = 0
+	return a
+}
+
 // freshen makes a late reply to the third host look like one to its newest heartbeat.
 func freshen(to *Host, beat member.Heartbeat) member.Heartbeat {
 	if to.Index != 2 {
--- a/core/member/fence.go
+++ b/core/member/fence.go
@@ -49,7 +49,10 @@
 	next := a.Epoch == old.Epoch+1
 	kept := map[string]bool{}
 	for key := range v.taken {
-		if v.holder(key) == v.selfRef() && (next || a.Moved[key] <= old.Epoch) {
+		if v.holder(key) != v.selfRef() {
+			v.drain.add(now, key)
+		}
+		if v.holder(key) == v.selfRef() && (next || v.movedAt(key) <= old.Epoch) {
 			kept[key] = true
 		}
 	}
@@ -268,14 +271,29 @@
 	return false
 }
 
+// movedAt returns the newest epoch in which the holder of a key may have become
+// another one, as long as some host may not know of it; 0 when all know. A
+// successor holds by the order of the members, so their change counts for it.
+func (v *View) movedAt(key string) uint64 {
+	moved := v.current.Moved[key]
+	if v.holder(key).ID != v.current.Owners[key] {
+		moved = max(moved, v.current.Changed)
+	}
+	return moved
+}
+
 // clear says whether nobody else can still hold an upstream from an older epoch.
 func (v *View) clear(now clock.Millis, key string) bool {
-	moved := v.current.Moved[key]
-	if moved == 0 || v.fenced(now, moved) {
+	return v.known(now, v.movedAt(key))
+}
+
+// known says whether every host that may hold a right knows epoch or is fenced.
+func (v *View) known(now clock.Millis, epoch uint64) bool {
+	if epoch == 0 || v.fenced(now, epoch) {
 		return true
 	}
 	for _, ref := range v.history {
-		if !v.aware(ref, moved) {
+		if !v.aware(ref, epoch) {
 			return false
 		}
 	}
--- a/core/member/heartbeat.go
+++ b/core/member/heartbeat.go
@@ -255,7 +255,7 @@
 // beat is a heartbeat without second-hand news.
 func (v *View) beat(now clock.Millis) Heartbeat {
 	beat := Heartbeat{
-		From: v.Self, Sequence: v.sequence, Epoch: v.current.Epoch, TableVersion: v.tableVersion(),
+		From: v.Self, Sequence: v.sequence, Epoch: v.toldEpoch(now), TableVersion: v.tableVersion(),
 		KeyWindow: v.keyWindow, Leaving: v.leaving, PlatformAge: -1, Dead: v.someDeaths(),
 	}
 	if v.platformSeen {
--- a/core/member/propose.go
+++ b/core/member/propose.go
@@ -207,10 +207,15 @@
 	for key, owner := range next.Owners {
 		if ownerIn(v.current.Members, v.current.Owners[key]) != ownerIn(next.Members, owner) {
 			next.Moved[key] = epoch + 1
-		} else if moved := v.current.Moved[key]; moved != 0 && !v.clear(now, key) {
+		} else if moved := v.current.Moved[key]; !v.known(now, moved) {
 			next.Moved[key] = moved
 		}
 	}
+	if !sameHosts(next.Members, v.current.Members) {
+		next.Changed = epoch + 1
+	} else if !v.known(now, v.current.Changed) {
+		next.Changed = v.current.Changed
+	}
 }
 
 // ownerIn returns the incarnation of the member with an id.
--- a/core/member/types.go
+++ b/core/member/types.go
@@ -45,6 +45,9 @@
 	// Moved gives the epoch in which an upstream last changed hands, as long
 	// as some host may not know of it.
 	Moved map[string]uint64 `json:"moved,omitempty"`
+	// Changed is the epoch in which the members last changed, as long as some
+	// host may not know of it: the order of succession follows from them.
+	Changed uint64 `json:"changed,omitempty"`
 }
 
 // Ref names one incarnation of a host.
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -14,6 +14,7 @@
 	DefaultFenceAfter  = 4 * clock.Second
 	DefaultSettleAfter = 5 * clock.Second
 	DefaultRemoveAfter = 7 * clock.Second
+	DefaultDrainFor    = 2 * clock.Second
 	DefaultFanout      = 3
 	DefaultKnown       = 4
 )
@@ -30,9 +31,15 @@
 	FenceAfter  clock.Millis // a read of the platform is good for so long
 	SettleAfter clock.Millis // from half of the former members knowing an epoch to taking what moved in it; above HearFor and FenceAfter
 	RemoveAfter clock.Millis // a member not heard for so long is removed
+	DrainFor    clock.Millis // a new epoch is told at the latest so long after it was taken
 	Fanout      int          // heartbeats a turn, replies not counted
 	MaxKnown    int          // second-hand entries in a reply
 
+	// InFlight tells how many requests this host has in flight at an upstream.
+	// While an upstream that was handed over has any, the epoch that took it
+	// away isn't told, so the next owner waits for them. Nil means none.
+	InFlight func(service, upstream string) int
+
 	ready     bool
 	started   clock.Millis
 	last      clock.Millis // last event
@@ -63,6 +70,7 @@
 	held       map[string]Ref // the holder of each key
 	mineDirty  bool
 	adoptedAt  clock.Millis
+	drain      drain
 	orphans    orphanCache
 	orphanKeys []string // keys of which this host has the cut share for want of their holder, sorted
 	taken      map[string]bool
@@ -95,6 +103,7 @@
 	setDefault(&v.FenceAfter, DefaultFenceAfter)
 	setDefault(&v.SettleAfter, DefaultSettleAfter)
 	setDefault(&v.RemoveAfter, DefaultRemoveAfter)
+	setDefault(&v.DrainFor, DefaultDrainFor)
 	setDefault(&v.Fanout, DefaultFanout)
 	setDefault(&v.MaxKnown, DefaultKnown)
 	if v.Rand == nil {
