member: a host neither listed nor heard for a minute counts as dead

Cause: when most members vanish at once without refusing connections and come back under other names, no majority is left to remove them, and nothing proves their death; the new hosts would never hold anything.

--- a/core/fleet/directed_test.go
+++ b/core/fleet/directed_test.go
@@ -126,3 +126,27 @@
 		f.Links.CutPair(1, h.Index, true)
 	}
 }
+
+// TestReplacedAtOnce takes the power from all hosts but those that have just
+// started under other names, so that no majority is left and nothing refuses.
+func TestReplacedAtOnce(t *testing.T) {
+	const s = clock.Second
+	f := New(Config{Seed: 1, Hosts: 10, Start: map[int]clock.Millis{5: 20 * s, 6: 20 * s, 7: 20 * s, 8: 20 * s, 9: 20 * s}})
+	f.Run(20 * s)
+	for _, h := range f.Hosts[:5] {
+		h.Stop(PowerOff)
+	}
+	f.after(10*s, func() {
+		for _, h := range f.Hosts[:5] {
+			h.Gone = true
+		}
+	})
+	start := f.Now
+	if !f.RunUntil(start+100*s, f.Served) {
+		t.Error("not every upstream is held again")
+	}
+	if f.Check.Violation != "" {
+		t.Error(f.Check.Violation)
+	}
+	t.Logf("held again after %d ms", f.Now-start)
+}
--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -41,6 +41,7 @@
 
 	Cut  bool // no link to any peer
 	Lost bool // no link to the platform
+	Gone bool // no longer on the platform's list
 
 	offset  clock.Millis // of the process's clock
 	backlog []func()     // what arrived while frozen
--- a/core/fleet/platform.go
+++ b/core/fleet/platform.go
@@ -58,6 +58,9 @@
 	}
 	var hosts []member.ListedHost
 	for _, other := range p.fleet.Hosts {
+		if other.Gone {
+			continue
+		}
 		hosts = append(hosts, member.ListedHost{
 			ID: other.ID, AvailabilityZone: other.Zone, PeerAddress: other.ID + ":7100",
 			CallerAddress: other.ID + ":7001", OperatorAddress: other.ID + ":7200",
--- a/core/member/drain.go
+++ b/core/member/drain.go
@@ -14,9 +14,7 @@
 }
 
 func (d *drain) add(now clock.Millis, key string) {
-	if len(d.keys) == 0 {
-		d.since = now
-	}
+	d.since = now
 	d.keys = append(d.keys, key)
 }
 
--- a/core/member/peers.go
+++ b/core/member/peers.go
@@ -90,9 +90,31 @@
 			actions = append(actions, Action{Kind: Dial, Host: p.host})
 		}
 	}
+	v.noteUnlisted(now)
 	return v.leave(now, actions)
 }
 
+// noteUnlisted takes a host that the list has lacked and nobody has heard for
+// GoneAfter as dead: its machine is gone and can't refuse a connection any more.
+func (v *View) noteUnlisted(now clock.Millis) {
+	before := v.unlisted
+	v.unlisted = map[Ref]clock.Millis{}
+	for _, ref := range v.history {
+		p := v.peers[ref.ID]
+		if ref == v.selfRef() || v.dead[ref] || p != nil && p.listed {
+			continue
+		}
+		since, ok := before[ref]
+		if !ok {
+			since = now
+		}
+		v.unlisted[ref] = since
+		if now-since > v.GoneAfter && now-v.lastHeard(ref) > v.GoneAfter {
+			v.markDead(ref)
+		}
+	}
+}
+
 // forget drops hosts that nothing speaks of any more.
 func (v *View) forget(now clock.Millis) {
 	for id, p := range v.peers {
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -14,6 +14,7 @@
 	DefaultFenceAfter  = 4 * clock.Second
 	DefaultSettleAfter = 5 * clock.Second
 	DefaultRemoveAfter = 7 * clock.Second
+	DefaultGoneAfter   = 60 * clock.Second
 	DefaultDrainFor    = 2 * clock.Second
 	DefaultFanout      = 3
 	DefaultKnown       = 4
@@ -31,6 +32,7 @@
 	FenceAfter  clock.Millis // a read of the platform is good for so long
 	SettleAfter clock.Millis // from half of the former members knowing an epoch to taking what moved in it; above HearFor and FenceAfter
 	RemoveAfter clock.Millis // a member not heard for so long is removed
+	GoneAfter   clock.Millis // who is neither listed nor heard for so long counts as dead
 	DrainFor    clock.Millis // a new epoch is told at the latest so long after it was taken
 	Fanout      int          // heartbeats a turn, replies not counted
 	MaxKnown    int          // second-hand entries in a reply
@@ -57,7 +59,8 @@
 	nextPeer int
 	deadAt   int // rotation of deaths
 	dead     map[Ref]bool
-	deaths   []Ref // in order of discovery, bounded
+	unlisted map[Ref]clock.Millis // since when the list lacks an incarnation that the assignment names
+	deaths   []Ref                // in order of discovery, bounded
 
 	current      Assignment
 	history      []Ref          // every incarnation that current names, sorted
@@ -103,6 +106,7 @@
 	setDefault(&v.FenceAfter, DefaultFenceAfter)
 	setDefault(&v.SettleAfter, DefaultSettleAfter)
 	setDefault(&v.RemoveAfter, DefaultRemoveAfter)
+	setDefault(&v.GoneAfter, DefaultGoneAfter)
 	setDefault(&v.DrainFor, DefaultDrainFor)
 	setDefault(&v.Fanout, DefaultFanout)
 	setDefault(&v.MaxKnown, DefaultKnown)
@@ -110,6 +114,7 @@
 		v.Rand = rand.New(rand.NewPCG(uint64(v.Self.Incarnation), 0))
 	}
 	v.peers = map[string]*peer{}
+	v.unlisted = map[Ref]clock.Millis{}
 	v.dead = map[Ref]bool{}
 	v.reported = map[Ref]uint64{}
 	v.taken = map[string]bool{}
