--- a/bench/sim/run.go
+++ b/bench/sim/run.go
@@ -26,6 +26,7 @@
 	lost      []bool // hosts that are gone
 	callers   []caller
 	load      float64
+	ended     int // measured calls that have ended
 	result    *Result
 }
 
@@ -61,6 +62,9 @@
 
 // Run runs a scenario.
 func Run(sc Scenario) *Result {
+	if sc.Policy.NoLinks {
+		sc.Deployment.Link, sc.Deployment.Near = 0, 0
+	}
 	w := &world{sc: sc, load: 1, result: NewResult()}
 	w.rand = rand.New(rand.NewPCG(sc.Seed, 1))
 	w.faults = rand.New(rand.NewPCG(sc.Seed, 2))
@@ -125,7 +129,7 @@
 	d := w.sc.Deployment
 	n := w.rand.IntN(len(w.callers))
 	idempotent := w.rand.Float64() < d.Idempotent
-	c := &call{arrived: w.now, deadline: w.now + d.Deadline, idempotent: idempotent}
+	c := &call{arrived: w.now, deadline: w.now + w.drawDeadline(), idempotent: idempotent}
 	measured := w.now >= warmUp
 	ended := false
 	c.end = func(o outcome) {
@@ -149,6 +153,14 @@
 	w.hosts[i].take(c)
 }
 
+func (w *world) drawDeadline() Micros {
+	d := w.sc.Deployment
+	if w.sc.Mixed && w.rand.IntN(2) == 0 {
+		return d.Short
+	}
+	return d.Deadline
+}
+
 // hostOf returns the host that caller n uses now.
 func (w *world) hostOf(n int) int {
 	c := &w.callers[n]
@@ -176,6 +188,7 @@
 func (w *world) note(c *call, o outcome) {
 	r := w.result
 	in := w.interval(c)
+	w.ended++
 	latency := w.now - c.arrived
 	switch {
 	case o == refused:
@@ -185,7 +198,7 @@
 	case o == unknown || w.now > c.deadline:
 		r.Late++
 		in.Late++
-		latency = max(latency, w.sc.Deployment.Deadline)
+		latency = max(latency, c.deadline-c.arrived)
 	case o == errored:
 		r.Errors++
 		in.Errors++
@@ -209,6 +222,7 @@
 }
 
 func (w *world) collect() {
+	w.result.Late += w.result.Arrived - w.ended // their host is gone
 	w.result.Seconds = float64(w.sc.Length) / float64(Second)
 	for _, u := range w.upstreams {
 		w.result.Overshoot = max(w.result.Overshoot, u.over)
--- a/bench/sim/scenario.go
+++ b/bench/sim/scenario.go
@@ -12,6 +12,7 @@
 	Deployment Deployment
 	Load       float64 // 1 keeps every slot busy
 	Stragglers bool    // upstreams slow down now and then
+	Mixed      bool    // every second request has a short deadline
 	Seed       uint64
 	Length     Micros  // measured; the warm-up comes before
 	Policy     Policy  // on the hosts
@@ -25,6 +26,7 @@
 	Probing  bool                                         // the baseline keeps a pool of probes
 	PerZone  int                                          // hosts in each availability zone that own upstreams, for shards
 	Owners   int                                          // the same in all; goes before PerZone when set
+	NoLinks  bool // hosts and upstreams are next to each other
 	Tuning   route.Tuning
 }
 
@@ -41,7 +43,7 @@
 	From  Micros // after the warm-up
 	Until Micros
 	Count int     // upstreams it meets, the first ones; or the number of the availability zone
-	Slow  float64 // for ColdStart
+	Slow  float64 // for SlowDown
 }
 
 // FaultKind names a fault.
@@ -51,11 +53,12 @@
 const (
 	FailFast    FaultKind = iota // upstreams answer everything with an error at once
 	Drain                        // upstreams refuse new requests and say so
-	ColdStart                    // upstreams restart: at first slow, then full speed
+	ColdStart                    // upstreams have restarted: their requests share the speed of one slot
+	Silent                       // upstreams take requests and answer nothing
 	ZoneLost                     // hosts and upstreams of an availability zone are gone
 	LoadDoubled                  // twice the load
 	DrainLie                     // upstreams say that they drain, and go on
-	SlowHalf                     // upstreams are slow for the whole time
+	SlowDown                     // upstreams are slow for the whole time
 )
 
 const warmUp = 3 * Second
--- a/core/fleet/check.go
+++ b/core/fleet/check.go
@@ -14,6 +14,7 @@
 	ProbeBudget = "probe_budget"
 	EpochRises  = "epoch_rises"
 	Slots       = "slots"
+	ReportRises = "report_rises"
 )
 
 // Checker checks after each event what must always hold.
@@ -63,6 +64,14 @@
 	}
 }
 
+// reports checks that the epoch a process tells others never goes down.
+func (c *Checker) reports(h *Host, epoch uint64) {
+	if epoch < h.told {
+		c.violate(ReportRises, "%s told epoch %d after %d", h.ID, epoch, h.told)
+	}
+	h.told = epoch
+}
+
 // holdsNow says whether a running host holds the full right. Those that no
 // longer do are forgotten, but for the frozen, which may wake.
 func (c *Checker) holdsNow(h *Host, service, upstream string) bool {
--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -48,6 +48,7 @@
 	budget  *probe.Budget
 	rights  map[string]member.Right
 	epoch   uint64
+	told    uint64       // newest epoch in its heartbeats
 	table   *table.Table // in force here
 	leaving bool
 	running map[string]int // requests in flight at each upstream
@@ -63,7 +64,7 @@
 	h.backlog = nil
 	h.budget = &probe.Budget{}
 	h.rights = map[string]member.Right{}
-	h.epoch = 0
+	h.epoch, h.told = 0, 0
 	h.leaving = false
 	h.running = map[string]int{}
 	h.View = &member.View{
@@ -71,10 +72,9 @@
 			ID: h.ID, Incarnation: member.Incarnation(f.rand.Uint64() | 1), AvailabilityZone: h.Zone,
 			PeerAddress: h.ID + ":7100", CallerAddress: h.ID + ":7001", OperatorAddress: h.ID + ":7200",
 		},
-		Rand: rand.New(rand.NewPCG(f.rand.Uint64(), 2)),
+		Rand:        rand.New(rand.NewPCG(f.rand.Uint64(), 2)),
+		HoldReports: true,
 	}
-	running := h.running
-	h.View.InFlight = func(service, upstream string) int { return running[member.Key(service, upstream)] }
 	if f.Tune != nil {
 		f.Tune(h.View)
 	}
@@ -124,11 +124,23 @@
 	for _, a := range actions {
 		h.act(a)
 	}
+	h.release()
+}
+
+// release tells the view when nothing is in flight under rights that ended.
+func (h *Host) release() {
+	for key, n := range h.running {
+		if _, ok := h.rights[key]; !ok && n > 0 {
+			return
+		}
+	}
+	h.View.Released(h.View.Epoch())
 }
 
 func (h *Host) act(a member.Action) {
 	switch a.Kind {
 	case member.SendHeartbeat:
+		h.fleet.Check.reports(h, a.Heartbeat.Epoch)
 		h.fleet.Links.send(h, a.Host, a.Heartbeat)
 	case member.Dial:
 		h.fleet.Links.dial(h, a.Host)
@@ -218,7 +230,10 @@
 	c.started(key, view)
 	h.fleet.after(h.fleet.between(20, requestMax), func() {
 		c.ended(key, view)
-		h.run(view, func() { running[key]-- })
+		h.run(view, func() {
+			running[key]--
+			h.release()
+		})
 	})
 }
 
--- a/core/fleet/spoil_test.go
+++ b/core/fleet/spoil_test.go
@@ -21,7 +21,7 @@
 		{"news of a host is good for ever", base.tuned(func(v *member.View) { v.HearFor = clock.Hour }), OneHolder},
 		{"a new owner does not wait out the fence", base.tuned(func(v *member.View) { v.SettleAfter = 1 }), OneHolder},
 		{"a new owner does not know what moved", base.spoiled(Spoil{Row: forgetMoved}), OneHolder},
-		{"requests in flight are not waited for", base.tuned(func(v *member.View) { v.InFlight = nil }), Slots},
+		{"requests in flight are not waited for", base.tuned(func(v *member.View) { v.HoldReports = false }), Slots},
 		{"a lost right keeps its bucket", base.spoiled(Spoil{KeepBuckets: true}), ProbeBudget},
 	} {
 		t.Run(strings.ReplaceAll(c.name, " ", "_"), func(t *testing.T) {
--- a/core/member/fence.go
+++ b/core/member/fence.go
@@ -49,9 +49,6 @@
 	next := a.Epoch == old.Epoch+1
 	kept := map[string]bool{}
 	for key := range v.taken {
-		if v.holder(key) != v.selfRef() {
-			v.drain.add(now, key)
-		}
 		if v.holder(key) == v.selfRef() && (next || v.movedAt(key) <= old.Epoch) {
 			kept[key] = true
 		}
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -15,7 +15,6 @@
 	DefaultSettleAfter = 5 * clock.Second
 	DefaultRemoveAfter = 7 * clock.Second
 	DefaultGoneAfter   = 60 * clock.Second
-	DefaultDrainFor    = 2 * clock.Second
 	DefaultFanout      = 3
 	DefaultKnown       = 4
 )
@@ -33,15 +32,11 @@
 	SettleAfter clock.Millis // from half of the former members knowing an epoch to taking what moved in it; above HearFor and FenceAfter
 	RemoveAfter clock.Millis // a member not heard for so long is removed
 	GoneAfter   clock.Millis // who is neither listed nor heard for so long counts as dead
-	DrainFor    clock.Millis // a new epoch is told at the latest so long after it was taken
+	HandoverFor clock.Millis // reports of an epoch are kept back so long at most
+	HoldReports bool         // reports of an epoch wait for Released
 	Fanout      int          // heartbeats a turn, replies not counted
 	MaxKnown    int          // second-hand entries in a reply
 
-	// InFlight tells how many requests this host has in flight at an upstream.
-	// While an upstream that was handed over has any, the epoch that took it
-	// away isn't told, so the next owner waits for them. Nil means none.
-	InFlight func(service, upstream string) int
-
 	ready     bool
 	started   clock.Millis
 	last      clock.Millis // last event
@@ -73,7 +68,8 @@
 	held       map[string]Ref // the holder of each key
 	mineDirty  bool
 	adoptedAt  clock.Millis
-	drain      drain
+	released   uint64 // newest epoch to which Released was called
+	told       uint64 // newest epoch told to others
 	orphans    orphanCache
 	orphanKeys []string // keys of which this host has the cut share for want of their holder, sorted
 	taken      map[string]bool
@@ -107,7 +103,7 @@
 	setDefault(&v.SettleAfter, DefaultSettleAfter)
 	setDefault(&v.RemoveAfter, DefaultRemoveAfter)
 	setDefault(&v.GoneAfter, DefaultGoneAfter)
-	setDefault(&v.DrainFor, DefaultDrainFor)
+	setDefault(&v.HandoverFor, DefaultHandoverFor)
 	setDefault(&v.Fanout, DefaultFanout)
 	setDefault(&v.MaxKnown, DefaultKnown)
 	if v.Rand == nil {
--- a/siskinpathd/service/set.go
+++ b/siskinpathd/service/set.go
@@ -31,6 +31,16 @@
 	return s.runners[service]
 }
 
+// Load returns how much room this host has for a service; false when it has no
+// such service.
+func (s *Set) Load(service string) (d route.Digest, ok bool) {
+	r := s.Get(service)
+	if r == nil {
+		return d, false
+	}
+	return r.Load(), true
+}
+
 // Inputs are what the runners' configuration is made from.
 type Inputs struct {
 	Table  *table.Table
@@ -132,6 +142,18 @@
 	}
 }
 
+// Stray returns the number of attempts in flight at upstreams that this host
+// may no longer use.
+func (s *Set) Stray() int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	n := 0
+	for _, r := range s.runners {
+		n += r.Stray()
+	}
+	return n
+}
+
 // States returns the state of each service for the dump.
 func (s *Set) States() map[string]route.State {
 	s.mu.RLock()
