--- a/core/member/handover.go
+++ b/core/member/handover.go
@@ -11,10 +11,13 @@
 // requests of both stay under the limits of an upstream.
 func (v *View) Released(epoch uint64) { v.released = max(v.released, epoch) }
 
-// reportedEpoch is the epoch that this host tells others it knows.
+// reportedEpoch is the epoch that this host tells others it knows. It never goes
+// back: others rely on it that a host which told an epoch supports no older one.
 func (v *View) reportedEpoch(now clock.Millis) uint64 {
 	if !v.HoldReports || v.released >= v.current.Epoch || now-v.adoptedAt >= v.HandoverFor {
-		return v.current.Epoch
+		v.told = v.current.Epoch
+	} else {
+		v.told = max(v.told, v.released)
 	}
-	return v.released
+	return v.told
 }
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -14,6 +14,7 @@
 	DefaultFenceAfter  = 4 * clock.Second
 	DefaultSettleAfter = 5 * clock.Second
 	DefaultRemoveAfter = 7 * clock.Second
+	DefaultGoneAfter   = 60 * clock.Second
 	DefaultFanout      = 3
 	DefaultKnown       = 4
 )
@@ -30,6 +31,7 @@
 	FenceAfter  clock.Millis // a read of the platform is good for so long
 	SettleAfter clock.Millis // from half of the former members knowing an epoch to taking what moved in it; above HearFor and FenceAfter
 	RemoveAfter clock.Millis // a member not heard for so long is removed
+	GoneAfter   clock.Millis // who is neither listed nor heard for so long counts as dead
 	HandoverFor clock.Millis // reports of an epoch are kept back so long at most
 	HoldReports bool         // reports of an epoch wait for Released
 	Fanout      int          // heartbeats a turn, replies not counted
@@ -52,7 +54,8 @@
 	nextPeer int
 	deadAt   int // rotation of deaths
 	dead     map[Ref]bool
-	deaths   []Ref // in order of discovery, bounded
+	unlisted map[Ref]clock.Millis // since when the list lacks an incarnation that the assignment names
+	deaths   []Ref                // in order of discovery, bounded
 
 	current      Assignment
 	history      []Ref          // every incarnation that current names, sorted
@@ -66,6 +69,7 @@
 	mineDirty  bool
 	adoptedAt  clock.Millis
 	released   uint64 // newest epoch to which Released was called
+	told       uint64 // newest epoch told to others
 	orphans    orphanCache
 	orphanKeys []string // keys of which this host has the cut share for want of their holder, sorted
 	taken      map[string]bool
@@ -98,6 +102,7 @@
 	setDefault(&v.FenceAfter, DefaultFenceAfter)
 	setDefault(&v.SettleAfter, DefaultSettleAfter)
 	setDefault(&v.RemoveAfter, DefaultRemoveAfter)
+	setDefault(&v.GoneAfter, DefaultGoneAfter)
 	setDefault(&v.HandoverFor, DefaultHandoverFor)
 	setDefault(&v.Fanout, DefaultFanout)
 	setDefault(&v.MaxKnown, DefaultKnown)
@@ -105,6 +110,7 @@
 		v.Rand = rand.New(rand.NewPCG(uint64(v.Self.Incarnation), 0))
 	}
 	v.peers = map[string]*peer{}
+	v.unlisted = map[Ref]clock.Millis{}
 	v.dead = map[Ref]bool{}
 	v.reported = map[Ref]uint64{}
 	v.taken = map[string]bool{}
