once: a retry is not told not_run by a host that can't know

Cause: a host that could not claim a key answered not_run for its own try, also when an earlier try had run at another host. A caller may now say that it has asked before (Request.Retry); refusals that rest on this host's own try alone then become unknown, with when to ask again. Ruled out: unknown for every try, as a first try did not run and its caller must know that.

--- a/core/once/claim.go
+++ b/core/once/claim.go
@@ -79,7 +79,7 @@
 	unsentSince := uint64(0)
 	if r != nil {
 		if k.now >= req.Deadline {
-			return refuse(ReasonDeadline, spread(req.Key, retryAfterExpiry))
+			return refuseNew(req, ReasonDeadline, retryAfterExpiry)
 		}
 		unsentSince = r.unsentSince
 		k.drop(r)
@@ -88,6 +88,7 @@
 	}
 	next := k.add(req)
 	next.claimed = true
+	next.retry = req.Retry
 	next.find = find
 	if r != nil && r.held {
 		next.attempt, next.unsentSince = r.attempt, unsentSince
@@ -128,7 +129,9 @@
 	}
 	r.held = false
 	k.counts.ClaimsGivenUp++
-	return Decision{Verdict: Refuse, Reply: r.reply, GivenUp: true}
+	d := refuse(r.reply.Reason, r.reply.RetryAfter)
+	d.GivenUp = true
+	return d
 }
 
 // ClaimsWanted returns the claims to write now, at most MaxClaims, all in one
@@ -293,9 +296,9 @@
 		return Decision{Verdict: Run, Record: rec}, true
 	case r.phase == passing:
 		return Decision{Verdict: Pass, Record: rec, Host: r.host, Claimed: true, ClaimRow: r.claimRow}, true
-	case r.phase == idle:
+	case r.phase == idle && r.reply.Outcome == NotRun:
 		return Decision{Verdict: Refuse, Record: rec, Reply: r.reply}, true
-	case r.phase == ended && r.reply.Outcome == OutcomeUnknown:
+	case r.settled() && r.reply.Outcome == OutcomeUnknown:
 		return Decision{Verdict: Unknown, Record: rec, Reply: r.reply}, true
 	case r.phase == ended:
 		return Decision{Verdict: Answer, Record: rec, Reply: r.reply}, true
@@ -303,8 +306,9 @@
 	return Decision{}, false
 }
 
-// giveUp ends a claim as not run. This host never sends on that attempt: a later
-// request for the key gets a new one.
+// giveUp ends a claim that has sent nothing. This host never sends on that
+// attempt: a later request for the key gets a new one. To a caller who has tried
+// before, what is not known is whether an earlier try ran elsewhere.
 func (k *Keeper) giveUp(r *record, reason string, after clock.Millis) {
 	k.forgetClaim(r)
 	r.phase = idle
@@ -312,6 +316,9 @@
 	r.find = nil
 	r.endedAt = k.now
 	r.reply = Reply{Outcome: NotRun, Reason: reason, RetryAfter: spread(r.name.key, after)}
+	if r.retry {
+		r.reply.Outcome = OutcomeUnknown
+	}
 }
 
 // expireClaims gives up the claims whose deadline has passed. Of one that was
--- a/core/once/claim_test.go
+++ b/core/once/claim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 
 	"github.com/smartystreets/goconvey/convey"
@@ -92,6 +93,16 @@
 				decided(k, w2.Record, Run)
 			})
 		})
+		convey.Convey("is unknown, to a caller who has tried before, while the platform is down", func() {
+			req.Retry = true
+			begin(k, 0, req, nobody, Wait)
+			k.ClaimResult(0, w.Record, ClaimOutcome{Kind: ClaimDown})
+			d := decided(k, w.Record, Unknown)
+			convey.So(d.Reply.RetryAfter, convey.ShouldBeGreaterThan, 0)
+			begin(k, 0, req, nobody, Claim)
+			req.Key, req.Deadline = "order/18", 0
+			begin(k, 0, req, nobody, Unknown)
+		})
 		convey.Convey("is given up past its deadline", func() {
 			k.Tick(req.Deadline)
 			convey.So(decided(k, w.Record, Refuse).Reply.Reason, convey.ShouldEqual, ReasonDeadline)
@@ -182,3 +193,23 @@
 		})
 	})
 }
+
+func TestGroupCommit(t *testing.T) {
+	convey.Convey("many claims go in few transactions", t, func() {
+		k := newKeeper()
+		for i := range 2*MaxClaims + 1 {
+			begin(k, 0, requestFor(fmt.Sprintf("order/%d", i)), nobody, Claim)
+		}
+		for _, want := range []int{MaxClaims, MaxClaims, 1, 0} {
+			convey.So(len(k.ClaimsWanted(0)), convey.ShouldEqual, want)
+		}
+		counts := k.State().Counts
+		convey.So(counts.ClaimWrites, convey.ShouldEqual, 2*MaxClaims+1)
+		convey.So(counts.ClaimTransactions, convey.ShouldEqual, 3)
+	})
+	convey.Convey("a key with a prefix takes no write", t, func() {
+		k := newKeeper()
+		run(k, 0, requestFor(k.Prefix(0)+"a"))
+		convey.So(k.ClaimsWanted(0), convey.ShouldBeEmpty)
+	})
+}
--- a/core/once/keeper.go
+++ b/core/once/keeper.go
@@ -148,6 +148,7 @@
 		return invalid(ReasonKeyReused)
 	}
 	if r.phase != ended {
+		r.retry = r.retry || req.Retry
 		return Decision{Verdict: Wait, Record: r.id}
 	}
 	if r.reply.Outcome == OutcomeUnknown {
@@ -160,15 +161,28 @@
 // use. A record is never dropped to make room: its key could then run again.
 func (k *Keeper) roomFor(req Request) (d Decision, ok bool) {
 	if k.now >= req.Deadline {
-		return refuse(ReasonDeadline, spread(req.Key, retryAfterExpiry)), false
+		return refuseNew(req, ReasonDeadline, retryAfterExpiry), false
 	}
 	if len(k.byID) >= k.MaxRecords || k.bytes+nameOf(req).bytes() > k.MaxRecordBytes {
 		k.counts.RefusedFull++
-		return refuse(ReasonRecordsFull, spread(req.Key, retryWhenFull)), false
+		return refuseNew(req, ReasonRecordsFull, retryWhenFull), false
 	}
 	return Decision{}, true
 }
 
+// refuseNew refuses a key of which this host knows nothing. A key with this
+// host's prefix has then never run. Of another one that holds for this try only:
+// to a caller who has tried before, the answer is that it may have run.
+func refuseNew(req Request, reason string, after clock.Millis) Decision {
+	after = spread(req.Key, after)
+	if _, _, prefixed := Owner(req.Key); req.Retry && !prefixed {
+		d := unknown(reason)
+		d.Reply.RetryAfter = after
+		return d
+	}
+	return refuse(reason, after)
+}
+
 // MaySend is asked right before the first byte of a request goes to an upstream
 // or to another host that is to run it. After true the request counts as sent.
 // It is false when the record has ended, was given up, is out on another
--- a/core/once/record.go
+++ b/core/once/record.go
@@ -37,6 +37,7 @@
 
 	// For keys without a prefix.
 	claimed       bool
+	retry         bool   // an earlier try, of which nothing is known here, may have run elsewhere
 	attempt       uint64 // number in the row that this host writes
 	unsentSince   uint64 // every attempt from this one on is known never to have been sent
 	held          bool   // the row names this host and attempt, and nobody was told otherwise
--- a/core/once/types.go
+++ b/core/once/types.go
@@ -101,6 +101,7 @@
 	Fingerprint  uint64       // of method, uri and body
 	Deadline     clock.Millis // point in time from which it may not be sent
 	Mode         Mode
+	Retry        bool   // the caller has asked with this key before and does not know the outcome
 	ClaimRow     string // for ModeClaimed: the value of the claim's row as the other host found it
 }
 
