siskinpathd: less processor time and traffic when idle

Cause: a profile of an idle host among 20 (448 upstreams) showed the collector at a quarter of the samples, the look for changed owners at 13%, and the host list, read every second, at a third of the bytes. Now the collector's pace is 400 with a memory limit, owners are compared by who is heard, the list is read less often the longer it is, and the transport's keepalive goes every 10 s. What is left: the view works out its whole plan at each turn, 28% of the samples.

--- a/siskinpathd/cmd_serve.go
+++ b/siskinpathd/cmd_serve.go
@@ -21,5 +21,6 @@
 	if err := settings.CheckListen(cfg); err != nil {
 		return err
 	}
+	tuneMemory()
 	return serveUntilStopped(cfg)
 }
--- a/siskinpathd/peer/follow/assignment.go
+++ b/siskinpathd/peer/follow/assignment.go
@@ -19,8 +19,9 @@
 
 // assignmentRow is the row as the platform holds it.
 type assignmentRow struct {
-	epoch uint64
-	value string
+	epoch   uint64
+	value   string
+	members []member.Host
 }
 
 // decodeAssignment reads and checks the row's value.
--- a/siskinpathd/peer/follow/driver.go
+++ b/siskinpathd/peer/follow/driver.go
@@ -37,7 +37,8 @@
 // Spans of the driver.
 const (
 	defaultPoll = 500 * clock.Millisecond
-	hostsEvery  = clock.Second
+	hostsEvery  = clock.Second            // at least, between two looks at the list of hosts
+	hostsPart   = 200 * clock.Millisecond // for each host listed, so that the list costs the same for any number
 	minSleep    = clock.Millisecond
 	jitterPart  = 5 // of a span, as a divisor
 )
@@ -73,7 +74,7 @@
 	platform   platformState
 	newRights  bool
 	toldTable  uint64
-	owners     []ownership // those last told
+	told       reach // what OnRights last stood for
 }
 
 func (d *Driver) start() {
--- a/siskinpathd/peer/follow/owners.go
+++ b/siskinpathd/peer/follow/owners.go
@@ -1,29 +1,28 @@
 package follow
 
-import "slices"
+import (
+	"slices"
 
-// ownership is one host that owns upstreams of a service.
-type ownership struct {
-	service string
-	hostID  string
+	"siskinpath/core/member"
+)
+
+// reach is what decides who can be offered work: the epoch and which of its
+// members are heard.
+type reach struct {
+	epoch uint64
+	heard []bool // by place in the assignment's members
 }
 
-// noteOwners looks whether the owners of any service have changed. Called with
-// d.mu held.
+// noteOwners looks whether the owners of any service may have changed. Called
+// with d.mu held.
 func (d *Driver) noteOwners() {
-	t := d.follower.InForce()
-	if t == nil {
-		return
-	}
-	var owners []ownership
-	for i := range t.Services {
-		service := t.Services[i].Name
-		for _, h := range d.view.Owners(service) {
-			owners = append(owners, ownership{service: service, hostID: h.ID})
-		}
+	now := reach{epoch: d.view.Epoch(), heard: make([]bool, len(d.assignment.members))}
+	for i, m := range d.assignment.members {
+		_, presence := d.view.Find(m.ID, m.Incarnation)
+		now.heard[i] = presence == member.Present
 	}
-	if !slices.Equal(owners, d.owners) {
-		d.owners = owners
+	if now.epoch != d.told.epoch || !slices.Equal(now.heard, d.told.heard) {
+		d.told = now
 		d.changed()
 	}
 }
--- a/siskinpathd/peer/follow/peers.go
+++ b/siskinpathd/peer/follow/peers.go
@@ -45,8 +45,8 @@
 
 // AssignmentCopy takes a copy of the assignment; it is the link's OnAssignmentCopy.
 func (d *Driver) AssignmentCopy(hostID string, epoch uint64, value []byte) {
-	row := assignmentRow{epoch: epoch, value: string(value)}
-	a, err := decodeAssignment(epoch, row.value)
+	a, err := decodeAssignment(epoch, string(value))
+	row := assignmentRow{epoch: epoch, value: string(value), members: a.Members}
 	d.do(func(now clock.Millis) []member.Action {
 		if err != nil {
 			d.refused(errors.WithMessagef(err, "host %s", hostID))
--- a/siskinpathd/peer/follow/poll.go
+++ b/siskinpathd/peer/follow/poll.go
@@ -84,7 +84,7 @@
 		return nil
 	}
 	actions := d.view.AssignmentRead(now, started, a)
-	d.taken(assignmentRow{epoch: row.Version, value: row.Value})
+	d.taken(assignmentRow{epoch: row.Version, value: row.Value, members: a.Members})
 	return actions
 }
 
@@ -122,14 +122,17 @@
 	}
 }
 
-// pollHosts reads the list of hosts until ctx is done.
+// pollHosts reads the list of hosts until ctx is done. A long list is read less
+// often: new hosts make themselves known to those listed anyway.
 func (d *Driver) pollHosts(ctx context.Context) {
+	pause := hostsEvery
 	for ctx.Err() == nil {
 		hosts, err := d.Platform.Hosts(ctx)
 		if err == nil {
 			d.takeHosts(hosts)
+			pause = max(hostsEvery, clock.Millis(len(hosts))*hostsPart)
 		}
-		sleep(ctx, nil, d.spread(hostsEvery))
+		sleep(ctx, nil, d.spread(pause))
 	}
 }
 
--- a/siskinpathd/peer/follow/write.go
+++ b/siskinpathd/peer/follow/write.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return row, err
 	}
-	row = assignmentRow{epoch: a.Epoch + 1, value: string(text)}
+	row = assignmentRow{epoch: a.Epoch + 1, value: string(text), members: a.Members}
 	if got := result.Rows[0].Version; got != row.epoch {
 		return row, &platform.Error{Kind: platform.Garbage, Cause: errors.Errorf("version %d after %d", got, a.Epoch)}
 	}
--- a/siskinpathd/peer/link.go
+++ b/siskinpathd/peer/link.go
@@ -70,7 +70,7 @@
 	handshakeTimeout = 3 * clock.Second
 	writeTimeout     = 3 * clock.Second
 	acceptPause      = 50 * clock.Millisecond
-	keepAlive        = 3 * clock.Second
+	keepAlive        = 10 * clock.Second
 	streamTimeout    = 5 * clock.Second // for the first message of a stream, and for a closed one to be gone
 	maxCallsPerLink  = 1024
 	maxInboundLinks  = 1024
