--- a/siskinpathd/peer/control.go
+++ b/siskinpathd/peer/control.go
@@ -2,12 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"time"
 
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 
 	"siskinpath/core/member"
 	"siskinpath/core/route"
@@ -53,36 +53,53 @@
 		return
 	}
 	defer func() { _ = stream.Close() }()
-	self := s.link.Self
-	control := &peerpb.Control{HostId: self.ID, Incarnation: uint64(self.Incarnation)}
-	if s.writeControlFrame(stream, &peerpb.Open{Kind: &peerpb.Open_Control{Control: control}}) != nil {
-		return
-	}
-	introduced := false
-	for {
-		message := s.out.take()
-		if message == nil {
+	var batch bytes.Buffer
+	control := &peerpb.Control{HostId: s.link.Self.ID, Incarnation: uint64(s.link.Self.Incarnation)}
+	err = appendFrame(&batch, &peerpb.Open{Kind: &peerpb.Open_Control{Control: control}}, maxControlFrame)
+	for err == nil {
+		if err = s.flush(stream, &batch); err != nil {
+			return
+		}
+		if err = s.collect(&batch); err == nil && batch.Len() == 0 {
 			select {
 			case <-ctx.Done():
 				return
 			case <-s.out.signal:
 			}
-			continue
 		}
-		if hb := message.GetHeartbeat(); hb != nil && !introduced {
-			hb.Self = hostToWire(self)
-			introduced = true
+	}
+}
+
+// collect takes what waits in the outbox, so that it goes out as one write.
+func (s *session) collect(batch *bytes.Buffer) error {
+	for batch.Len() < maxBatchBytes {
+		message := s.out.take()
+		if message == nil {
+			return nil
 		}
-		if s.writeControlFrame(stream, message) != nil {
-			return
+		if hb := message.GetHeartbeat(); hb != nil && !s.introduced {
+			hb.Self = hostToWire(s.link.Self)
+			s.introduced = true
+		}
+		if err := appendFrame(batch, message, maxControlFrame); err != nil {
+			return err
 		}
+		s.link.count.sent(message)
 	}
+	return nil
 }
 
-func (s *session) writeControlFrame(stream *yamux.Stream, m proto.Message) error {
+func (s *session) flush(stream *yamux.Stream, batch *bytes.Buffer) error {
+	if batch.Len() == 0 {
+		return nil
+	}
 	_ = stream.SetWriteDeadline(time.Now().Add(writeTimeout.Duration()))
-	n, err := writeFrame(stream, m, maxControlFrame)
-	s.link.count.controlSent.Add(n)
+	n, err := stream.Write(batch.Bytes())
+	s.link.count.controlSent.Add(n + muxHeaderBytes)
+	if batch.Cap() > maxBatchBytes {
+		*batch = bytes.Buffer{} // a copy of the table need not stay in memory
+	}
+	batch.Reset()
 	return err
 }
 
--- a/siskinpathd/peer/counters.go
+++ b/siskinpathd/peer/counters.go
@@ -1,6 +1,10 @@
 package peer
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"siskinpath/siskinpathd/peer/peerpb"
+)
 
 // counters are the link's metrics. Control and call bytes count messages with
 // their frames; link bytes count everything on the TCP connections.
@@ -8,6 +12,8 @@
 	links *metrics.Counter // a gauge: links open now
 
 	controlSent, controlReceived *metrics.Counter
+	sentHeartbeats, sentDigests  *metrics.Counter
+	sentFetches, sentCopies      *metrics.Counter
 	callSent, callReceived       *metrics.Counter
 	linkSent, linkReceived       *metrics.Counter
 
@@ -25,6 +31,10 @@
 		links:             c(`peer_links`),
 		controlSent:       c(`control_bytes_sent`),
 		controlReceived:   c(`control_bytes_received`),
+		sentHeartbeats:    c(`control_messages_sent_total{kind="heartbeat"}`),
+		sentDigests:       c(`control_messages_sent_total{kind="digest"}`),
+		sentFetches:       c(`control_messages_sent_total{kind="fetch"}`),
+		sentCopies:        c(`control_messages_sent_total{kind="copy"}`),
 		callSent:          c(`peer_call_bytes_sent`),
 		callReceived:      c(`peer_call_bytes_received`),
 		linkSent:          c(`peer_link_bytes_sent`),
@@ -60,3 +70,17 @@
 		c.callsUnknown.Inc()
 	}
 }
+
+// sent counts a control message by its kind.
+func (c *counters) sent(m *peerpb.ControlMessage) {
+	switch m.Kind.(type) {
+	case *peerpb.ControlMessage_Heartbeat:
+		c.sentHeartbeats.Inc()
+	case *peerpb.ControlMessage_Digest:
+		c.sentDigests.Inc()
+	case *peerpb.ControlMessage_TableFetch:
+		c.sentFetches.Inc()
+	default:
+		c.sentCopies.Inc()
+	}
+}
--- a/siskinpathd/peer/session.go
+++ b/siskinpathd/peer/session.go
@@ -26,6 +26,7 @@
 
 	mux        *yamux.Session
 	out        outbox
+	introduced bool          // by the writer of the control stream: a heartbeat told who this host is
 	calls      chan struct{} // one place for each call opened here
 	serving    chan struct{} // one place for each call served here
 	answered   atomic.Bool
--- a/siskinpathd/peer/wire.go
+++ b/siskinpathd/peer/wire.go
@@ -21,6 +21,7 @@
 const (
 	maxTableBytes     = 1 << 20
 	maxControlFrame   = maxTableBytes + 4<<10
+	maxBatchBytes     = 16 << 10  // of control messages written at once, if there are several
 	maxCallExtraBytes = 256 << 10 // headers, uri and the rest of a call beside its body
 	maxKnown          = 4096
 	maxDead           = 4096
@@ -34,19 +35,29 @@
 // writeFrame writes m with its length before it, in one Write, and gives the
 // bytes that this costs on the link. errTooLarge means that nothing was written.
 func writeFrame(w io.Writer, m proto.Message, limit int) (n int, err error) {
-	if proto.Size(m) > limit {
-		return 0, errTooLarge
-	}
 	var b bytes.Buffer
-	if _, err := protodelim.MarshalTo(&b, m); err != nil {
+	if err := appendFrame(&b, m, limit); err != nil {
 		return 0, err
 	}
 	n, err = w.Write(b.Bytes())
 	return n + muxHeaderBytes, err
 }
 
-// readFrame reads one message of at most limit bytes into m and gives the bytes
-// that it cost on the link.
+// appendFrame appends m with its length before it; after an error b is as it was.
+func appendFrame(b *bytes.Buffer, m proto.Message, limit int) error {
+	if proto.Size(m) > limit {
+		return errTooLarge
+	}
+	before := b.Len()
+	if _, err := protodelim.MarshalTo(b, m); err != nil {
+		b.Truncate(before)
+		return err
+	}
+	return nil
+}
+
+// readFrame reads one message of at most limit bytes into m and gives its bytes
+// on the link, with the transport's header as if it had come alone.
 func readFrame(r *bufio.Reader, m proto.Message, limit int) (n int, err error) {
 	options := protodelim.UnmarshalOptions{MaxSize: int64(limit)}
 	if err := options.UnmarshalFrom(r, m); err != nil {
