--- a/standin/caller/request.go
+++ b/standin/caller/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"strconv"
 	"syscall"
 	"time"
@@ -118,7 +117,7 @@
 	}
 	if err := s.pool.Exchange(a.Address, req, resp, patience); err != nil {
 		a.Outcome = NoReply
-		a.FailedHow = how(err)
+		a.FailedHow = how(err, patience)
 		if errors.Is(err, ErrNotSent) {
 			a.Outcome = NotSent
 		}
@@ -130,12 +129,11 @@
 }
 
 // how names the way in which an exchange failed.
-func how(err error) string {
-	var timeout net.Error
+func how(err error, patience time.Time) string {
 	switch {
 	case errors.Is(err, ErrNotSent):
 		return "no_connection"
-	case errors.As(err, &timeout) && timeout.Timeout():
+	case !time.Now().Before(patience):
 		return "timeout"
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
 		return "reset"
--- a/standin/caller/summary.go
+++ b/standin/caller/summary.go
@@ -41,6 +41,34 @@
 	return lines
 }
 
+// History returns what was told at each attempt, with the milliseconds since the
+// first and the host that answered.
+func (e Entry) History() string {
+	var b strings.Builder
+	for _, a := range e.Attempts {
+		at := a.EndedMs - e.Attempts[0].SentMs
+		fmt.Fprintf(&b, "+%d %s %s %s%s; ", at, a.Host, a.Outcome, a.Reason, a.FailedHow)
+	}
+	return b.String()
+}
+
+// Unknown returns the histories of at most n requests for each reason for which
+// the outcome is unknown.
+func (l *Load) Unknown(n int) []string {
+	var lines []string
+	shown := map[string]int{}
+	for _, e := range l.Ledger.Entries() {
+		if e.Final != Unknown {
+			continue
+		}
+		reason := e.Attempts[len(e.Attempts)-1].Reason
+		if shown[reason]++; shown[reason] <= n {
+			lines = append(lines, "unknown: "+e.Key+" "+e.History())
+		}
+	}
+	return lines
+}
+
 // Seconds returns one line per second since the first request, with the number
 // of requests by final outcome.
 func (l *Load) Seconds() []string {
--- a/standin/check/check.go
+++ b/standin/check/check.go
@@ -68,7 +68,7 @@
 
 func (f *Findings) entry(e caller.Entry, byKey, byMarker map[string]int) {
 	if e.Key != "" && e.Final == caller.NotRun && byKey[e.Key] > 0 {
-		f.add(&f.NotRunButRan, "not run but ran: "+e.Key+" "+history(e))
+		f.add(&f.NotRunButRan, "not run but ran: "+e.Key+" "+e.History())
 	}
 	for _, a := range e.Attempts {
 		if e.Key == "" && a.Outcome == caller.NotRun && byMarker[a.Marker] > 0 {
@@ -78,14 +78,6 @@
 	}
 }
 
-func history(e caller.Entry) string {
-	s := ""
-	for _, a := range e.Attempts {
-		s += string(a.Outcome) + "(" + a.Reason + a.FailedHow + ") "
-	}
-	return s
-}
-
 func (f *Findings) attempt(a caller.Attempt) {
 	switch a.Verdict {
 	case answer.WrongOrganisation:
--- a/standin/prove/judge.go
+++ b/standin/prove/judge.go
@@ -13,6 +13,9 @@
 // probeSlackSeconds is how far probes may be ahead of the budget.
 const probeSlackSeconds = 1.0
 
+// unknownShown is how many requests of unknown outcome are shown per reason.
+const unknownShown = 5
+
 // judge checks what must hold in every scenario, once the load has ended.
 func (t *Trial) judge() error {
 	t.waitLoad()
@@ -22,7 +25,7 @@
 	}
 	findings := check.Compare(t.load.Ledger.Entries(), runs, t.marks)
 	t.expect(findings.Clean(), "answers against runs: %v", findings.Examples)
-	for _, line := range slices.Concat(t.load.Seconds(), t.load.Reasons()) {
+	for _, line := range slices.Concat(t.load.Seconds(), t.load.Reasons(), t.load.Unknown(unknownShown)) {
 		_, _ = fmt.Fprintf(t.Log, "  %s\n", line)
 	}
 	t.figures = append(t.figures, t.load.Figures()...)
