A claim found at another host travels with the question to the claimant

Cause: once.Keeper needs the row that was found to give a claim up, and neither the filter nor the peer message carried it, so every retry at another host of a key without a prefix ended as unknown, claim_forgotten, although the first host had only refused it. Ruled out: dropped records (histories show the retry 0.2 to 2 s after the refusal). Callers of the stand-in now send Siskin-Unanswered.

--- a/siskinpathd/call/call.go
+++ b/siskinpathd/call/call.go
@@ -26,6 +26,7 @@
 	Depth        int          // calls nested above this one
 	Hops         int          // hosts it has passed through before this one
 	Mode         once.Mode    // why it came here
+	ClaimRow     string       // for once.ModeClaimed: the claim that was found
 	Unanswered   bool         // an earlier sending with the same key got no answer
 	Gone         <-chan struct{}
 
--- a/siskinpathd/filter/once.go
+++ b/siskinpathd/filter/once.go
@@ -138,6 +138,7 @@
 	asked.Mode = once.ModeDecide
 	if d.Claimed {
 		asked.Mode = once.ModeClaimed
+		asked.ClaimRow = d.ClaimRow
 	}
 	a, notSent := o.Hosts.Decide(ctx, d.Host, &asked)
 	if notSent {
@@ -179,6 +180,7 @@
 		Fingerprint:  c.Fingerprint(),
 		Deadline:     c.Deadline,
 		Mode:         c.Mode,
+		ClaimRow:     c.ClaimRow,
 	}, find)
 	if d.Verdict != once.Wait {
 		return d, nil
--- a/siskinpathd/filter/once_test.go
+++ b/siskinpathd/filter/once_test.go
@@ -174,6 +174,69 @@
 	})
 }
 
+// claimant is a host that was refused a slot after it wrote its claim.
+type claimant struct{ once *Once }
+
+func (f *claimant) Find(uint64) (string, once.Presence) { return "gh-1", once.Present }
+
+// Decide asks the claimant as the peer link does.
+func (f *claimant) Decide(_ context.Context, _ string, c *call.Call) (call.Answer, bool) {
+	return f.once.Apply(c, nil), false
+}
+
+// claims settles claims against one row of the platform.
+type claims struct {
+	keeper *Keeper
+	row    *claimRow
+}
+
+type claimRow struct {
+	value   string
+	version uint64
+}
+
+func (f *claims) Settle(rec once.RecordID) (d once.Decision) {
+	f.keeper.With(func(now clock.Millis, k *once.Keeper) {
+		for _, w := range k.ClaimsWanted(now) {
+			k.ClaimResult(now, w.Record, f.row.write(w))
+		}
+		d, _ = k.ClaimDecided(rec)
+	})
+	return d
+}
+
+func (f *claims) TakeOver(rec once.RecordID) once.Decision {
+	f.keeper.With(func(now clock.Millis, k *once.Keeper) { k.TakeOver(now, rec) })
+	return f.Settle(rec)
+}
+
+func (r *claimRow) write(w once.ClaimWrite) once.ClaimOutcome {
+	if r.version != w.ExpectVersion {
+		return once.ClaimOutcome{Kind: once.ClaimTaken, Value: r.value, Version: r.version}
+	}
+	r.value = w.Value
+	r.version++
+	return once.ClaimOutcome{Kind: once.ClaimCommitted, Version: r.version}
+}
+
+func TestClaimTakenOver(t *testing.T) {
+	Convey("a key whose claimant was refused a slot runs at the host to which it comes back", t, func() {
+		row := &claimRow{}
+		c := &clock.Manual{}
+		host := func(incarnation uint64, others Deciders) *Once {
+			k := &Keeper{Clock: c, Once: &once.Keeper{Incarnation: incarnation}}
+			return &Once{Clock: c, Keeper: k, Claims: &claims{keeper: k, row: row}, Hosts: others}
+		}
+		first := host(1, &fakeDeciders{})
+		second := host(2, &claimant{once: first})
+		full := func(*call.Call) call.Answer { return call.NotRun("overloaded", 10) }
+		shouldAnswer(first.Apply(keyed(c, "plain-key", "ring-7"), full), once.NotRun, "", false)
+		u := &upstreamCount{answer: answered("paid")}
+		shouldAnswer(second.Apply(keyed(c, "plain-key", "ring-7"), u.next), once.Answered, "paid", false)
+		So(u.runs.Load(), ShouldEqual, 1)
+	})
+}
+
 func TestTruthfulRefusals(t *testing.T) {
 	down := &fakeClaims{decision: once.Decision{Verdict: once.Refuse, Reply: once.Reply{Reason: "platform_down"}}}
 	Convey("a retry whose earlier sending got no answer is not told that it did not run, unless the record says so", t, func() {
--- a/siskinpathd/hop/hop.go
+++ b/siskinpathd/hop/hop.go
@@ -91,6 +91,7 @@
 		Uri:            c.URI,
 		Headers:        toWire(c.Header),
 		Body:           c.Body,
+		ClaimRow:       c.ClaimRow,
 	}
 }
 
@@ -197,6 +198,7 @@
 		Idempotent:   req.GetIdempotent(),
 		Depth:        int(req.GetDepth()),
 		Hops:         int(req.GetHops()),
+		ClaimRow:     req.GetClaimRow(),
 	}
 	switch req.GetMode() {
 	case peerpb.CallMode_CALL_MODE_DECIDE:
--- a/siskinpathd/hop/hop_test.go
+++ b/siskinpathd/hop/hop_test.go
@@ -66,11 +66,12 @@
 	Convey("a call that the other host decides about goes through its record of keys", t, func() {
 		h, chain := pair(func(c *call.Call) call.Answer {
 			So(c.Mode, ShouldEqual, once.ModeClaimed)
+			So(c.ClaimRow, ShouldEqual, "{}")
 			a := call.NotRun("deadline", 70)
 			a.GivenUp = true
 			return a
 		})
-		a, _ := h.Decide(context.Background(), "gh-2", &call.Call{Service: "rent", Method: "POST", Key: "k", Mode: once.ModeClaimed, Deadline: h.Clock.Now() + clock.Second})
+		a, _ := h.Decide(context.Background(), "gh-2", &call.Call{Service: "rent", Method: "POST", Key: "k", Mode: once.ModeClaimed, ClaimRow: "{}", Deadline: h.Clock.Now() + clock.Second})
 		So(*chain, ShouldEqual, "from_caller")
 		So(a.GivenUp, ShouldBeTrue)
 		So(a.Outcome, ShouldEqual, once.NotRun)
--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -21,9 +21,10 @@
 	script  []string // answered, wrong, cut, not_run, unknown or drop
 	ln      net.Listener
 
-	mu   sync.Mutex
-	keys []string
-	n    int
+	mu         sync.Mutex
+	keys       []string
+	unanswered []string // values of Siskin-Unanswered
+	n          int
 }
 
 func startHost(script ...string) *fakeHost {
@@ -45,6 +46,7 @@
 	h.n++
 	key := string(ctx.Request.Header.Peek("Idempotency-Key"))
 	h.keys = append(h.keys, key)
+	h.unanswered = append(h.unanswered, string(ctx.Request.Header.Peek("Siskin-Unanswered")))
 	h.mu.Unlock()
 	h.act(ctx, act, key)
 }
@@ -109,11 +111,12 @@
 			h.ln.Close()
 		}
 	})
-	Convey("A retry carries the same key, which begins with the address's prefix", t, func() {
-		h := startHost("drop", "not_run", "answered")
+	Convey("A retry carries the same key, which begins with the address's prefix, and says what got no answer", t, func() {
+		h := startHost("not_run", "drop", "answered")
 		defer h.ln.Close()
 		e := sendOne(h, 1)
-		shouldEnd(e, Answered, NoReply, NotRun, Answered)
+		shouldEnd(e, Answered, NotRun, NoReply, Answered)
+		So(h.unanswered, ShouldResemble, []string{"", "", "true"})
 		So(e.Key, ShouldStartWith, "p-")
 		So(h.keys, ShouldResemble, []string{e.Key, e.Key, e.Key})
 	})
--- a/standin/caller/request.go
+++ b/standin/caller/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -128,6 +129,11 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
+// unanswered tells whether an earlier sending got no answer.
+func (e *Entry) unanswered() bool {
+	return slices.ContainsFunc(e.Attempts, func(a Attempt) bool { return a.Outcome == NoReply })
+}
+
 // how names the way in which an exchange failed.
 func how(err error, patience time.Time) string {
 	switch {
@@ -154,6 +160,9 @@
 	}
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.Set("Idempotency-Key", e.Key)
+	if e.unanswered() {
+		req.Header.Set("Siskin-Unanswered", "true")
+	}
 	req.SetBodyString("order " + strconv.Itoa(j.id))
 }
 
