--- a/standin/caller/request.go
+++ b/standin/caller/request.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"net"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -118,7 +118,7 @@
 	}
 	if err := s.pool.Exchange(a.Address, req, resp, patience); err != nil {
 		a.Outcome = NoReply
-		a.FailedHow = how(err)
+		a.FailedHow = how(err, patience)
 		if errors.Is(err, ErrNotSent) {
 			a.Outcome = NotSent
 		}
@@ -129,13 +129,17 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
+// unanswered tells whether an earlier sending got no answer.
+func (e *Entry) unanswered() bool {
+	return slices.ContainsFunc(e.Attempts, func(a Attempt) bool { return a.Outcome == NoReply })
+}
+
 // how names the way in which an exchange failed.
-func how(err error) string {
-	var timeout net.Error
+func how(err error, patience time.Time) string {
 	switch {
 	case errors.Is(err, ErrNotSent):
 		return "no_connection"
-	case errors.As(err, &timeout) && timeout.Timeout():
+	case !time.Now().Before(patience):
 		return "timeout"
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
 		return "reset"
@@ -156,6 +160,9 @@
 	}
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.Set("Idempotency-Key", e.Key)
+	if e.unanswered() {
+		req.Header.Set("Siskin-Unanswered", "true")
+	}
 	req.SetBodyString("order " + strconv.Itoa(j.id))
 }
 
