filter: the record of keys learns that the caller has asked before; make prints go test's lines last

Cause: the keeper can answer unknown for a retry it can't tell of, but the shell did not pass on what the caller said; and make's own lines came after the closing lines of the tests. Change: one field passed on; make's directory lines turned off.

--- a/Makefile
+++ b/Makefile
@@ -20,9 +20,9 @@
 
 # test is the whole check: format, lint, tests with the race detector.
 test:
-	$(MAKE) lint
-	$(MAKE) known-red
-	$(MAKE) unit
+	@$(MAKE) --no-print-directory lint
+	@$(MAKE) --no-print-directory known-red
+	@$(MAKE) --no-print-directory unit
 
 unit:
 	$(GO) test -race $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(addprefix ./,$(addsuffix /...,$(MODULES)))
--- a/siskinpathd/filter/once.go
+++ b/siskinpathd/filter/once.go
@@ -180,6 +180,7 @@
 		Fingerprint:  c.Fingerprint(),
 		Deadline:     c.Deadline,
 		Mode:         c.Mode,
+		Retry:        c.Unanswered,
 		ClaimRow:     c.ClaimRow,
 	}, find)
 	if d.Verdict != once.Wait {
