--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 BIN        := $(CURDIR)/bin
 GOLANGCI   := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 SEEDS      ?= 200
+VERSION    := $(shell cat VERSION)
 # Each line of KNOWN-RED.txt that is no comment: test, package, then command, seed, what was seen, issue.
 KNOWN_RED  := $(shell [ -f KNOWN-RED.txt ] && grep -v '^\#' KNOWN-RED.txt | awk 'NF {print $$1}' | paste -sd'|')
 
@@ -13,7 +14,7 @@
 
 build:
 	@mkdir -p $(BIN)
-	$(GO) build -o $(BIN)/ ./siskinpathd ./siskinctl ./standin ./bench
+	$(GO) build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./siskinpathd ./siskinctl ./standin ./bench
 
 demo: build
 	$(BIN)/standin demo --bin $(BIN)
