--- a/core/route/histogram.go
+++ b/core/route/histogram.go
@@ -22,6 +22,7 @@
 	since  int
 
 	mean float64 // ms
+	p10  float64 // ms
 	p50  float64 // ms
 	p90  float64 // ms
 	p95  float64 // ms
@@ -50,6 +51,7 @@
 		sum += n * valueOf(i)
 	}
 	l.mean = sum / l.total
+	l.p10 = l.quantile(0.10)
 	l.p50 = l.quantile(0.50)
 	l.p90 = l.quantile(0.90)
 	l.p95 = l.quantile(0.95)
--- a/core/route/place.go
+++ b/core/route/place.go
@@ -71,16 +71,16 @@
 		return true
 	}
 	wait := s.waitFor(s.queue.len())
-	if s.standing(now) && float64(wait) > standingWait*s.latencies.p90 {
+	if s.overloaded(now) && float64(wait) > standingWait*s.latencies.p90 {
 		return false
 	}
-	return now+wait+clock.Millis(s.latencies.p50) < r.Deadline
+	return now+wait+s.leastService() < r.Deadline
 }
 
-// standing tells whether the queue has not been empty for so long that it is no
+// overloaded tells whether the queue has not been empty for so long that it is no
 // burst: more work comes than the slots can do, and a longer queue would only
 // make every answer later.
-func (s *Shard) standing(now clock.Millis) bool {
+func (s *Shard) overloaded(now clock.Millis) bool {
 	return s.queue.len() > 0 && float64(now-s.queuedSince) > standingAfter*s.latencies.p90
 }
 
@@ -93,12 +93,13 @@
 	s.arm(&r.deadline, max(now+1, r.Deadline-s.leastService()))
 }
 
-// leastService is the time left below which a request is not worth sending.
+// leastService is the time left below which a request is not worth sending. It
+// is low, since one service may have calls of very different lengths.
 func (s *Shard) leastService() clock.Millis {
 	if s.Tuning.NoAdmission {
 		return 0
 	}
-	return clock.Millis(s.latencies.p50 / 2)
+	return clock.Millis(s.latencies.p10)
 }
 
 // send starts an attempt of r at u.
--- a/core/route/shard.go
+++ b/core/route/shard.go
@@ -85,7 +85,7 @@
 	s.retries.Earn()
 	s.hedges.Earn()
 	switch {
-	case req.Deadline <= now:
+	case req.Deadline <= now+s.leastService():
 		s.giveUp(now, r, ReasonDeadline)
 	case req.Hops == 0 && !s.rate.Take(now):
 		s.giveUp(now, r, ReasonRate)
