--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -16,6 +16,7 @@
 	listEvery   = 2 * clock.Second
 	probeEvery  = 100 * clock.Millisecond
 	platformMax = 1 * clock.Second // a call to the platform is given up after this
+	requestMax  = 1500 * clock.Millisecond
 )
 
 // Mode says in what way a host doesn't run.
@@ -40,14 +41,17 @@
 
 	Cut  bool // no link to any peer
 	Lost bool // no link to the platform
+	Gone bool // no longer on the platform's list
 
 	offset  clock.Millis // of the process's clock
 	backlog []func()     // what arrived while frozen
 	budget  *probe.Budget
 	rights  map[string]member.Right
 	epoch   uint64
+	told    uint64       // newest epoch in its heartbeats
 	table   *table.Table // in force here
 	leaving bool
+	running map[string]int // requests in flight at each upstream
 
 	SentBytes, SentMessages int
 }
@@ -60,14 +64,16 @@
 	h.backlog = nil
 	h.budget = &probe.Budget{}
 	h.rights = map[string]member.Right{}
-	h.epoch = 0
+	h.epoch, h.told = 0, 0
 	h.leaving = false
+	h.running = map[string]int{}
 	h.View = &member.View{
 		Self: member.Host{
 			ID: h.ID, Incarnation: member.Incarnation(f.rand.Uint64() | 1), AvailabilityZone: h.Zone,
 			PeerAddress: h.ID + ":7100", CallerAddress: h.ID + ":7001", OperatorAddress: h.ID + ":7200",
 		},
-		Rand: rand.New(rand.NewPCG(f.rand.Uint64(), 2)),
+		Rand:        rand.New(rand.NewPCG(f.rand.Uint64(), 2)),
+		HoldReports: true,
 	}
 	if f.Tune != nil {
 		f.Tune(h.View)
@@ -118,11 +124,23 @@
 	for _, a := range actions {
 		h.act(a)
 	}
+	h.release()
+}
+
+// release tells the view when nothing is in flight under rights that ended.
+func (h *Host) release() {
+	for key, n := range h.running {
+		if _, ok := h.rights[key]; !ok && n > 0 {
+			return
+		}
+	}
+	h.View.Released(h.View.Epoch())
 }
 
 func (h *Host) act(a member.Action) {
 	switch a.Kind {
 	case member.SendHeartbeat:
+		h.fleet.Check.reports(h, a.Heartbeat.Epoch)
 		h.fleet.Links.send(h, a.Host, a.Heartbeat)
 	case member.Dial:
 		h.fleet.Links.dial(h, a.Host)
@@ -183,19 +201,42 @@
 	return listEvery
 }
 
-// probe sends what the budget allows, asking for the right just before.
+// probe starts probes and requests as budget and slots allow, asking for the
+// right just before.
 func (h *Host) probe() clock.Millis {
 	now := h.Time()
 	for i := range h.table.Services {
 		for _, u := range h.table.Services[i].Upstreams {
-			if full, _ := h.View.Holds(now, u.Service, u.Name); full && h.budget.Allow(now, u.Service, u.Name) {
+			if full, _ := h.View.Holds(now, u.Service, u.Name); !full {
+				continue
+			}
+			if h.budget.Allow(now, u.Service, u.Name) {
 				h.fleet.Check.probed(u.Service, u.Name)
 			}
+			if key := member.Key(u.Service, u.Name); h.running[key] < u.Slots {
+				h.request(key)
+			}
 		}
 	}
 	return probeEvery
 }
 
+// request starts a request. It runs to its end at the upstream, unless the
+// process is killed.
+func (h *Host) request(key string) {
+	c := h.fleet.Check
+	view, running := h.View, h.running
+	running[key]++
+	c.started(key, view)
+	h.fleet.after(h.fleet.between(20, requestMax), func() {
+		c.ended(key, view)
+		h.run(view, func() {
+			running[key]--
+			h.release()
+		})
+	})
+}
+
 // Stop ends or freezes the process.
 func (h *Host) Stop(mode Mode) {
 	h.fleet.tracef("%s %s", h.ID, [...]string{"runs", "freezes", "is killed", "loses power"}[mode])
