route: what this host would not send says nothing of the upstream

Cause, by reading the daemon: an attempt barred before its first byte (a right that was lost, a guard that said no) came back as not sent and counted against the upstream, up to its ejection. Result.Barred tells the two apart; the test fails without it. A forward that ends after its deadline no longer makes its host avoided. Seen: go test -race ./core/route.

--- a/core/route/learn.go
+++ b/core/route/learn.go
@@ -27,7 +27,7 @@
 			s.failed(now, u)
 		}
 	case NotSent:
-		if a.request != nil && now >= a.request.Deadline {
+		if result.Barred || a.request != nil && now >= a.request.Deadline {
 			return
 		}
 		u.window = coldWindow
--- a/core/route/retry_test.go
+++ b/core/route/retry_test.go
@@ -66,6 +66,22 @@
 		convey.So(w.requests[w.lastID].final, convey.ShouldEqual, 1)
 		convey.So(w.upstreamState("a").SuccessShare, convey.ShouldBeGreaterThan, 0.99)
 	})
+	convey.Convey("nor is what this host would not send", t, func() {
+		w := newWarmWorld(t, 2, 4)
+		for range 20 {
+			w.arrive(Request{Deadline: w.now + clock.Second})
+			id := w.order[0]
+			w.order = w.order[1:]
+			w.attempts[id].ended = true
+			w.requests[w.lastID].running--
+			w.apply(w.s.Finished(w.now, Result{Attempt: id, Status: NotSent, Barred: true}))
+			for len(w.order) > 0 {
+				w.finish(0, Succeeded, nil)
+			}
+		}
+		convey.So(w.upstreamState("a").Limit, convey.ShouldEqual, 4)
+		convey.So(w.upstreamState("b").Limit, convey.ShouldEqual, 4)
+	})
 	convey.Convey("a request in flight at its deadline is cancelled and unknown", t, func() {
 		w := newWarmWorld(t, 1, 4)
 		w.arrive(Request{Deadline: w.now + 50})
--- a/core/route/spill.go
+++ b/core/route/spill.go
@@ -217,13 +217,14 @@
 		d := *f.Digest
 		d.Host = f.Host
 		s.heardOf(now, d)
-	} else if f.NotRun {
-		s.avoidOwner(now, f.Host)
 	}
 	r := s.requests[f.Request]
 	if r == nil || !r.forwarded {
 		return s.out
 	}
+	if f.NotRun && f.Digest == nil && now < r.Deadline {
+		s.avoidOwner(now, f.Host)
+	}
 	r.forwarded = false
 	switch {
 	case !f.NotRun:
--- a/core/route/types.go
+++ b/core/route/types.go
@@ -67,6 +67,7 @@
 	Attempt AttemptID
 	Status  Status
 	Load    *LoadReport // nil when the reply carried none
+	Barred  bool        // with NotSent: this host would not send it, which says nothing of the upstream
 }
 
 // Digest is what an owner tells the other owners of a service about itself.
