route: the properties are part of make prove

SISKINPATH_SEEDS sets the number of event sequences; the checks themselves are seen to find a share, a rate, a leaving upstream, a second sending and the like when they and the shard disagree.

--- a/core/route/property_test.go
+++ b/core/route/property_test.go
@@ -1,7 +1,10 @@
 package route
 
 import (
+	"cmp"
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -9,22 +12,75 @@
 	"siskinpath/core/clock"
 )
 
-// TestProperties drives a shard with random events in random order; world
+// sequences is the number of event sequences when SISKINPATH_SEEDS says nothing.
+const sequences = "100"
+
+// TestProveShard drives a shard with random events in random order; world
 // checks after each that shares, rates and budgets hold, that a request which
 // must run once is sent once, that nothing goes to leaving upstreams, and that
 // each request ends exactly once.
-func TestProperties(t *testing.T) {
+func TestProveShard(t *testing.T) {
+	most := cmp.Or(os.Getenv("SISKINPATH_SEEDS"), sequences)
+	if err := flag.Set("rapid.checks", most); err != nil {
+		t.Fatalf("SISKINPATH_SEEDS: %q is not a number", most)
+	}
+	var events, violations int
+	defer func() {
+		if t.Failed() {
+			violations = 1 // rapid stops at the first and prints its shortest form
+		}
+		t.Logf("sequences_run %s events %d violations %d", most, events, violations)
+	}()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), t.Fatalf)
 		w.s.Tuning.ArrivalFirst = rapid.Bool().Draw(t, "arrival_first")
 		w.configure(drawConfig(t))
 		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			events++
 			step(t, w)
 		}
 		w.settle()
 	})
 }
 
+// TestProveChecksFind lets the checks of world and the shard disagree on one
+// thing each, and sees that the checks find it.
+func TestProveChecksFind(t *testing.T) {
+	spoil := map[string]func(*world){
+		"share":    func(w *world) { w.cfg.Upstreams[0].Share-- },
+		"leaving":  func(w *world) { w.cfg.Upstreams[0].Leaving = true },
+		"rate":     func(w *world) { w.cfg.Upstreams[0].RatePerSecond = 1 },
+		"owners":   func(w *world) { w.cfg.Owners = nil },
+		"once":     func(w *world) { w.onEnd = func(r *worldRequest) { r.Idempotent = false } },
+		"answered": func(w *world) { w.onEnd = func(r *worldRequest) { r.final++ } },
+		"failed":   func(w *world) { w.onEnd = func(r *worldRequest) { r.failedAt = append(r.failedAt, "a", "b") } },
+	}
+	for name, f := range spoil {
+		t.Run(name, func(t *testing.T) {
+			found := 0
+			w := newWorld(1, func(string, ...any) { found++ })
+			w.configure(testConfig(3, 2, "h1"))
+			for range 20 {
+				fillAndFinish(w, 6)
+			}
+			if found > 0 {
+				t.Fatal("found something before it was spoilt")
+			}
+			f(w)
+			w.digest(Digest{Host: "h1", Free: 4, Slots: 6})
+			for range 8 {
+				w.arrive(Request{Deadline: w.now + clock.Second, Idempotent: true})
+			}
+			for len(w.order) > 0 && found == 0 {
+				w.finish(0, Lost, nil)
+			}
+			if found == 0 {
+				t.Fatal("not found")
+			}
+		})
+	}
+}
+
 func step(t *rapid.T, w *world) {
 	switch kind := rapid.IntRange(0, 19).Draw(t, "event"); {
 	case kind < 7:
--- a/core/route/world_test.go
+++ b/core/route/world_test.go
@@ -24,6 +24,7 @@
 	hedges   int
 	ticks    int
 	fail     func(format string, args ...any)
+	onEnd    func(*worldRequest) // spoils what is known of a request when an attempt ends; nil but in one test
 }
 
 type worldRequest struct {
@@ -94,6 +95,9 @@
 		r.failedAt = append(r.failedAt, a.upstream)
 		r.mayHaveRun = true
 	}
+	if w.onEnd != nil {
+		w.onEnd(r)
+	}
 	w.apply(w.s.Finished(w.now, Result{Attempt: id, Status: status, Load: load}))
 }
 
