--- a/core/fleet/cost_test.go
+++ b/core/fleet/cost_test.go
@@ -3,10 +3,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"slices"
+	"syscall"
 	"testing"
+	"time"
 
 	"siskinpath/core/clock"
+	"siskinpath/core/member"
 )
 
 // BenchmarkCost measures what membership costs each host of a calm fleet, at
@@ -17,17 +21,21 @@
 		b.Run(fmt.Sprintf("%d_hosts", hosts), func(b *testing.B) {
 			const warm, span = 20 * clock.Second, 20 * clock.Second
 			zones := []string{"z1", "z2", "z3", "z4", "z5", "z6"}
-			f := New(Config{Seed: 1, Hosts: hosts, Zones: zones, Table: LargeTable(zones)})
+			t := LargeTable(zones)
+			t.Version = 700
+			f := New(Config{Seed: 1, Hosts: hosts, Zones: zones, Table: t, Tune: func(v *member.View) { v.SetKeyWindow(1000) }})
 			f.Run(warm)
 			before := f.sent()
 			var ages []clock.Millis
-			b.ResetTimer()
+			var spent time.Duration
 			for b.Loop() {
+				start := processTime(b)
 				before, ages = f.sent(), ages[:0]
 				for until := f.Now + span; f.Now < until; {
 					f.Run(f.Now + clock.Second)
 					ages = append(ages, f.ages()...)
 				}
+				spent = processTime(b) - start
 			}
 			hostSeconds := float64(hosts) * float64(span/clock.Second)
 			sent := f.sent()
@@ -39,11 +47,49 @@
 			b.ReportMetric(float64(ages[len(ages)*999/1000]), "age_ms_p999")
 			b.ReportMetric(float64(ages[len(ages)-1]), "age_ms_max")
 			b.ReportMetric(float64(len(row)), "row_bytes")
-			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/hostSeconds/1e7, "core_%")
+			b.ReportMetric(viewBytes(f, row), "view_bytes")
+			b.ReportMetric(spent.Seconds()/hostSeconds*100, "core_%")
 		})
 	}
 }
 
+// viewBytes returns the memory of one view: its share of the fleet's views, and
+// a row of its own, which the views here have in common.
+func viewBytes(f *Fleet, row []byte) float64 {
+	const copies = 50
+	before := heapBytes()
+	rows := make([]member.Assignment, copies)
+	for i := range rows {
+		_ = json.Unmarshal(row, &rows[i])
+	}
+	rowBytes := float64(heapBytes()-before) / copies
+	runtime.KeepAlive(rows)
+	with := heapBytes()
+	for _, h := range f.Hosts {
+		h.View = nil
+	}
+	f.queue = nil
+	f.Check.inFlight = nil
+	return float64(with-heapBytes())/float64(len(f.Hosts)) + rowBytes
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// processTime returns the processor time that this process has used.
+func processTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
 // sentSoFar is what all hosts have sent.
 type sentSoFar struct{ bytes, messages int }
 
