--- a/core/fleet/directed_test.go
+++ b/core/fleet/directed_test.go
@@ -52,7 +52,7 @@
 	}
 }
 
-func TestDirected(t *testing.T) {
+func TestProveRareDangers(t *testing.T) {
 	slowFence := func(v *member.View) { v.FenceAfter, v.SettleAfter = 12*clock.Second, 13*clock.Second }
 	for _, c := range []struct {
 		name  string
@@ -127,9 +127,9 @@
 	}
 }
 
-// TestReplacedAtOnce takes the power from all hosts but those that have just
+// TestProveReplacedAtOnce takes the power from all hosts but those that have just
 // started under other names, so that no majority is left and nothing refuses.
-func TestReplacedAtOnce(t *testing.T) {
+func TestProveReplacedAtOnce(t *testing.T) {
 	const s = clock.Second
 	f := New(Config{Seed: 1, Hosts: 10, Start: map[int]clock.Millis{5: 20 * s, 6: 20 * s, 7: 20 * s, 8: 20 * s, 9: 20 * s}})
 	f.Run(20 * s)
--- a/core/fleet/spoil_test.go
+++ b/core/fleet/spoil_test.go
@@ -8,9 +8,9 @@
 	"siskinpath/core/member"
 )
 
-// TestMechanisms switches off one mechanism at a time and wants the checks to
-// find the violation that the mechanism prevents.
-func TestMechanisms(t *testing.T) {
+// TestProveEachMechanismIsNeeded switches off one mechanism at a time and wants
+// the checks to find the violation that the mechanism prevents.
+func TestProveEachMechanismIsNeeded(t *testing.T) {
 	base := scenario{hosts: 5, faults: 14, span: 40 * clock.Second}
 	for _, c := range []struct {
 		name    string
