peer: a call returns when its context ends, however stuck the link is

Cause: the transport's opening, writing and closing wait for the connection and heed neither context nor deadline, so that with a host that had stopped reading a call given up could keep its caller waiting for up to the transport's own 3 s.

--- a/siskinpathd/peer/call.go
+++ b/siskinpathd/peer/call.go
@@ -47,8 +47,8 @@
 	errBusy   = errors.New("too many calls in flight on the link")
 )
 
-// Call asks a host and waits for its reply. When ctx ends first, the other
-// host's context of the call ends too.
+// Call asks a host and waits for its reply, at most until ctx ends; then the
+// other host's context of the call ends too. req is not used after the return.
 func (l *Link) Call(ctx context.Context, hostID string, req *peerpb.CallRequest) (reply *peerpb.CallReply, err error) {
 	l.once.Do(l.start)
 	defer func() { l.count.call(err) }()
@@ -59,75 +59,26 @@
 	if len(req.GetBody()) > l.MaxBodyBytes {
 		return nil, &Error{HostID: hostID, NotSent: true, Cause: errTooLarge}
 	}
-	stream, err := s.open(ctx)
-	if err != nil {
+	x := &exchange{session: s, ended: make(chan struct{})}
+	open := &peerpb.Open{Kind: &peerpb.Open_Call{Call: req}}
+	if err := appendFrame(&x.frame, open, l.maxCallFrame()); err != nil {
 		return nil, &Error{HostID: hostID, NotSent: true, Cause: err}
 	}
-	defer func() { <-s.calls }()
-	defer func() { _ = stream.Close() }()
-	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	return s.exchange(stream, hostID, req)
-}
-
-// open opens a stream and takes a place in s.calls. The library's opening can't
-// be cancelled, so it is waited for apart and closed when it comes too late.
-func (s *session) open(ctx context.Context) (*yamux.Stream, error) {
 	select {
 	case s.calls <- struct{}{}:
 	default:
-		return nil, errBusy
+		return nil, &Error{HostID: hostID, NotSent: true, Cause: errBusy}
 	}
-	opened := make(chan opening, 1)
-	go func() {
-		stream, err := s.mux.OpenStream()
-		opened <- opening{stream: stream, err: err}
-	}()
+	go x.run(ctx)
 	select {
-	case o := <-opened:
-		if o.err != nil {
-			<-s.calls
-		}
-		return o.stream, o.err
+	case <-x.ended:
 	case <-ctx.Done():
-		go s.discard(opened)
-		return nil, ctx.Err()
-	}
-}
-
-// opening is how the opening of a stream ended.
-type opening struct {
-	stream *yamux.Stream
-	err    error
-}
-
-// discard closes a stream that nobody waits for any more.
-func (s *session) discard(opened <-chan opening) {
-	if o := <-opened; o.err == nil {
-		_ = o.stream.Close()
-	}
-	<-s.calls
-}
-
-// exchange writes the call and reads the reply. The library may have queued a
-// write that it reports as failed, so only errTooLarge proves that nothing went.
-func (s *session) exchange(stream *yamux.Stream, hostID string, req *peerpb.CallRequest) (*peerpb.CallReply, error) {
-	l := s.link
-	n, err := writeFrame(stream, &peerpb.Open{Kind: &peerpb.Open_Call{Call: req}}, l.maxCallFrame())
-	l.count.callSent.Add(n)
-	if err != nil {
-		return nil, &Error{HostID: hostID, NotSent: errors.Is(err, errTooLarge), Cause: err}
+		return nil, &Error{HostID: hostID, NotSent: x.giveUp(), Cause: ctx.Err()}
 	}
-	reply := &peerpb.CallReply{}
-	n, err = readFrame(bufio.NewReader(stream), reply, l.maxCallFrame())
-	l.count.callReceived.Add(n)
-	if err != nil {
-		if !cutOff(err) {
-			s.broken(err)
-		}
-		return nil, &Error{HostID: hostID, Cause: err}
+	if x.err != nil {
+		return nil, &Error{HostID: hostID, NotSent: x.step.Load() != stepWriting, Cause: x.err}
 	}
-	return reply, nil
+	return x.reply, nil
 }
 
 // serveCall answers one call. The caller ends its side of the stream only when
--- a/siskinpathd/peer/corrupt_test.go
+++ b/siskinpathd/peer/corrupt_test.go
@@ -228,6 +228,54 @@
 	})
 }
 
+// stuckConn takes in only headers, and gives nothing out until it is closed.
+type stuckConn struct {
+	net.Conn
+	closed chan struct{}
+}
+
+func (c stuckConn) Write(b []byte) (int, error) {
+	if len(b) > muxHeaderBytes {
+		<-c.closed
+		return 0, io.ErrClosedPipe
+	}
+	return len(b), nil
+}
+
+func (c stuckConn) Read([]byte) (int, error)    { <-c.closed; return 0, io.EOF }
+func (c stuckConn) SetDeadline(time.Time) error { return nil }
+func (c stuckConn) Close() error                { return nil }
+func (c stuckConn) RemoteAddr() net.Addr        { return &net.TCPAddr{} }
+func (c stuckConn) LocalAddr() net.Addr         { return &net.TCPAddr{} }
+
+func TestCallOnStuckLink(t *testing.T) {
+	convey.Convey("a call returns when its context ends, however stuck the link is", t, func() {
+		a := newTestHost("a", 1, freeAddress())
+		a.link.once.Do(a.link.start)
+		cfg := muxConfig()
+		cfg.EnableKeepAlive = false
+		cfg.ConnectionWriteTimeout = time.Hour
+		cfg.StreamOpenTimeout = time.Hour
+		conn := stuckConn{closed: make(chan struct{})}
+		mux, err := yamux.Client(conn, cfg)
+		convey.So(err, convey.ShouldBeNil)
+		defer func() { close(conn.closed); _ = mux.Close() }()
+		s := &session{link: a.link, target: &target{}, mux: mux, calls: make(chan struct{}, 1000), identified: make(chan struct{})}
+		convey.So(a.link.register(s, identity{id: "b", incarnation: 2}), convey.ShouldBeTrue)
+		for range 200 { // enough to fill every queue of the transport
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
+			returned := make(chan error, 1)
+			go func() {
+				_, err := a.link.Call(ctx, "b", &peerpb.CallRequest{Body: make([]byte, 1000)})
+				returned <- err
+			}()
+			convey.So(receive(returned), convey.ShouldNotBeNil)
+			cancel()
+		}
+		convey.So(a.link.Linked("b"), convey.ShouldBeTrue)
+	})
+}
+
 // freezeAfterHello answers the handshake of the first link and then reads nothing.
 func freezeAfterHello(l net.Listener, frozen chan<- net.Conn) {
 	for first := true; ; first = false {
