--- a/core/member/handover_test.go
+++ b/core/member/handover_test.go
@@ -42,6 +42,12 @@
 		v := start(true)
 		So(toldEpoch(v, 2000+DefaultHandoverFor), ShouldEqual, 2)
 	})
+	Convey("what it has reported it never takes back", t, func() {
+		v := start(true)
+		So(toldEpoch(v, 2000+DefaultHandoverFor), ShouldEqual, 2)
+		v.AssignmentRead(4100, 4100, moved(3))
+		So(toldEpoch(v, 4400), ShouldEqual, 2)
+	})
 	Convey("without holding back, the report goes out with requests in flight", t, func() {
 		So(toldEpoch(start(false), 2300), ShouldEqual, 2)
 	})
--- a/core/route/spill.go
+++ b/core/route/spill.go
@@ -8,14 +8,11 @@
 )
 
 const (
-	digestsPerSecond = 5.0 // most digests of one shard
-	digestBurst      = 5.0
-	digestInterval   = clock.Second       // longest time between two digests
-	digestTrusted    = 3 * digestInterval // age from which a digest says nothing
-	digestChange     = 2                  // slots by which free must differ to be worth telling
-	queueWorth       = 0.5                // queued requests for each slot from which another queue is weighed
-	queueRatio       = 2                  // times by which the other queue must be shorter
-	unheardFree      = 1                  // free slots assumed of an owner not heard of
+	digestTrusted = 3 * digestInterval // age from which a digest says nothing
+	queueWorth    = 0.5                // queued requests for each slot from which another queue is weighed
+	queueRatio    = 2                  // times by which the other queue must be shorter
+	avoidFor      = clock.Second       // for which an owner is avoided that ran nothing and said nothing of itself
+	unheardFree   = 1                  // free slots assumed of an owner not heard of
 )
 
 // owner is another host that owns upstreams of the service.
@@ -23,7 +20,8 @@
 	digest Digest
 	at     clock.Millis
 	heard  bool
-	sent   int // requests passed there since its digest
+	sent   int          // requests passed there since its digest
+	avoid  clock.Millis // until then others go first: it ran nothing and said nothing of itself
 }
 
 // free estimates the owner's free slots.
@@ -35,13 +33,19 @@
 }
 
 // betterThan tells whether a request had better go to o than to other.
-func (o *owner) betterThan(other *owner) bool {
+func (o *owner) betterThan(now clock.Millis, other *owner) bool {
+	if o.avoided(now) != other.avoided(now) {
+		return other.avoided(now)
+	}
 	if o.free() > 0 || other.free() > 0 {
 		return o.free() > other.free()
 	}
 	return o.queuePerSlot() < other.queuePerSlot()
 }
 
+// avoided tells whether other owners go first for now.
+func (o *owner) avoided(now clock.Millis) bool { return now < o.avoid }
+
 // queuePerSlot estimates how many requests wait there for each slot.
 func (o *owner) queuePerSlot() float64 {
 	return float64(max(0, o.digest.Queued+o.sent-o.digest.Free)) / float64(max(1, o.digest.Slots))
@@ -86,6 +90,7 @@
 		o.at = now
 		o.heard = true
 		o.sent = 0
+		o.avoid = 0
 		return o
 	}
 	return nil
@@ -178,14 +183,14 @@
 		if !s.mayForward(r, o) {
 			continue
 		}
-		if trusted && (!o.heard || now-o.at >= digestTrusted) {
+		if trusted && (!o.heard || o.avoided(now) || now-o.at >= digestTrusted) {
 			continue
 		}
 		switch {
-		case best == nil || o.betterThan(best):
+		case best == nil || o.betterThan(now, best):
 			best = o
 			same = 1
-		case !best.betterThan(o):
+		case !best.betterThan(now, o):
 			same++
 			if s.Rand.IntN(same) == 0 {
 				best = o
@@ -209,7 +214,11 @@
 func (s *Shard) Forwarded(now clock.Millis, f ForwardResult) []Action {
 	s.begin()
 	if f.Digest != nil {
-		s.heardOf(now, *f.Digest)
+		d := *f.Digest
+		d.Host = f.Host
+		s.heardOf(now, d)
+	} else if f.NotRun {
+		s.avoidOwner(now, f.Host)
 	}
 	r := s.requests[f.Request]
 	if r == nil || !r.forwarded {
@@ -231,6 +240,14 @@
 	return s.out
 }
 
+func (s *Shard) avoidOwner(now clock.Millis, host string) {
+	for _, o := range s.owners {
+		if o.digest.Host == host {
+			o.avoid = now + avoidFor
+		}
+	}
+}
+
 // placeAgain finds another place for a request that another host did not run.
 func (s *Shard) placeAgain(now clock.Millis, r *request) {
 	if !s.retries.Spend() {
@@ -239,55 +256,3 @@
 	}
 	s.place(now, r)
 }
-
-// digestWanted returns when the next digest is due.
-func (s *Shard) digestWanted() clock.Millis {
-	if s.digestDue {
-		return s.digests.NextAt(s.digestAt)
-	}
-	return s.digestAt + digestInterval
-}
-
-// tell sends a digest when there is something worth telling.
-func (s *Shard) tell(now clock.Millis) {
-	if len(s.owners) == 0 || len(s.cfg.Upstreams) == 0 {
-		return
-	}
-	d := s.digest(now)
-	s.digestDue = s.worthTelling(now, d)
-	if !s.digestDue || !s.digests.Take(now) {
-		return
-	}
-	s.digestDue = false
-	s.digestSent = d
-	s.digestAt = now
-	s.counters.Digests++
-	s.emit(Action{Kind: SendDigest, Digest: d})
-}
-
-func (s *Shard) digest(now clock.Millis) Digest {
-	d := Digest{Host: s.cfg.Self, Queued: s.queue.len(), Slots: s.slots()}
-	if d.Queued == 0 {
-		d.Free = s.spare(now)
-	}
-	return d
-}
-
-func (s *Shard) worthTelling(now clock.Millis, d Digest) bool {
-	last := s.digestSent
-	switch {
-	case now-s.digestAt >= digestInterval:
-		return true
-	case (d.Free > 0) != (last.Free > 0), (d.Queued > 0) != (last.Queued > 0):
-		return true
-	case d.Queued > queueRatio*last.Queued+digestChange, last.Queued > queueRatio*d.Queued+digestChange:
-		return true
-	default:
-		return abs(d.Free-last.Free) > max(digestChange, last.Free/2) || abs(d.Slots-last.Slots) > digestChange
-	}
-}
-
-func abs(n int) int { return max(n, -n) }
-
-// Load returns the shard's own digest, to go with an answer to another host.
-func (s *Shard) Load(now clock.Millis) Digest { return s.digest(now) }
