--- a/standin/caller/ledger.go
+++ b/standin/caller/ledger.go
@@ -31,6 +31,7 @@
 	Verdict   answer.Verdict // for Answered with status 200
 	SentMs    int64          // Unix time
 	EndedMs   int64          // Unix time
+	GaveUp    bool           // NoReply because the caller went on to the next address before its deadline
 	FailedHow string         // for NoReply and NotSent: timeout, reset, closed, no_connection or no_address
 }
 
--- a/standin/caller/request.go
+++ b/standin/caller/request.go
@@ -119,6 +119,7 @@
 	if err := s.pool.Exchange(a.Address, req, resp, patience); err != nil {
 		a.Outcome = NoReply
 		a.FailedHow = how(err, patience)
+		a.GaveUp = a.FailedHow == timedOut && patience.Before(until)
 		if errors.Is(err, ErrNotSent) {
 			a.Outcome = NotSent
 		}
@@ -134,13 +135,16 @@
 	return slices.ContainsFunc(e.Attempts, func(a Attempt) bool { return a.Outcome == NoReply })
 }
 
+// timedOut says that the caller's patience ended before the reply came.
+const timedOut = "timeout"
+
 // how names the way in which an exchange failed.
 func how(err error, patience time.Time) string {
 	switch {
 	case errors.Is(err, ErrNotSent):
 		return "no_connection"
 	case !time.Now().Before(patience):
-		return "timeout"
+		return timedOut
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
 		return "reset"
 	}
--- a/standin/prove/prove.go
+++ b/standin/prove/prove.go
@@ -38,6 +38,8 @@
 	leavingOutage,
 	gracefulStop,
 	stopTwice,
+	badUpstreams,
+	allAtOnce,
 }
 
 // scenarioLimit bounds one scenario.
