standin callers: the next address is one not tried yet; a key never sent is made anew

Cause: the n-th sending took the n-th address of a list in which the address that had just failed was moved to the end, so that it was tried again at once. The new test of callers failed with both and passes.

--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -18,6 +18,7 @@
 // script says, and the last line goes on for ever.
 type fakeHost struct {
 	address string
+	closed  string   // an address to tell before its own; "" for none
 	script  []string // answered, wrong, cut, not_run, unknown or drop
 	ln      net.Listener
 
@@ -38,7 +39,11 @@
 
 func (h *fakeHost) handle(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) == "/v1/addresses/s" {
-		fmt.Fprintf(ctx, `{"service":"s","ttl_ms":60000,"addresses":[{"address":%q,"key_prefix":"p-"}]}`, h.address)
+		own := fmt.Sprintf(`{"address":%q,"key_prefix":"p-"}`, h.address)
+		if h.closed != "" {
+			own = fmt.Sprintf(`{"address":%q,"key_prefix":"closed-"},`, h.closed) + own
+		}
+		fmt.Fprintf(ctx, `{"service":"s","ttl_ms":60000,"addresses":[%s]}`, own)
 		return
 	}
 	h.mu.Lock()
@@ -120,6 +125,16 @@
 		So(e.Key, ShouldStartWith, "p-")
 		So(h.keys, ShouldResemble, []string{e.Key, e.Key, e.Key})
 	})
+	Convey("A key that was never sent is made anew for the next address", t, func() {
+		gone := startHost()
+		gone.ln.Close()
+		h := startHost("answered")
+		h.closed = gone.address
+		defer h.ln.Close()
+		e := sendOne(h, 1)
+		shouldEnd(e, Answered, NotSent, Answered)
+		So(e.Key, ShouldStartWith, "p-")
+	})
 	Convey("An unknown outcome is final for a key and not for an idempotent request", t, func() {
 		h := startHost("unknown")
 		defer h.ln.Close()
--- a/standin/caller/request.go
+++ b/standin/caller/request.go
@@ -84,8 +84,8 @@
 	if err != nil {
 		return Attempt{Outcome: NotSent, FailedHow: "no_address"}, noAddressPause
 	}
-	address := list[n%len(list)]
-	if j.once && e.Key == "" {
+	address := e.next(list)
+	if j.once && e.neverSent() {
 		e.Key = key(j, address)
 	}
 	a = Attempt{Address: address.Address, Marker: fmt.Sprintf("%d.%d", j.id, n), SentMs: time.Now().UnixMilli()}
@@ -130,6 +130,24 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
+// next returns the best address that this request has not been sent to, or the
+// best of all when there is none.
+func (e *Entry) next(list []Address) Address {
+	for _, address := range list {
+		tried := func(a Attempt) bool { return a.Address == address.Address }
+		if !slices.ContainsFunc(e.Attempts, tried) {
+			return address
+		}
+	}
+	return list[0]
+}
+
+// neverSent tells whether no byte of any sending left the caller; the key may
+// then be that of another address.
+func (e *Entry) neverSent() bool {
+	return !slices.ContainsFunc(e.Attempts, func(a Attempt) bool { return a.Outcome != NotSent })
+}
+
 // unanswered tells whether an earlier sending got no answer.
 func (e *Entry) unanswered() bool {
 	return slices.ContainsFunc(e.Attempts, func(a Attempt) bool { return a.Outcome == NoReply })
--- a/standin/measure/added.go
+++ b/standin/measure/added.go
@@ -61,6 +61,7 @@
 	}
 	figures = append(w.straight.Figures("straight_ms"), w.through.Figures("through_ms")...)
 	figures = append(figures, w.difference()...)
+	figures = append(figures, w.ratios()...)
 	return append(figures, figure.Figure{Name: "added_requests", Value: float64(w.through.Count())}), nil
 }
 
@@ -74,6 +75,14 @@
 	return through
 }
 
+// ratios returns the spans through a host as multiples of those straight.
+func (w *ways) ratios() []figure.Figure {
+	return []figure.Figure{
+		{Name: "through_to_straight_p50", Value: round(w.through.Millis(50) / w.straight.Millis(50))},
+		{Name: "through_to_straight_p99", Value: round(w.through.Millis(99) / w.straight.Millis(99))},
+	}
+}
+
 // worker keeps one connection for each way and uses them in turn.
 func (w *ways) worker(ctx context.Context, d *launch.Deployment, n int, end time.Time) error {
 	var pool caller.Pool
