--- a/core/once/record.go
+++ b/core/once/record.go
@@ -55,7 +55,7 @@
 
 // Sizes counted for a record, in bytes.
 const (
-	recordBytes = 256 // a record without its strings
+	recordBytes = 400 // a record without its strings, with its places in maps and lists
 	headerBytes = 32  // a header without its strings
 )
 
