--- a/core/fleet/fault.go
+++ b/core/fleet/fault.go
@@ -28,6 +28,7 @@
 	CutPlatform                   // a host can't reach the platform
 	CutBoth                       // neither
 	CutLink                       // two hosts don't hear each other
+	CutOneWay                     // what a host sends to another is lost, not the other way round
 	Partition                     // the hosts from Host on hear only one another
 	Outage                        // the platform is down
 	SlowPlatform                  // calls to the platform take up to three seconds
@@ -39,7 +40,7 @@
 
 func (k FaultKind) String() string {
 	return [...]string{
-		"kill", "lose_power", "freeze", "cut_peers", "cut_platform", "cut_both", "cut_link", "partition",
+		"kill", "lose_power", "freeze", "cut_peers", "cut_platform", "cut_both", "cut_link", "cut_one_way", "partition",
 		"outage", "slow_platform", "lost_replies", "edit_table", "leaving",
 	}[k]
 }
@@ -79,7 +80,9 @@
 	h := f.Hosts[x.Host]
 	switch x.Kind {
 	case Kill:
-		h.Stop(Killed)
+		if h.Mode != PowerOff {
+			h.Stop(Killed)
+		}
 	case LosePower:
 		h.Stop(PowerOff)
 	case Freeze:
@@ -91,6 +94,8 @@
 		h.Lost = h.Lost || x.Kind != CutPeers
 	case CutLink:
 		f.Links.CutPair(x.Host, x.Other, true)
+	case CutOneWay:
+		f.Links.oneWay[[2]int{x.Host, x.Other}] = true
 	case Partition:
 		f.partition(x, true)
 	case Outage:
@@ -110,14 +115,15 @@
 	h := f.Hosts[x.Host]
 	switch x.Kind {
 	case Kill, LosePower, Leaving:
-		h.Stop(Killed)
-		h.Boot()
+		h.Restart()
 	case Freeze:
 		h.Wake()
 	case CutPeers, CutPlatform, CutBoth:
 		h.Cut, h.Lost = false, false
 	case CutLink:
 		f.Links.CutPair(x.Host, x.Other, false)
+	case CutOneWay:
+		delete(f.Links.oneWay, [2]int{x.Host, x.Other})
 	case Partition:
 		f.partition(x, false)
 	case Outage:
@@ -167,7 +173,7 @@
 		case Frozen:
 			h.Wake()
 		case Killed, PowerOff:
-			h.Boot()
+			h.Restart()
 		}
 	}
 }
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -65,7 +65,7 @@
 	}
 	f.original = f.Table
 	f.Platform = &Platform{fleet: f, Up: true}
-	f.Links = &Links{fleet: f, cut: map[[2]int]bool{}, faults: cfg.Links}
+	f.Links = &Links{fleet: f, cut: map[[2]int]bool{}, oneWay: map[[2]int]bool{}, faults: cfg.Links}
 	f.Check = &Checker{fleet: f, holders: map[string]map[*Host]bool{}, probes: map[string][]clock.Millis{}, inFlight: map[string]map[*member.View]int{}}
 	for i := range cfg.Hosts {
 		f.add(i)
--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -17,6 +17,7 @@
 	probeEvery  = 100 * clock.Millisecond
 	platformMax = 1 * clock.Second // a call to the platform is given up after this
 	requestMax  = 1500 * clock.Millisecond
+	bootTime    = 5 * clock.Second // of a machine that has lost power, at least
 )
 
 // Mode says in what way a host doesn't run.
@@ -43,6 +44,7 @@
 	Lost bool // no link to the platform
 	Gone bool // no longer on the platform's list
 
+	offAt   clock.Millis // when it lost power
 	offset  clock.Millis // of the process's clock
 	backlog []func()     // what arrived while frozen
 	budget  *probe.Budget
@@ -240,12 +242,27 @@
 // Stop ends or freezes the process.
 func (h *Host) Stop(mode Mode) {
 	h.fleet.tracef("%s %s", h.ID, [...]string{"runs", "freezes", "is killed", "loses power"}[mode])
+	if mode == PowerOff {
+		h.offAt = h.fleet.Now
+	}
 	h.Mode = mode
 	if mode != Frozen {
 		h.fleet.Check.gone(h)
 	}
 }
 
+// Restart starts a new process; a machine without power must boot first.
+func (h *Host) Restart() {
+	if ready := h.offAt + bootTime; h.Mode == PowerOff && h.fleet.Now < ready {
+		h.fleet.at(ready, h.Restart)
+		return
+	}
+	if h.Mode != Killed {
+		h.Stop(Killed)
+	}
+	h.Boot()
+}
+
 // Wake lets a frozen process go on: everything that waited comes at once.
 func (h *Host) Wake() {
 	if h.Mode != Frozen {
--- a/core/fleet/link.go
+++ b/core/fleet/link.go
@@ -17,6 +17,7 @@
 	fleet  *Fleet
 	faults LinkFaults
 	cut    map[[2]int]bool // pairs of hosts, lower index first
+	oneWay map[[2]int]bool // sender and receiver
 }
 
 // CutPair cuts or mends the link between two hosts.
@@ -25,6 +26,7 @@
 // Heal mends all links.
 func (l *Links) Heal() {
 	clear(l.cut)
+	clear(l.oneWay)
 	l.faults = LinkFaults{}
 }
 
@@ -52,7 +54,7 @@
 	if h == nil || !l.open(from, h) {
 		return
 	}
-	if l.refused(from, h, to) || l.fleet.chance(l.faults.Lose) {
+	if l.refused(from, h, to) || l.oneWay[[2]int{from.Index, h.Index}] || l.fleet.chance(l.faults.Lose) {
 		return
 	}
 	l.deliver(h, beat)
