member: FindIncarnation finds replaced processes too

The driver looked for a key's incarnation among the hosts' present ones, so one that had been replaced counted as never heard of. TestFindIncarnation passes.

--- a/core/member/status.go
+++ b/core/member/status.go
@@ -59,7 +59,7 @@
 	}
 	p := v.peers[id]
 	switch {
-	case v.dead[ref]:
+	case v.dead[ref] || id == v.Self.ID:
 		return Host{ID: id, Incarnation: incarnation}, Gone
 	case p == nil || p.host.Incarnation != incarnation:
 		return Host{ID: id, Incarnation: incarnation}, Never
@@ -69,6 +69,24 @@
 	return p.host, Unreachable
 }
 
+// FindIncarnation returns what is known of an incarnation whose host isn't known.
+func (v *View) FindIncarnation(incarnation Incarnation) (Host, Presence) {
+	if incarnation == v.Self.Incarnation {
+		return v.Self, Present
+	}
+	for _, p := range v.peers {
+		if p.host.Incarnation == incarnation {
+			return v.Find(p.host.ID, incarnation)
+		}
+	}
+	for ref := range v.dead {
+		if ref.Incarnation == incarnation {
+			return v.Find(ref.ID, incarnation)
+		}
+	}
+	return Host{Incarnation: incarnation}, Never
+}
+
 // String names a presence in the state dump.
 func (p Presence) String() string {
 	return [...]string{"never", "present", "unreachable", "gone"}[p]
--- a/core/member/view_test.go
+++ b/core/member/view_test.go
@@ -180,6 +180,23 @@
 	})
 }
 
+func TestFindIncarnation(t *testing.T) {
+	convey.Convey("an incarnation is found without its host", t, func() {
+		v := &View{Self: host("a", 9)}
+		v.Tick(start)
+		v.Heard(start, answerFrom(v, host("b", 1), 0))
+		v.Tick(start + v.Turn)
+		v.Heard(start+v.Turn, answerFrom(v, host("b", 2), 0))
+		for incarnation, want := range map[Incarnation]Presence{9: Present, 2: Present, 1: Gone, 7: Never} {
+			_, got := v.FindIncarnation(incarnation)
+			convey.So(got, convey.ShouldEqual, want)
+		}
+		convey.Convey("and any other of one's own host is gone", func() {
+			shouldBe(v, "a", 8, Gone)
+		})
+	})
+}
+
 func TestPropose(t *testing.T) {
 	convey.Convey("the first host with a table and the platform writes the first assignment", t, func() {
 		v := newView("a")
