--- a/core/fleet/check.go
+++ b/core/fleet/check.go
@@ -31,7 +31,7 @@
 }
 
 func (c *Checker) violate(name, format string, args ...any) {
-	if c.Violation == "" && !c.fleet.Skip[name] {
+	if c.Violation == "" {
 		c.Violation = fmt.Sprintf("%s at %d ms: ", name, c.fleet.Now) + fmt.Sprintf(format, args...)
 		c.fleet.tracef("VIOLATION %s", c.Violation)
 	}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -23,7 +23,6 @@
 	Tune  func(*member.View)   // changes a view before its first event
 	Links LinkFaults           // while faults last
 	Trace func(line string)    // told of every change worth a line
-	Skip  map[string]bool      // names of checks left out
 	Spoil Spoil                // mechanisms switched off
 	Start map[int]clock.Millis // hosts that start later than at 0
 }
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -32,9 +32,7 @@
 	faults int
 	span   clock.Millis // faults begin within it
 	tune   func(*member.View)
-	skip   map[string]bool
 	spoil  Spoil
-	zones  []string
 }
 
 // outcome is what a run of a scenario gave.
@@ -56,7 +54,7 @@
 // run drives one seed. Faults given replace those drawn from the seed.
 func (s scenario) run(seed uint64, faults []Fault, trace func(string)) outcome {
 	f := New(Config{
-		Seed: seed, Hosts: s.hosts, Zones: s.zones, Tune: s.tune, Skip: s.skip, Spoil: s.spoil, Trace: trace,
+		Seed: seed, Hosts: s.hosts, Tune: s.tune, Spoil: s.spoil, Trace: trace,
 		Links: LinkFaults{Lose: 0.05, Double: 0.05, Delay: 0.02},
 	})
 	drawn := f.Faults(s.faults, settleTime, settleTime+s.span, s.span)
--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -50,9 +50,8 @@
 	budget  *probe.Budget
 	rights  map[string]member.Right
 	epoch   uint64
-	told    uint64       // newest epoch in its heartbeats
-	table   *table.Table // in force here
-	leaving bool
+	told    uint64         // newest epoch in its heartbeats
+	table   *table.Table   // in force here
 	running map[string]int // requests in flight at each upstream
 
 	SentBytes, SentMessages int
@@ -67,7 +66,6 @@
 	h.budget = &probe.Budget{}
 	h.rights = map[string]member.Right{}
 	h.epoch, h.told = 0, 0
-	h.leaving = false
 	h.running = map[string]int{}
 	h.View = &member.View{
 		Self: member.Host{
@@ -282,7 +280,6 @@
 // Leave tells the process to hand over.
 func (h *Host) Leave() {
 	if h.Mode == Running && h.View != nil {
-		h.leaving = true
 		h.fleet.tracef("%s leaves", h.ID)
 		h.event(h.View.SetLeaving)
 	}
