serve: a host that has been replaced is known to be gone

Cause: the status of hosts lists one incarnation a host, so a key of the one before was host_never_heard. Change: incarnations are looked up among those proven dead too. Conclusion: the reason in the answer is now the true one; the outcome is unknown either way.

--- a/siskinpathd/peer/follow/status.go
+++ b/siskinpathd/peer/follow/status.go
@@ -47,6 +47,14 @@
 	return d.view.Find(id, incarnation)
 }
 
+// FindIncarnation gives what is known of an incarnation whose host isn't known.
+func (d *Driver) FindIncarnation(incarnation member.Incarnation) (member.Host, member.Presence) {
+	d.once.Do(d.start)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.view.FindIncarnation(incarnation)
+}
+
 // Status gives what this host knows of every host, sorted by id.
 func (d *Driver) Status() []member.HostStatus {
 	return with(d, func(now clock.Millis) []member.HostStatus { return d.view.Status(now) })
--- a/siskinpathd/serve/addresses.go
+++ b/siskinpathd/serve/addresses.go
@@ -100,19 +100,15 @@
 }
 
 // presences maps what membership knows of a host to what matters for a key.
-var presences = map[string]once.Presence{
-	member.Present.String():     once.Present,
-	member.Gone.String():        once.Gone,
-	member.Unreachable.String(): once.Unreachable,
-	member.Never.String():       once.Never,
+var presences = map[member.Presence]once.Presence{
+	member.Present:     once.Present,
+	member.Gone:        once.Gone,
+	member.Unreachable: once.Unreachable,
+	member.Never:       once.Never,
 }
 
 // findIncarnation tells which host runs as an incarnation.
 func findIncarnation(f *follow.Driver, incarnation uint64) (hostID string, p once.Presence) {
-	for _, s := range f.Status() {
-		if uint64(s.Incarnation) == incarnation {
-			return s.ID, presences[s.Presence]
-		}
-	}
-	return "", once.Never
+	h, presence := f.FindIncarnation(member.Incarnation(incarnation))
+	return h.ID, presences[presence]
 }
