--- a/core/route/types.go
+++ b/core/route/types.go
@@ -38,6 +38,7 @@
 	Deadline   clock.Millis // point in time after which the answer is worthless
 	Idempotent bool         // may be sent more than once
 	Hops       int          // hosts it has passed through before this one
+	Depth      int          // calls nested above this one; above 0 an errored or lost attempt is not retried
 }
 
 // Status is how an attempt ended.
@@ -66,6 +67,7 @@
 	Attempt AttemptID
 	Status  Status
 	Load    *LoadReport // nil when the reply carried none
+	Barred  bool        // with NotSent: this host would not send it, which says nothing of the upstream
 }
 
 // Digest is what an owner tells the other owners of a service about itself.
@@ -94,13 +96,14 @@
 // Reason says why a request was refused. It is part of the callers' interface.
 type Reason string
 
-// Reasons for a refusal.
+// Reasons for a refusal, or for an unknown outcome.
 const (
 	ReasonOverloaded Reason = "overloaded"       // no slot will be free in time
 	ReasonDeadline   Reason = "deadline"         // the deadline passed before it was sent
 	ReasonNoUpstream Reason = "no_upstream"      // no upstream takes work
 	ReasonRate       Reason = "rate_limited"     // the service's rate is used up
 	ReasonRefused    Reason = "upstream_refused" // every upstream tried refused it
+	ReasonLost       Reason = "connection_lost"  // the connection failed after the first byte; only with Unknown
 )
 
 // Action is something the driver of a Shard must do.
@@ -119,8 +122,8 @@
 type ForwardResult struct {
 	Request    RequestID
 	Host       string
-	NotRun     bool // the other host says that the request did not run, or it never got there
-	Digest     *Digest
+	NotRun     bool    // the other host says that the request did not run, or it never got there
+	Digest     *Digest // of Host, nil when the answer carried none
 	RetryAfter clock.Millis
 }
 
--- /dev/null
+++ b/siskinpathd/peer/follow/owners.go
@@ -0,0 +1,28 @@
+package follow
+
+import (
+	"slices"
+
+	"siskinpath/core/member"
+)
+
+// reach is what decides who can be offered work: the epoch and which of its
+// members are heard.
+type reach struct {
+	epoch uint64
+	heard []bool // by place in the assignment's members
+}
+
+// noteOwners looks whether the owners of any service may have changed. Called
+// with d.mu held.
+func (d *Driver) noteOwners() {
+	now := reach{epoch: d.view.Epoch(), heard: make([]bool, len(d.assignment.members))}
+	for i, m := range d.assignment.members {
+		_, presence := d.view.Find(m.ID, m.Incarnation)
+		now.heard[i] = presence == member.Present
+	}
+	if now.epoch != d.told.epoch || !slices.Equal(now.heard, d.told.heard) {
+		d.told = now
+		d.changed()
+	}
+}
