--- a/siskinctl/fake_test.go
+++ b/siskinctl/fake_test.go
@@ -195,7 +195,10 @@
 	switch string(ctx.Path()) {
 	case "/v1/hosts":
 		writeJSON(ctx, map[string]any{"hosts": []map[string]any{
-			{"id": h.id, "table_version": h.version, "availability_zone": "gh-mid-a", "operator_address": h.address()},
+			{
+				"id": h.id, "table_version": h.version, "availability_zone": "gh-mid-a", "presence": "present",
+				"caller_address": "10.0.0.1:7001", "operator_address": h.address(),
+			},
 		}})
 	case "/v1/state":
 		writeJSON(ctx, map[string]any{"id": h.id, "table": map[string]any{"version": h.version}})
--- a/siskinctl/inforce.go
+++ b/siskinctl/inforce.go
@@ -115,7 +115,7 @@
 type hostAddress struct {
 	ID               string `json:"id"`
 	AvailabilityZone string `json:"availability_zone"`
-	State            string `json:"state"` // live or leaving; empty when the platform was not asked
+	State            string `json:"state"` // live or leaving; by a host's word its presence or leaving
 	CallerAddress    string `json:"caller_address"`
 	OperatorAddress  string `json:"operator_address"`
 }
@@ -147,7 +147,11 @@
 func hostsByHost(address string) (hosts []hostAddress, err error) {
 	known, err := operator.Hosts(address)
 	for _, h := range known {
-		hosts = append(hosts, hostAddress{ID: h.ID, AvailabilityZone: h.AvailabilityZone, OperatorAddress: h.OperatorAddress})
+		state := h.Presence
+		if h.Leaving {
+			state = "leaving"
+		}
+		hosts = append(hosts, hostAddress{h.ID, h.AvailabilityZone, state, h.CallerAddress, h.OperatorAddress})
 	}
 	return hosts, err
 }
--- a/siskinctl/operator/client.go
+++ b/siskinctl/operator/client.go
@@ -16,7 +16,10 @@
 type Host struct {
 	ID               string `json:"id"`
 	AvailabilityZone string `json:"availability_zone"`
+	CallerAddress    string `json:"caller_address"`
 	OperatorAddress  string `json:"operator_address"`
+	Presence         string `json:"presence"` // what is known of its process
+	Leaving          bool   `json:"leaving"`
 	TableVersion     uint64 `json:"table_version"` // in force there; 0 when none
 }
 
