table: a follower goes by the assignment's members when the list was never read

Cause: a host started while the platform is away never reads the host list, so it had no majority to count and took no table from its peers. The daemon is to call Follower.Members with each assignment, and Follower.Relayed with the versions in a heartbeat's second-hand news.

--- a/core/table/follower.go
+++ b/core/table/follower.go
@@ -1,6 +1,8 @@
 package table
 
 import (
+	"slices"
+
 	"github.com/pkg/errors"
 
 	"siskinpath/core/clock"
@@ -22,6 +24,7 @@
 	answered        bool // the platform has answered since the start
 	platformVersion uint64
 	listed          []string
+	members         []string
 	heard           map[string]uint64 // host to the newest version it has told of itself
 	relayed         uint64            // newest version that any host had in force, by second-hand news
 	copied          *copiedRow        // newest copy of a peer, until it may be taken
@@ -140,9 +143,15 @@
 // without a table must not begin below, and is no part of the majority.
 func (f *Follower) Relayed(version uint64) { f.relayed = max(f.relayed, version) }
 
-// Listed takes the ids of the hosts that the platform's host list, or a peer's
-// copy of it, names.
-func (f *Follower) Listed(ids []string) { f.listed = append([]string(nil), ids...) }
+// Listed takes the ids of the hosts in the platform's host list.
+func (f *Follower) Listed(ids []string) { f.listed = slices.Clone(ids) }
+
+// Members takes the ids of the hosts in the newest assignment. They stand in for
+// the platform's list in a process that was started while it was away.
+func (f *Follower) Members(now clock.Millis, ids []string) {
+	f.members = slices.Clone(ids)
+	f.tryCopied(now)
+}
 
 // Wanted returns a peer to ask for a copy: one that told of a newer version than
 // is in force or held here. Of several it is the first by id.
@@ -188,8 +197,12 @@
 // majorityHeard reports whether more than half of the other listed hosts have
 // told their versions. A version once heard stays a lower bound.
 func (f *Follower) majorityHeard() bool {
+	hosts := f.listed
+	if len(hosts) == 0 {
+		hosts = f.members
+	}
 	others, heard := 0, 0
-	for _, id := range f.listed {
+	for _, id := range hosts {
 		if id == f.Self {
 			continue
 		}
--- a/core/table/follower_test.go
+++ b/core/table/follower_test.go
@@ -93,6 +93,15 @@
 			convey.So(f.Copied(0, "gh-2", 4, good), convey.ShouldBeNil)
 			inForce(f, 4)
 		})
+		convey.Convey("goes by the members of the assignment when the list was never read", func() {
+			f := &Follower{Self: "gh-1"}
+			convey.So(f.Copied(0, "gh-2", 5, good), convey.ShouldBeNil)
+			inForce(f, 0)
+			f.Members(0, []string{"gh-1", "gh-2", "gh-3", "gh-4"})
+			inForce(f, 0)
+			f.Heard(0, "gh-4", 5)
+			inForce(f, 5)
+		})
 		convey.Convey("learns nothing from a failed read", func() {
 			convey.So(f.Read(0, 0, "", false), convey.ShouldBeNil)
 			convey.So(f.Copied(0, "gh-2", 3, good), convey.ShouldBeNil)
