--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -23,7 +23,6 @@
 	Tune  func(*member.View)   // changes a view before its first event
 	Links LinkFaults           // while faults last
 	Trace func(line string)    // told of every change worth a line
-	Skip  map[string]bool      // names of checks left out
 	Spoil Spoil                // mechanisms switched off
 	Start map[int]clock.Millis // hosts that start later than at 0
 }
@@ -65,7 +64,7 @@
 	}
 	f.original = f.Table
 	f.Platform = &Platform{fleet: f, Up: true}
-	f.Links = &Links{fleet: f, cut: map[[2]int]bool{}, faults: cfg.Links}
+	f.Links = &Links{fleet: f, cut: map[[2]int]bool{}, oneWay: map[[2]int]bool{}, faults: cfg.Links}
 	f.Check = &Checker{fleet: f, holders: map[string]map[*Host]bool{}, probes: map[string][]clock.Millis{}, inFlight: map[string]map[*member.View]int{}}
 	for i := range cfg.Hosts {
 		f.add(i)
