--- a/standin/demo/findings.go
+++ b/standin/demo/findings.go
@@ -20,7 +20,6 @@
 type upstreamTotals struct {
 	overshoot  int // requests at a time above the limit in force, the most at any upstream
 	probes     float64
-	loadReads  float64
 	refused    float64
 	cancelled  float64
 	seconds    float64
@@ -43,7 +42,6 @@
 			t.overshoot = max(t.overshoot, u.OvershootMax)
 			t.refused += float64(u.Refused)
 			t.cancelled += float64(u.Cancelled)
-			t.loadReads += float64(u.LoadReads)
 			probes += float64(u.Probes + u.LoadReads)
 		}
 		t.probes += probes
--- a/standin/launch/deployment.go
+++ b/standin/launch/deployment.go
@@ -29,7 +29,6 @@
 	Control  string       // address of its control endpoints
 
 	upstreamControl map[string]string // service to address
-	platformProcess *Process
 }
 
 // Ghana returns the services of the deployment in Ghana.
@@ -82,7 +81,7 @@
 		return err
 	}
 	d.Platform, d.Control = Address(port), Address(port+1)
-	d.platformProcess, err = d.Group.Start("platform", d.program("standin"), "platform", "--listen", d.Platform,
+	_, err = d.Group.Start("platform", d.program("standin"), "platform", "--listen", d.Platform,
 		"--control", d.Control, "--list-lag-ms", fmt.Sprint(d.ListLagMs))
 	if err != nil {
 		return err
--- a/standin/launch/entryhost.go
+++ b/standin/launch/entryhost.go
@@ -34,14 +34,7 @@
 address = %q
 `
 
-// AddHost starts one more host and tells the platform.
-func (d *Deployment) AddHost() (h *EntryHost, err error) {
-	if err := d.addHost(len(d.Entry)); err != nil {
-		return nil, err
-	}
-	return d.Entry[len(d.Entry)-1], nil
-}
-
+// addHost starts the i-th host, from 0, and tells the platform.
 func (d *Deployment) addHost(i int) error {
 	port, err := d.Ports.Take(portsPerHost)
 	if err != nil {
--- a/standin/launch/faults.go
+++ b/standin/launch/faults.go
@@ -15,19 +15,18 @@
 // Change is what changes in an upstream's behaviour; what is nil stays. See
 // upstream.Behaviour for units.
 type Change struct {
-	Slots         *int     `json:"slots,omitempty"`
-	SlowFactor    *float64 `json:"slow_factor,omitempty"`
-	SlowForMs     *int64   `json:"slow_for_ms,omitempty"`
-	ColdMs        *int64   `json:"cold_ms,omitempty"`
-	StartingMs    *int64   `json:"starting_ms,omitempty"`
-	Draining      *bool    `json:"draining,omitempty"`
-	FailFast      *string  `json:"fail_fast,omitempty"`
-	LoadLagMs     *int64   `json:"load_lag_ms,omitempty"`
-	LoadMisleads  *bool    `json:"load_misleads,omitempty"`
-	CutAnswers    *float64 `json:"cut_answers,omitempty"`
-	Closed        *bool    `json:"closed,omitempty"`
-	Watch         *int     `json:"watch,omitempty"`
-	MarkedLeaving *bool    `json:"marked_leaving,omitempty"`
+	Slots        *int     `json:"slots,omitempty"`
+	SlowFactor   *float64 `json:"slow_factor,omitempty"`
+	SlowForMs    *int64   `json:"slow_for_ms,omitempty"`
+	ColdMs       *int64   `json:"cold_ms,omitempty"`
+	StartingMs   *int64   `json:"starting_ms,omitempty"`
+	Draining     *bool    `json:"draining,omitempty"`
+	FailFast     *string  `json:"fail_fast,omitempty"`
+	LoadLagMs    *int64   `json:"load_lag_ms,omitempty"`
+	LoadMisleads *bool    `json:"load_misleads,omitempty"`
+	CutAnswers   *float64 `json:"cut_answers,omitempty"`
+	Closed       *bool    `json:"closed,omitempty"`
+	Watch        *int     `json:"watch,omitempty"`
 }
 
 // ChangeUpstream changes how the upstream called name behaves; upstream.All stands
--- a/standin/launch/process.go
+++ b/standin/launch/process.go
@@ -36,9 +36,6 @@
 	return p.cmd.Process.Signal(s)
 }
 
-// Ended is closed when the process has ended.
-func (p *Process) Ended() <-chan struct{} { return p.ended }
-
 // ExitCode returns the exit code of a process that has ended; -1 after a signal.
 func (p *Process) ExitCode() int { return p.cmd.ProcessState.ExitCode() }
 
--- a/standin/upstream/engine.go
+++ b/standin/upstream/engine.go
@@ -49,7 +49,6 @@
 	LoadLagMs       int64    `json:"load_lag_ms"`     // age of the load that is reported
 	LoadMisleads    bool     `json:"load_misleads"`   // reports an idle upstream
 	Watch           int      `json:"watch"`           // the limit in force; more requests at a time are counted as overshoot
-	MarkedLeaving   bool     `json:"marked_leaving"`  // the time of this mark is recorded
 	CutAnswers      float64  `json:"cut_answers"`     // fraction of answers cut short by a closed connection
 	DeadlineIgnored bool     `json:"ignore_deadline"` // runs requests whose deadline has passed
 	Closed          bool     `json:"closed"`          // the port refuses connections, open ones are closed
@@ -93,7 +92,6 @@
 	TurnedAway    uint64 `json:"turned_away"`     // connections closed because of the limit
 	PresentMax    int    `json:"present_max"`     // most requests at a time
 	OvershootMax  int    `json:"overshoot_max"`   // most requests at a time above Watch
-	LeavingUnixMs int64  `json:"leaving_unix_ms"` // when it was marked leaving; 0 when it wasn't
 	ProbeBurstMax int    `json:"probe_burst_max"` // most probes that began within one second
 	probeTimes    []clock.Millis
 }
--- a/standin/upstream/fleet.go
+++ b/standin/upstream/fleet.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"strconv"
-	"time"
 
 	"github.com/fasthttp/router"
 	"github.com/pkg/errors"
@@ -123,11 +122,6 @@
 	if err != nil {
 		return err
 	}
-	u.engine.Count(func(s *Stats) {
-		if changed.MarkedLeaving && s.LeavingUnixMs == 0 {
-			s.LeavingUnixMs = time.Now().UnixMilli()
-		}
-	})
 	if changed.Closed {
 		u.port.close()
 		return nil
--- a/standin/upstream/server.go
+++ b/standin/upstream/server.go
@@ -14,9 +14,6 @@
 	"siskinpath/standin/answer"
 )
 
-// coldFactor multiplies the service time at the beginning of a cold start.
-const coldFactor = 4
-
 // Upstream is one stand-in upstream. Fields are set before Start.
 type Upstream struct {
 	Name             string
@@ -97,46 +94,6 @@
 
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
-// request is what the upstream needs to know of a request.
-type request struct {
-	organisation string
-	key          string
-	marker       string
-	requestID    string
-	size         int
-	work         time.Duration // 0 means as the behaviour says
-	arrived      time.Time
-	deadline     time.Time
-	gone         <-chan struct{}
-}
-
-func parse(ctx *fasthttp.RequestCtx) request {
-	h := &ctx.Request.Header
-	q := ctx.QueryArgs()
-	r := request{
-		organisation: string(h.Peek("Siskin-Organisation")),
-		key:          string(h.Peek("Idempotency-Key")),
-		marker:       string(q.Peek("marker")),
-		requestID:    string(h.Peek("Siskin-Request-Id")),
-		size:         answer.DefaultBytes,
-		arrived:      time.Now(),
-	}
-	if n, err := q.GetUint("size"); err == nil {
-		r.size = n
-	}
-	if n, err := q.GetUint("work_ms"); err == nil {
-		r.work = time.Duration(n) * time.Millisecond
-	}
-	r.deadline = r.arrived.Add(time.Hour)
-	if ms, err := strconv.Atoi(string(h.Peek("Siskin-Deadline-Ms"))); err == nil {
-		r.deadline = r.arrived.Add(time.Duration(ms) * time.Millisecond)
-	}
-	if c, ok := ctx.Conn().(*watchedConn); ok {
-		r.gone = c.gone
-	}
-	return r
-}
-
 func (u *Upstream) serve(ctx *fasthttp.RequestCtx) {
 	r := parse(ctx)
 	ctx.Response.Header.Set("Siskin-Request-Id", r.requestID)
@@ -150,87 +107,6 @@
 	u.finish(ctx, r, end)
 }
 
-// ending is how a request ended.
-type ending int
-
-const (
-	ended ending = iota
-	endedError
-	endedCancelled
-	endedDeadline
-	endedCut
-)
-
-func (u *Upstream) run(r request, t *Ticket) ending {
-	late := time.NewTimer(time.Until(r.deadline))
-	defer late.Stop()
-	select {
-	case <-t.Ready:
-	case <-r.gone:
-		return endedCancelled
-	case <-late.C:
-		return endedDeadline
-	}
-	b, since := u.engine.Behaviour(u.Clock.Now())
-	if !b.DeadlineIgnored && time.Now().After(r.deadline) {
-		return endedDeadline
-	}
-	u.recordRun(r)
-	if b.FailFast == FailFastError {
-		return endedError
-	}
-	work := time.NewTimer(u.workTime(b, since, r.work))
-	defer work.Stop()
-	select {
-	case <-work.C:
-	case <-r.gone:
-		return endedCancelled
-	}
-	if b.CutAnswers > 0 && u.draw() < b.CutAnswers {
-		return endedCut
-	}
-	return ended
-}
-
-func (u *Upstream) recordRun(r request) {
-	u.engine.Count(func(s *Stats) { s.Runs++ })
-	u.Record.Add(Run{
-		Upstream:      u.Name,
-		Organisation:  r.organisation,
-		Key:           r.key,
-		Marker:        r.marker,
-		RequestID:     r.requestID,
-		StartedUnixMs: time.Now().UnixMilli(),
-	})
-}
-
-func (u *Upstream) draw() float64 {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.rand.Float64()
-}
-
-// workTime is how long a run takes, since after the last change of b.
-func (u *Upstream) workTime(b Behaviour, since clock.Millis, asked time.Duration) time.Duration {
-	ms := b.ServiceMs
-	if !b.Fixed {
-		u.mu.Lock()
-		ms *= u.rand.ExpFloat64()
-		u.mu.Unlock()
-	}
-	if asked > 0 {
-		ms = float64(asked) / float64(time.Millisecond)
-	}
-	if b.SlowFactor > 0 && int64(since) < b.SlowForMs {
-		ms *= b.SlowFactor
-	}
-	if int64(since) < b.ColdMs {
-		left := 1 - float64(since)/float64(b.ColdMs)
-		ms *= 1 + (coldFactor-1)*left
-	}
-	return millis(ms)
-}
-
 func (u *Upstream) finish(ctx *fasthttp.RequestCtx, r request, end ending) {
 	ctx.Response.Header.Set("Siskin-Took-Us", strconv.FormatInt(time.Since(r.arrived).Microseconds(), 10))
 	ctx.Response.Header.Set("Siskin-Upstream", u.Name)
