Keys: the shell follows the keeper's ends; a host started in an outage takes the members for the list of hosts

Cause: five gaps between the keeper, the follower and the shell: a record passed to a claimant was never ended, so retries waited for its deadline; what End returns was not told; a relayed table version and the members of an assignment were not passed on, so a host started in an outage had no table; an unknown outcome lost its time to come back. And 64 MB of records kept for 10 minutes hold 190 new keys a second, below the planned share of a host. Ruled out: evicting records inside their window (the fleet test shows double runs). Change: the five, and 128 MB kept for 5 minutes, which is far beyond a caller's deadlines.

--- a/core/once/keeper.go
+++ b/core/once/keeper.go
@@ -8,9 +8,9 @@
 
 // Defaults of a Keeper's optional fields.
 const (
-	DefaultMaxRecords     = 200_000
-	DefaultMaxRecordBytes = 64 << 20
-	DefaultRetainFor      = 10 * clock.Minute
+	DefaultMaxRecords     = 400_000
+	DefaultMaxRecordBytes = 128 << 20
+	DefaultRetainFor      = 5 * clock.Minute
 	DefaultWindowSpan     = clock.Minute
 )
 
--- a/siskinpathd/filter/once.go
+++ b/siskinpathd/filter/once.go
@@ -64,11 +64,10 @@
 		onceAnswers.Inc()
 		return call.Answer{Reply: withStatus(d.Reply), Recorded: true, Decided: true}
 	case once.Pass:
-		return o.pass(d, c, next)
-	case once.Claim:
-		a := o.carryOut(o.Claims.Settle(d.Record), nil, c, next)
-		o.Keeper.settled(d.Record, a.Reply)
+		a, _ := o.ask(d, c)
 		return a
+	case once.Claim:
+		return o.claimed(o.Claims.Settle(d.Record), c, next)
 	case once.Refuse:
 		a := call.NotRun(d.Reply.Reason, d.Reply.RetryAfter)
 		a.GivenUp = d.GivenUp
@@ -78,9 +77,7 @@
 		return call.BadRequest(d.Reply.Reason)
 	default:
 		onceUnknown.Inc()
-		a := call.Unknown(d.Reply.Reason)
-		a.RetryAfter = d.Reply.RetryAfter
-		return a
+		return call.Answer{Reply: withStatus(d.Reply)}
 	}
 }
 
@@ -90,7 +87,9 @@
 	case once.NotRun:
 		return call.NotRun(r.Reason, r.RetryAfter).Reply
 	case once.OutcomeUnknown:
-		return call.Unknown(r.Reason).Reply
+		unknown := call.Unknown(r.Reason).Reply
+		unknown.RetryAfter = r.RetryAfter
+		return unknown
 	default:
 		return r
 	}
@@ -101,11 +100,36 @@
 	c.Guard = func() bool { return o.Keeper.maySend(rec) }
 	c.NotSent = func() { o.Keeper.notSent(rec) }
 	a := next(c)
-	o.Keeper.end(rec, a.Reply)
 	a.Decided = true
+	return o.end(rec, a)
+}
+
+// end records the end of rec, which may differ from a where the record knows
+// more, and tells those that wait for it.
+func (o *Once) end(rec once.RecordID, a call.Answer) call.Answer {
+	reply := o.Keeper.end(rec, a.Reply)
+	if reply.Outcome != a.Outcome {
+		a.Reply = withStatus(reply)
+	}
 	return a
 }
 
+// claimed carries out what became of a claim.
+func (o *Once) claimed(d once.Decision, c *call.Call, next Next) call.Answer {
+	switch d.Verdict {
+	case once.Run:
+		return o.run(d.Record, c, next)
+	case once.Pass:
+		a, givenUp := o.ask(d, c)
+		if givenUp {
+			return o.claimed(o.Claims.TakeOver(d.Record), c, next)
+		}
+		return o.end(d.Record, a)
+	default:
+		return o.end(d.Record, o.carryOut(d, nil, c, next))
+	}
+}
+
 // decides tells whether a key can have run nowhere but on this host.
 func (o *Once) decides(key string) bool {
 	incarnation, _, ok := once.Owner(key)
@@ -124,11 +148,12 @@
 	}
 }
 
-// pass asks the host that decides. When it can't be asked, the request may have
-// run there at an earlier try, so the outcome is unknown.
-func (o *Once) pass(d once.Decision, c *call.Call, next Next) call.Answer {
+// ask asks the host that decides, and tells whether that host gave its claim up.
+// When it can't be asked, the request may have run there at an earlier try, so
+// the outcome is unknown.
+func (o *Once) ask(d once.Decision, c *call.Call) (a call.Answer, givenUp bool) {
 	if c.Hops >= maxDecideHops {
-		return call.Unknown(call.ReasonLoop)
+		return call.Unknown(call.ReasonLoop), false
 	}
 	oncePasses.Inc()
 	ctx, cancel := context.WithTimeout(context.Background(), (c.Deadline - o.Clock.Now()).Duration())
@@ -142,13 +167,11 @@
 	}
 	a, notSent := o.Hosts.Decide(ctx, d.Host, &asked)
 	if notSent {
-		return call.Unknown(once.ReasonHostUnreachable)
-	}
-	if d.Claimed && a.GivenUp {
-		return o.carryOut(o.Claims.TakeOver(d.Record), nil, c, next)
+		return call.Unknown(once.ReasonHostUnreachable), false
 	}
+	givenUp = d.Claimed && a.GivenUp
 	a.GivenUp = false
-	return a
+	return a, givenUp
 }
 
 // maxDecideHops bounds the way of a request to the host that decides.
@@ -206,19 +229,12 @@
 	k.Once.NotSent(k.Clock.Now(), rec)
 }
 
-func (k *Keeper) end(rec once.RecordID, r once.Reply) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.Once.End(k.Clock.Now(), rec, r)
-	k.tell(rec, r)
-}
-
-// settled tells those that wait for a claim what became of it, when it was not
-// a run of this host.
-func (k *Keeper) settled(rec once.RecordID, r once.Reply) {
+func (k *Keeper) end(rec once.RecordID, r once.Reply) once.Reply {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	r = k.Once.End(k.Clock.Now(), rec, r)
 	k.tell(rec, r)
+	return r
 }
 
 // tell gives a record's end to those that wait for it. k.mu is held.
--- a/siskinpathd/filter/once_test.go
+++ b/siskinpathd/filter/once_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -262,3 +263,64 @@
 		So(busy.Apply(retry, nil).Truthful(retry).Reason, ShouldEqual, call.ReasonEarlierSending)
 	})
 }
+
+func TestEnds(t *testing.T) {
+	Convey("a host that says not run of a request that was sent is not believed", t, func() {
+		o, c := newOnce(&fakeDeciders{}, &fakeClaims{})
+		key := ownKey(o, "a")
+		lies := func(c *call.Call) call.Answer { c.Guard(); return call.NotRun("overloaded", 100) }
+		So(o.Apply(keyed(c, key, "ring-7"), lies).Outcome, ShouldEqual, once.OutcomeUnknown)
+	})
+	takenBy8 := once.ClaimOutcome{Kind: once.ClaimTaken, Version: 3, Value: `{"host":"gh-2","incarnation":8,"attempt":1,"organisation":"ring-7"}`}
+	Convey("a record that was passed to a claimant ends with its answer, for those that wait too", t, func() {
+		f := &fakeDeciders{presence: once.Present, answer: answered("paid there")}
+		claims := &tableClaims{outcome: takenBy8}
+		o, c := newOnce(f, claims)
+		claims.keeper = o.Keeper
+		claims.before = func() {
+			go o.Apply(keyed(c, "plain", "ring-7"), nil)
+			for !o.Keeper.someoneWaits() {
+				runtime.Gosched()
+			}
+		}
+		shouldAnswer(o.Apply(keyed(c, "plain", "ring-7"), nil), once.Answered, "paid there", false)
+		So(o.Keeper.someoneWaits(), ShouldBeFalse)
+	})
+	Convey("a claim of a host that can't be asked leaves the outcome unknown", t, func() {
+		claims := &tableClaims{outcome: takenBy8}
+		o, c := newOnce(&fakeDeciders{presence: once.Gone}, claims)
+		claims.keeper = o.Keeper
+		So(o.Apply(keyed(c, "plain", "ring-7"), nil).Outcome, ShouldEqual, once.OutcomeUnknown)
+	})
+	Convey("an unknown outcome keeps its time to come back", t, func() {
+		So(withStatus(once.Reply{Outcome: once.OutcomeUnknown, RetryAfter: 700}).RetryAfter, ShouldEqual, clock.Millis(700))
+	})
+}
+
+// tableClaims settles claims by what the table service is made to say.
+type tableClaims struct {
+	keeper  *Keeper
+	before  func() // called while the claim is open
+	outcome once.ClaimOutcome
+}
+
+func (f *tableClaims) Settle(rec once.RecordID) (d once.Decision) {
+	if f.before != nil {
+		f.before()
+	}
+	f.keeper.With(func(now clock.Millis, k *once.Keeper) {
+		for _, w := range k.ClaimsWanted(now) {
+			k.ClaimResult(now, w.Record, f.outcome)
+		}
+		d, _ = k.ClaimDecided(rec)
+	})
+	return d
+}
+
+func (f *tableClaims) TakeOver(rec once.RecordID) once.Decision { return f.Settle(rec) }
+
+func (k *Keeper) someoneWaits() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.waiting) > 0
+}
--- a/siskinpathd/peer/follow/assignment.go
+++ b/siskinpathd/peer/follow/assignment.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"siskinpath/core/clock"
 	"siskinpath/core/member"
 )
 
@@ -68,13 +69,22 @@
 	}
 }
 
-// noteEpoch tells of a newer epoch. Called with d.mu held.
-func (d *Driver) noteEpoch() {
+// noteEpoch tells of a newer epoch, and the follower of its members: to a process
+// that started while the platform was away they stand in for the list of hosts.
+// Called with d.mu held.
+func (d *Driver) noteEpoch(now clock.Millis) {
 	epoch := d.view.Epoch()
 	if epoch == d.count.epoch.Get() {
 		return
 	}
 	d.count.epoch.Set(epoch)
 	d.changed()
+	var members []string
+	for _, s := range d.view.Status(now) {
+		if s.Member {
+			members = append(members, s.ID)
+		}
+	}
+	d.follower.Members(now, members)
 	d.Logger.Info("assignment in force", "epoch", epoch)
 }
--- a/siskinpathd/peer/follow/driver.go
+++ b/siskinpathd/peer/follow/driver.go
@@ -136,6 +136,7 @@
 	d.mu.Lock()
 	now := d.Clock.Now()
 	actions := event(now)
+	d.noteEpoch(now)
 	if t := d.follower.InForce(); t != nil && t.Version != d.toldTable {
 		d.toldTable = t.Version
 		d.changed()
@@ -143,7 +144,6 @@
 		d.Logger.Info("table in force", "version", t.Version)
 		actions = append(actions, d.view.TableInForce(now, t)...)
 	}
-	d.noteEpoch()
 	d.mu.Unlock()
 	for _, a := range actions {
 		d.carryOut(a)
--- a/siskinpathd/peer/follow/peers.go
+++ b/siskinpathd/peer/follow/peers.go
@@ -12,6 +12,9 @@
 func (d *Driver) Heartbeat(hb member.Heartbeat) {
 	d.do(func(now clock.Millis) []member.Action {
 		d.follower.Heard(now, hb.From.ID, hb.TableVersion)
+		for i := range hb.Known {
+			d.follower.Relayed(hb.Known[i].TableVersion)
+		}
 		return d.view.Heard(now, hb)
 	})
 }
