peer/follow: content that was refused is not read again; the table is asked for without a lock

Cause: a row that could not be taken was read whole at every look, twice a second. Only the rows that changed are read. Table() is asked for twice in each request and waited for the view's turns.

--- a/siskinpathd/peer/follow/driver.go
+++ b/siskinpathd/peer/follow/driver.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -66,6 +67,8 @@
 	kick   chan struct{} // asks for a look at the platform at once
 	notify chan struct{}
 
+	inForce atomic.Pointer[table.Table]
+
 	mu         sync.Mutex
 	view       *member.View
 	follower   *table.Follower
@@ -138,6 +141,7 @@
 	actions := event(now)
 	if t := d.follower.InForce(); t != nil && t.Version != d.toldTable {
 		d.toldTable = t.Version
+		d.inForce.Store(t)
 		d.changed()
 		d.count.tableVersion.Set(t.Version)
 		d.Logger.Info("table in force", "version", t.Version)
--- a/siskinpathd/peer/follow/driver_test.go
+++ b/siskinpathd/peer/follow/driver_test.go
@@ -362,6 +362,13 @@
 			convey.So(d.Table().Version, convey.ShouldEqual, 1)
 			convey.So(d.State().Member.Epoch, convey.ShouldEqual, 1)
 			convey.So(counted(d, `refused_content_total`), convey.ShouldBeGreaterThan, 0)
+			convey.Convey("and is read once, not at every look", func() {
+				var before, after int
+				f.platform.set(func() { before = f.platform.fullReads })
+				time.Sleep(20 * time.Second)
+				f.platform.set(func() { after = f.platform.fullReads })
+				convey.So(after, convey.ShouldEqual, before)
+			})
 			convey.Convey("and it doesn't count as a read of the platform", func() {
 				time.Sleep(10 * time.Second)
 				convey.So(d.State().Member.PlatformAge, convey.ShouldBeGreaterThan, 10*clock.Second)
--- a/siskinpathd/peer/follow/poll.go
+++ b/siskinpathd/peer/follow/poll.go
@@ -19,6 +19,9 @@
 	tried   bool
 	failure error  // of the last look; nil when it was good
 	refused string // the last content that could not be taken, to log it once
+
+	// Versions that could not be taken, so as not to read them again.
+	refusedTable, refusedEpoch uint64
 }
 
 // pollRows looks for a newer table and assignment until ctx is done.
@@ -33,61 +36,89 @@
 	}
 }
 
+// look is what one look at the platform found.
+type look struct {
+	started        clock.Millis
+	table          platform.Row
+	assignment     platform.Row
+	tableRead      bool // table has its value, not only its version
+	assignmentRead bool
+}
+
 // lookAtRows reads the versions, and the rows that have changed.
 func (d *Driver) lookAtRows(ctx context.Context) error {
-	started := d.Clock.Now()
+	found := look{started: d.Clock.Now()}
 	rows, err := d.Platform.ReadVersions(ctx, table.RowKey, rowAssignment)
 	if err != nil {
 		return err
 	}
-	version, epoch := d.versions()
-	if rows[0].Version > version || rows[1].Version > epoch {
-		return d.readRows(ctx)
+	found.table, found.assignment = rows[0], rows[1]
+	if keys := d.changedRows(found); len(keys) > 0 {
+		if rows, err = d.Platform.Read(ctx, keys...); err != nil {
+			return err
+		}
+		found.read(rows)
 	}
-	d.do(func(now clock.Millis) []member.Action {
-		d.refused(d.follower.Read(now, rows[0].Version, "", rows[0].Version == 0))
-		return d.view.AssignmentRead(now, started, member.Assignment{Epoch: rows[1].Version})
-	})
+	d.do(func(now clock.Millis) []member.Action { return d.take(now, found) })
 	return nil
 }
 
-// versions gives what is in force.
-func (d *Driver) versions() (version, epoch uint64) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.follower.Version(), d.view.Epoch()
+// read puts rows read whole in place of their versions.
+func (l *look) read(rows []platform.Row) {
+	for _, row := range rows {
+		switch row.Key {
+		case table.RowKey:
+			l.table, l.tableRead = row, true
+		case rowAssignment:
+			l.assignment, l.assignmentRead = row, true
+		}
+	}
 }
 
-// readRows reads both rows whole.
-func (d *Driver) readRows(ctx context.Context) error {
-	started := d.Clock.Now()
-	rows, err := d.Platform.Read(ctx, table.RowKey, rowAssignment)
-	if err != nil {
-		return err
+// changedRows gives the rows worth reading: newer than what is in force, and not
+// refused already.
+func (d *Driver) changedRows(l look) (keys []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if l.table.Version > d.follower.Version() && l.table.Version != d.platform.refusedTable {
+		keys = append(keys, table.RowKey)
 	}
-	d.do(func(now clock.Millis) []member.Action {
-		d.refused(d.follower.Read(now, rows[0].Version, rows[0].Value, true))
-		return d.takeAssignment(now, started, rows[1])
-	})
-	return nil
+	if l.assignment.Version > d.view.Epoch() && l.assignment.Version != d.platform.refusedEpoch {
+		keys = append(keys, rowAssignment)
+	}
+	return keys
 }
 
-// takeAssignment hands a row just read to the view. A row that can't be read
-// renews nothing. Called with d.mu held.
-func (d *Driver) takeAssignment(now, started clock.Millis, row platform.Row) []member.Action {
-	if row.Version <= d.view.Epoch() {
-		return d.view.AssignmentRead(now, started, member.Assignment{Epoch: row.Version})
+// take hands on what a look found. A row that can't be read renews nothing.
+// Called with d.mu held.
+func (d *Driver) take(now clock.Millis, l look) []member.Action {
+	d.takeTable(now, l)
+	switch {
+	case l.assignment.Version <= d.view.Epoch():
+		return d.view.AssignmentRead(now, l.started, member.Assignment{Epoch: l.assignment.Version})
+	case !l.assignmentRead:
+		return nil
 	}
-	a, err := decodeAssignment(row.Version, row.Value)
+	a, err := decodeAssignment(l.assignment.Version, l.assignment.Value)
 	if err != nil {
+		d.platform.refusedEpoch = l.assignment.Version
 		d.refused(errors.WithMessage(err, "platform"))
 		return nil
 	}
-	actions := d.view.AssignmentRead(now, started, a)
-	d.taken(assignmentRow{epoch: row.Version, value: row.Value, members: a.Members})
+	actions := d.view.AssignmentRead(now, l.started, a)
+	d.taken(assignmentRow{epoch: a.Epoch, value: l.assignment.Value, members: a.Members})
 	return actions
 }
 
+func (d *Driver) takeTable(now clock.Millis, l look) {
+	known := l.tableRead || l.table.Version == 0
+	err := d.follower.Read(now, l.table.Version, l.table.Value, known)
+	if err != nil && l.tableRead {
+		d.platform.refusedTable = l.table.Version
+	}
+	d.refused(err)
+}
+
 // refused counts content that could not be taken, and logs it when it is new.
 // Called with d.mu held.
 func (d *Driver) refused(err error) {
--- a/siskinpathd/peer/follow/status.go
+++ b/siskinpathd/peer/follow/status.go
@@ -60,10 +60,9 @@
 	return with(d, func(now clock.Millis) []member.HostStatus { return d.view.Status(now) })
 }
 
-// Table gives the table in force, or nil. It is never changed.
-func (d *Driver) Table() *table.Table {
-	return with(d, func(clock.Millis) *table.Table { return d.follower.InForce() })
-}
+// Table gives the table in force, or nil. It is never changed, and asking for it
+// waits for nothing, since every request does.
+func (d *Driver) Table() *table.Table { return d.inForce.Load() }
 
 // SetLeaving makes this host hand over what it owns.
 func (d *Driver) SetLeaving() {
