--- /dev/null
+++ b/siskinpathd/peer/follow/assignment_test.go
@@ -0,0 +1,63 @@
+package follow
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+const goodAssignment = `{"table_version":1,"members":[` +
+	`{"id":"a","incarnation":1,"peer_address":"127.0.0.1:1"},{"id":"b","incarnation":2,"peer_address":"127.0.0.1:2"}],` +
+	`"owners":{"booking/w1":"a","booking/w2":"b"}}`
+
+func shouldRefuse(old, changed string) {
+	text := strings.Replace(goodAssignment, old, changed, 1)
+	convey.So(text, convey.ShouldNotEqual, goodAssignment)
+	_, err := decodeAssignment(3, text)
+	convey.So(err, convey.ShouldNotBeNil)
+	convey.So(err.Error(), convey.ShouldStartWith, "assignment of epoch 3")
+}
+
+func TestDecodeAssignment(t *testing.T) {
+	convey.Convey("a good row is read, with its version as the epoch", t, func() {
+		a, err := decodeAssignment(3, goodAssignment)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(a.Epoch, convey.ShouldEqual, 3)
+		convey.So(a.Members, convey.ShouldHaveLength, 2)
+		convey.So(a.Owners["booking/w2"], convey.ShouldEqual, "b")
+	})
+	convey.Convey("what no host can have written is refused", t, func() {
+		shouldRefuse(`{"table`, `{table`)
+		shouldRefuse(`"incarnation":1`, `"incarnation":0`)
+		shouldRefuse(`"incarnation":1`, `"incarnation":-1`)
+		shouldRefuse(`"id":"b"`, `"id":"a"`) // twice
+		shouldRefuse(`"id":"a"`, `"id":"c"`) // out of order
+		shouldRefuse(`127.0.0.1:2`, `somewhere`)
+		shouldRefuse(`w2":"b"`, `w2":"c"`) // owned by no member
+		shouldRefuse(`booking/w2`, `booking`)
+		shouldRefuse(`"owners"`, `"other":"`+strings.Repeat("x", maxAssignmentBytes)+`","owners"`)
+	})
+}
+
+func FuzzDecodeAssignment(f *testing.F) {
+	f.Add(goodAssignment)
+	f.Add(`{"members":null}`)
+	f.Add(`{"members":[{"id":"a","incarnation":18446744073709551615,"peer_address":"[::1]:1"}],"owners":{"/":"a"}}`)
+	f.Add(fmt.Sprintf(`{"members":[%s]}`, strings.Repeat(`{},`, 100)))
+	f.Fuzz(func(t *testing.T, value string) {
+		a, err := decodeAssignment(9, value)
+		if err != nil {
+			return
+		}
+		if a.Epoch != 9 || len(a.Members) == 0 {
+			t.Fatal("an assignment without members")
+		}
+		for _, owner := range a.Owners {
+			if owner == "" {
+				t.Fatal("an upstream owned by nobody")
+			}
+		}
+	})
+}
