peer/follow: a listed address proves nothing about a process that never told it

Cause: when a host is not heard, the view joins the incarnation it knows with the address in the platform's list. If the list already has the successor's address, a refused connection there counted as proof that the old process had ended, which may still run and use its upstreams. Now an incarnation is named to the link only with the address that the process gave itself. What is left: a writer of the assignment may join the two in the same way.

--- a/siskinpathd/peer/follow/driver.go
+++ b/siskinpathd/peer/follow/driver.go
@@ -77,7 +77,8 @@
 	platform   platformState
 	newRights  bool
 	toldTable  uint64
-	told       reach // what OnRights last stood for
+	lastReach  reach                  // what OnRights last stood for
+	addresses  map[string]member.Host // by id, as processes gave them themselves
 }
 
 func (d *Driver) start() {
@@ -160,7 +161,7 @@
 	case member.SendHeartbeat:
 		d.Link.SendHeartbeat(a.Host, a.Heartbeat)
 	case member.Dial:
-		d.Link.Dial(a.Host)
+		d.dial(a.Host)
 	case member.FetchNewer:
 		version, epoch := d.have()
 		d.Link.Fetch(a.Host.ID, version, epoch)
--- a/siskinpathd/peer/follow/driver_test.go
+++ b/siskinpathd/peer/follow/driver_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -149,6 +150,7 @@
 	drivers map[string]*Driver
 	cut     map[string]bool // hosts that nothing reaches or leaves
 	bound   error           // of binding
+	dialled []member.Host
 }
 
 type fakeLink struct {
@@ -165,9 +167,14 @@
 	return l.links.drivers[id]
 }
 
-func (l fakeLink) Bind() error      { return l.links.bound }
-func (l fakeLink) Dial(member.Host) {}
-func (l fakeLink) Keep([]string)    {}
+func (l fakeLink) Bind() error   { return l.links.bound }
+func (l fakeLink) Keep([]string) {}
+
+func (l fakeLink) Dial(host member.Host) {
+	l.links.mu.Lock()
+	defer l.links.mu.Unlock()
+	l.links.dialled = append(l.links.dialled, host)
+}
 
 func (l fakeLink) SendHeartbeat(to member.Host, hb member.Heartbeat) {
 	if d := l.to(to.ID); d != nil {
@@ -335,6 +342,39 @@
 	})
 }
 
+func TestMovedAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("a listed address is not taken for that of a process that never told it", t, func() {
+			f := newFleet("a", "b")
+			defer f.end()
+			f.platform.put(table.RowKey, tableValue(csvText))
+			time.Sleep(20 * time.Second)
+			f.links.mu.Lock()
+			f.links.cut["b"] = true
+			f.links.dialled = nil
+			f.links.mu.Unlock()
+			f.platform.set(func() {
+				hosts := slices.Clone(f.platform.hosts)
+				hosts[1].PeerAddress = movedAddress
+				f.platform.hosts = hosts
+			})
+			time.Sleep(20 * time.Second)
+			f.links.mu.Lock()
+			defer f.links.mu.Unlock()
+			moved := 0
+			for _, h := range f.links.dialled {
+				if h.ID == "b" && h.PeerAddress == movedAddress {
+					moved++
+					convey.So(h.Incarnation, convey.ShouldEqual, member.Incarnation(0))
+				}
+			}
+			convey.So(moved, convey.ShouldBeGreaterThan, 0)
+		})
+	})
+}
+
+const movedAddress = "127.0.0.9:7002"
+
 func TestUnbound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		convey.Convey("a host whose port can't be opened writes itself into nothing", t, func() {
--- a/siskinpathd/peer/follow/owners.go
+++ b/siskinpathd/peer/follow/owners.go
@@ -21,8 +21,8 @@
 		_, presence := d.view.Find(m.ID, m.Incarnation)
 		now.heard[i] = presence == member.Present
 	}
-	if now.epoch != d.told.epoch || !slices.Equal(now.heard, d.told.heard) {
-		d.told = now
+	if now.epoch != d.lastReach.epoch || !slices.Equal(now.heard, d.lastReach.heard) {
+		d.lastReach = now
 		d.changed()
 	}
 }
--- a/siskinpathd/peer/follow/peers.go
+++ b/siskinpathd/peer/follow/peers.go
@@ -11,6 +11,7 @@
 // Heartbeat takes a heartbeat of another host; it is the link's OnHeartbeat.
 func (d *Driver) Heartbeat(hb member.Heartbeat) {
 	d.do(func(now clock.Millis) []member.Action {
+		d.told(hb.From)
 		d.follower.Heard(now, hb.From.ID, hb.TableVersion)
 		return d.view.Heard(now, hb)
 	})
--- a/siskinpathd/peer/follow/poll.go
+++ b/siskinpathd/peer/follow/poll.go
@@ -180,6 +180,7 @@
 	for _, s := range d.Status() {
 		known = append(known, s.ID)
 	}
+	d.forget(known)
 	d.Link.Keep(known)
 }
 
