--- a/siskinpathd/peer/follow/peers.go
+++ b/siskinpathd/peer/follow/peers.go
@@ -13,6 +13,9 @@
 	d.do(func(now clock.Millis) []member.Action {
 		d.told(hb.From)
 		d.follower.Heard(now, hb.From.ID, hb.TableVersion)
+		for i := range hb.Known {
+			d.follower.Relayed(hb.Known[i].TableVersion)
+		}
 		return d.view.Heard(now, hb)
 	})
 }
