--- a/siskinpathd/peer/follow/driver.go
+++ b/siskinpathd/peer/follow/driver.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -66,6 +67,8 @@
 	kick   chan struct{} // asks for a look at the platform at once
 	notify chan struct{}
 
+	inForce atomic.Pointer[table.Table]
+
 	mu         sync.Mutex
 	view       *member.View
 	follower   *table.Follower
@@ -74,7 +77,8 @@
 	platform   platformState
 	newRights  bool
 	toldTable  uint64
-	told       reach // what OnRights last stood for
+	lastReach  reach                  // what OnRights last stood for
+	addresses  map[string]member.Host // by id, as processes gave them themselves
 }
 
 func (d *Driver) start() {
@@ -136,14 +140,15 @@
 	d.mu.Lock()
 	now := d.Clock.Now()
 	actions := event(now)
+	d.noteEpoch(now)
 	if t := d.follower.InForce(); t != nil && t.Version != d.toldTable {
 		d.toldTable = t.Version
+		d.inForce.Store(t)
 		d.changed()
 		d.count.tableVersion.Set(t.Version)
 		d.Logger.Info("table in force", "version", t.Version)
 		actions = append(actions, d.view.TableInForce(now, t)...)
 	}
-	d.noteEpoch()
 	d.mu.Unlock()
 	for _, a := range actions {
 		d.carryOut(a)
@@ -156,7 +161,7 @@
 	case member.SendHeartbeat:
 		d.Link.SendHeartbeat(a.Host, a.Heartbeat)
 	case member.Dial:
-		d.Link.Dial(a.Host)
+		d.dial(a.Host)
 	case member.FetchNewer:
 		version, epoch := d.have()
 		d.Link.Fetch(a.Host.ID, version, epoch)
--- a/siskinpathd/peer/follow/peers.go
+++ b/siskinpathd/peer/follow/peers.go
@@ -11,7 +11,11 @@
 // Heartbeat takes a heartbeat of another host; it is the link's OnHeartbeat.
 func (d *Driver) Heartbeat(hb member.Heartbeat) {
 	d.do(func(now clock.Millis) []member.Action {
+		d.told(hb.From)
 		d.follower.Heard(now, hb.From.ID, hb.TableVersion)
+		for i := range hb.Known {
+			d.follower.Relayed(hb.Known[i].TableVersion)
+		}
 		return d.view.Heard(now, hb)
 	})
 }
