standin bench: connections are open before the time added is measured

Cause: each straight worker opened 12 connections at 1 ms each, 1% of its requests, so that the straight p99 was the price of connecting: through a host came out at 0.72 of it.

--- a/standin/measure/added.go
+++ b/standin/measure/added.go
@@ -95,6 +95,9 @@
 		Counts:           &caller.Counts{},
 	}
 	upstreams := d.Table.Upstreams
+	if err := connect(&pool, d); err != nil {
+		return err
+	}
 	for i := 0; time.Now().Before(end) && launch.Sleep(ctx, addedPause); i++ {
 		list, err := addresses.Get()
 		if err != nil {
@@ -112,6 +115,23 @@
 	return nil
 }
 
+// connect sends one request each way that isn't recorded, so that opening a
+// connection counts on neither.
+func connect(pool *caller.Pool, d *launch.Deployment) error {
+	var unused figure.Histogram
+	for _, u := range d.Table.Upstreams {
+		if err := timed(pool, u.Address, "/slots?marker=", "connect", &unused); err != nil {
+			return err
+		}
+	}
+	for _, h := range d.Entry {
+		if err := timed(pool, h.Caller, "/v1/call/booking/slots?marker=", "connect", &unused); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // timed sends one request and records its span less what the upstream took.
 func timed(pool *caller.Pool, address, path, marker string, h *figure.Histogram) error {
 	req := fasthttp.AcquireRequest()
