--- a/core/member/handover_test.go
+++ b/core/member/handover_test.go
@@ -57,3 +57,16 @@
 		So(full || cut, ShouldBeFalse)
 	})
 }
+
+func TestListedLeaving(t *testing.T) {
+	Convey("a host that the platform lists as leaving says so, for as long as it is listed so", t, func() {
+		v := &View{Self: Host{ID: "gh-1", Incarnation: 1, PeerAddress: "127.0.0.1:1"}}
+		listed := func(leaving bool) bool {
+			v.HostList(1000, []ListedHost{{ID: "gh-1", Leaving: leaving}})
+			return v.Status(1000)[0].Leaving
+		}
+		So(listed(false), ShouldBeFalse)
+		So(listed(true), ShouldBeTrue)
+		So(listed(false), ShouldBeFalse)
+	})
+}
--- a/core/member/heartbeat.go
+++ b/core/member/heartbeat.go
@@ -256,7 +256,7 @@
 func (v *View) beat(now clock.Millis) Heartbeat {
 	beat := Heartbeat{
 		From: v.Self, Sequence: v.sequence, Epoch: v.reportedEpoch(now), TableVersion: v.tableVersion(),
-		KeyWindow: v.keyWindow, Leaving: v.leaving, PlatformAge: -1, Dead: v.someDeaths(),
+		KeyWindow: v.keyWindow, Leaving: v.isLeaving(), PlatformAge: -1, Dead: v.someDeaths(),
 	}
 	if v.platformSeen {
 		beat.PlatformAge = now - v.platformAt
--- a/core/member/peers.go
+++ b/core/member/peers.go
@@ -70,9 +70,11 @@
 		p.listed = false
 		p.listedLeaving = false
 	}
+	v.listedLeaving = false
 	var actions []Action
 	for _, h := range hosts {
 		if h.ID == v.Self.ID {
+			v.listedLeaving = h.Leaving
 			continue
 		}
 		_, known := v.peers[h.ID]
--- a/core/member/plan.go
+++ b/core/member/plan.go
@@ -9,7 +9,7 @@
 
 // Constants of planning, in slots.
 const (
-	slotsPerOwner = 16
+	slotsPerOwner = 48
 	keepBonus     = 24 // a host may be loaded so much more than another and still keep what it owns
 )
 
--- a/core/member/propose.go
+++ b/core/member/propose.go
@@ -64,7 +64,7 @@
 		return false
 	}
 	if v.current.Epoch == 0 {
-		return now-v.started >= startWait && !v.leaving
+		return now-v.started >= startWait && !v.isLeaving()
 	}
 	return v.isSettled() && v.quorum(now)
 }
@@ -155,7 +155,7 @@
 			members = append(members, h)
 		}
 	}
-	add(v.Self, v.leaving)
+	add(v.Self, v.isLeaving())
 	for _, p := range v.peers {
 		if v.dead[p.ref()] || p.host.Incarnation == 0 {
 			continue
--- a/core/member/status.go
+++ b/core/member/status.go
@@ -45,7 +45,7 @@
 
 func (v *View) owned(ref Ref, upstreams []string) Owned {
 	if ref == v.selfRef() {
-		return Owned{Host: v.Self, Upstreams: upstreams, KeyWindow: v.keyWindow, Leaving: v.leaving}
+		return Owned{Host: v.Self, Upstreams: upstreams, KeyWindow: v.keyWindow, Leaving: v.isLeaving()}
 	}
 	p := v.peers[ref.ID]
 	return Owned{Host: p.host, Upstreams: upstreams, KeyWindow: p.keyWindow, Leaving: p.leaving || p.listedLeaving}
@@ -107,7 +107,7 @@
 	s := statusOf(v.Self)
 	s.Presence = Present.String()
 	s.Member = v.isMember(v.selfRef())
-	s.Leaving = v.leaving
+	s.Leaving = v.isLeaving()
 	s.Epoch = v.current.Epoch
 	s.TableVersion = v.tableVersion()
 	s.KeyWindow = v.keyWindow
@@ -173,7 +173,7 @@
 	v.init(now)
 	return State{
 		Self: v.Self, Epoch: v.current.Epoch, Assignment: v.current, Settled: v.isSettled(), Quorum: v.quorum(now),
-		FreshFor: max(v.freshUntil-now, -1), PlatformAge: v.platformAge(now), Leaving: v.leaving,
+		FreshFor: max(v.freshUntil-now, -1), PlatformAge: v.platformAge(now), Leaving: v.isLeaving(),
 		Dead: slices.Clone(v.deaths), Rights: v.Rights(now), Hosts: v.Status(now),
 	}
 }
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -10,10 +10,10 @@
 // Defaults of a View's spans and counts.
 const (
 	DefaultTurn        = 250 * clock.Millisecond
-	DefaultHearFor     = 4 * clock.Second
-	DefaultFenceAfter  = 4 * clock.Second
-	DefaultSettleAfter = 5 * clock.Second
-	DefaultRemoveAfter = 7 * clock.Second
+	DefaultHearFor     = 3 * clock.Second
+	DefaultFenceAfter  = 3 * clock.Second
+	DefaultSettleAfter = 4 * clock.Second
+	DefaultRemoveAfter = 4 * clock.Second
 	DefaultGoneAfter   = 60 * clock.Second
 	DefaultFanout      = 3
 	DefaultKnown       = 4
@@ -37,17 +37,18 @@
 	Fanout      int          // heartbeats a turn, replies not counted
 	MaxKnown    int          // second-hand entries in a reply
 
-	ready     bool
-	started   clock.Millis
-	last      clock.Millis // last event
-	wokeAt    clock.Millis // end of the last pause, or the start
-	nextTurn  clock.Millis
-	sequence  uint64
-	turnAt    [256]clock.Millis // when turn n%256 went out
-	leaving   bool
-	fetchedAt clock.Millis
-	keyWindow uint32
-	table     *table.Table
+	ready         bool
+	started       clock.Millis
+	last          clock.Millis // last event
+	wokeAt        clock.Millis // end of the last pause, or the start
+	nextTurn      clock.Millis
+	sequence      uint64
+	turnAt        [256]clock.Millis // when turn n%256 went out
+	leaving       bool
+	listedLeaving bool // by the platform, for now
+	fetchedAt     clock.Millis
+	keyWindow     uint32
+	table         *table.Table
 
 	peers    map[string]*peer
 	order    []string // ids in rotation
@@ -157,6 +158,10 @@
 	return v.leave(now, nil)
 }
 
+// isLeaving says whether this host hands over what it owns: it has been told to,
+// or the platform lists it as leaving.
+func (v *View) isLeaving() bool { return v.leaving || v.listedLeaving }
+
 // SetLeaving makes this host hand over what it owns.
 func (v *View) SetLeaving(now clock.Millis) []Action {
 	v.enter(now)
--- a/core/route/digest.go
+++ b/core/route/digest.go
@@ -5,8 +5,8 @@
 const (
 	digestsPerSecond = 5.0 // most digests of one shard
 	digestBurst      = 5.0
-	digestInterval   = clock.Second // longest time between two digests
-	digestChange     = 2            // slots by which free must differ to be worth telling
+	digestInterval   = 2 * clock.Second // longest time between two digests
+	digestChange     = 2                // slots by which free must differ to be worth telling
 )
 
 // digestWanted returns when the next digest is due.
--- a/siskinpathd/claim/committer.go
+++ b/siskinpathd/claim/committer.go
@@ -38,9 +38,10 @@
 	Keeper Keeper
 	Table  Table
 
-	mu   sync.Mutex
-	open map[once.RecordID]chan once.Decision
-	wake chan struct{}
+	mu     sync.Mutex
+	open   map[once.RecordID]chan once.Decision
+	wake   chan struct{} // a claim wants to be written
+	opened chan struct{} // a claim may expire
 }
 
 // New returns a Committer ready for Run.
@@ -50,6 +51,7 @@
 		Table:  t,
 		open:   make(map[once.RecordID]chan once.Decision),
 		wake:   make(chan struct{}, 1),
+		opened: make(chan struct{}, 1),
 	}
 }
 
@@ -74,11 +76,17 @@
 	c.mu.Lock()
 	c.open[rec] = ch
 	c.mu.Unlock()
+	signal(c.wake)
+	signal(c.opened)
+	return <-ch
+}
+
+// signal leaves a message for whoever waits on ch, unless one lies there already.
+func signal(ch chan struct{}) {
 	select {
-	case c.wake <- struct{}{}:
+	case ch <- struct{}{}:
 	default:
 	}
-	return <-ch
 }
 
 // TakeOver wants the claim of rec anew, after its claimant gave it up.
@@ -159,21 +167,26 @@
 	return once.ClaimOutcome{Kind: once.ClaimTaken, Value: row.Value, Version: row.Version}
 }
 
-// expire ends claims whose deadline passes while a transaction is out.
+// expire ends claims whose deadline passes while a transaction is out. It sleeps
+// while no claim is open.
 func (c *Committer) expire(ctx context.Context) {
-	ticker := time.NewTicker(expiryTurn.Duration())
-	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			c.Keeper.With(func(now clock.Millis, k *once.Keeper) { k.Tick(now) })
-			c.deliver()
+		case <-c.opened:
+		}
+		for c.turn() > 0 && ctx.Err() == nil {
+			time.Sleep(expiryTurn.Duration())
 		}
 	}
 }
 
+func (c *Committer) turn() int {
+	c.Keeper.With(func(now clock.Millis, k *once.Keeper) { k.Tick(now) })
+	return c.deliver()
+}
+
 // deliver hands out the decisions that have been made and returns the number
 // of claims still open.
 func (c *Committer) deliver() int {
--- /dev/null
+++ b/siskinpathd/claim/committer_test.go
@@ -0,0 +1,149 @@
+package claim
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/once"
+	"siskinpath/siskinpathd/platform"
+)
+
+// keeper gives exclusive use of a once.Keeper.
+type keeper struct {
+	mu    sync.Mutex
+	clock clock.Clock
+	once  once.Keeper
+}
+
+func (k *keeper) With(f func(now clock.Millis, o *once.Keeper)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	f(k.clock.Now(), &k.once)
+}
+
+func (k *keeper) begin(key string) (rec once.RecordID) {
+	k.With(func(now clock.Millis, o *once.Keeper) {
+		d := o.Begin(now, once.Request{Service: "payments", Organisation: "ring-7", Key: key, Deadline: now + 300}, absent)
+		So(d.Verdict, ShouldEqual, once.Claim)
+		rec = d.Record
+	})
+	return rec
+}
+
+func absent(uint64) (string, once.Presence) { return "", once.Gone }
+
+// fakeTable is a table service that can lose the replies of writes.
+type fakeTable struct {
+	mu     sync.Mutex
+	rows   map[string]platform.Row
+	err    error // of each write, after it was applied when it is Lost
+	hold   chan struct{}
+	writes int
+}
+
+func (f *fakeTable) Transact(_ context.Context, t platform.Transaction) (result platform.Result, err error) {
+	if f.hold != nil {
+		<-f.hold
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.writes++
+	if f.err != nil && !platform.Unknown(f.err) {
+		return result, f.err
+	}
+	for _, c := range t.Checks {
+		if f.rows[c.Key].Version != c.Version {
+			result.Rows = append(result.Rows, f.rows[c.Key])
+		}
+	}
+	if len(result.Rows) > 0 {
+		return result, &platform.Error{Kind: platform.Conflict, Cause: errors.New("check")}
+	}
+	for _, p := range t.Puts {
+		f.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: f.rows[p.Key].Version + 1}
+	}
+	return platform.Result{Committed: true}, f.err
+}
+
+func (f *fakeTable) Read(_ context.Context, keys ...string) (rows []platform.Row, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, key := range keys {
+		row := f.rows[key]
+		row.Key = key
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+func run(t *fakeTable) (*Committer, *keeper) {
+	if t.rows == nil {
+		t.rows = map[string]platform.Row{}
+	}
+	k := &keeper{clock: clock.NewSystem(), once: once.Keeper{Incarnation: 7, Host: "gh-1"}}
+	c := New(k, t)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { c.Run(ctx); close(ended) }()
+	Reset(func() {
+		cancel()
+		<-ended
+	})
+	return c, k
+}
+
+func shouldSettle(t *fakeTable, verdict once.Verdict, reason string) {
+	c, k := run(t)
+	d := c.Settle(k.begin("k"))
+	So(d.Verdict, ShouldEqual, verdict)
+	So(d.Reply.Reason, ShouldEqual, reason)
+}
+
+func TestSettle(t *testing.T) {
+	key := once.RowKey("payments", "ring-7", "k")
+	Convey("a claim that is committed may run", t, func() { shouldSettle(&fakeTable{}, once.Run, "") })
+	Convey("a claim whose reply is lost is read back and may run", t, func() {
+		shouldSettle(&fakeTable{err: &platform.Error{Kind: platform.Lost, Cause: errors.New("cut")}}, once.Run, "")
+	})
+	Convey("without the platform nothing runs, and the answer comes at once", t, func() {
+		shouldSettle(&fakeTable{err: &platform.Error{Kind: platform.NotApplied, Cause: errors.New("refused")}}, once.Refuse, once.ReasonPlatformDown)
+	})
+	Convey("a key that a host claimed which is gone may have run", t, func() {
+		row := platform.Row{Key: key, Version: 1, Value: `{"host":"gh-2","incarnation":8,"attempt":1,"organisation":"ring-7"}`}
+		shouldSettle(&fakeTable{rows: map[string]platform.Row{key: row}}, once.Unknown, once.ReasonHostGone)
+	})
+	Convey("a claim whose deadline passes while the platform hangs is given up", t, func() {
+		f := &fakeTable{hold: make(chan struct{})}
+		Reset(func() { close(f.hold) })
+		shouldSettle(f, once.Refuse, once.ReasonDeadline)
+	})
+	Convey("claims that come together are written together, and one that is taken does not hold up the others", t, func() {
+		taken := once.RowKey("payments", "ring-7", "k0")
+		f := &fakeTable{hold: make(chan struct{}), rows: map[string]platform.Row{
+			taken: {Key: taken, Version: 1, Value: `{"host":"gh-2","incarnation":8,"attempt":1,"organisation":"ring-7"}`}}}
+		c, k := run(f)
+		const claims = 20
+		decided := make(chan once.Verdict, claims)
+		first := k.begin("first")
+		go func() { decided <- c.Settle(first).Verdict }()
+		var recs []once.RecordID
+		for i := range claims - 1 {
+			recs = append(recs, k.begin("k"+string(rune('0'+i))))
+		}
+		for _, rec := range recs {
+			go func() { decided <- c.Settle(rec).Verdict }()
+		}
+		close(f.hold)
+		counts := map[once.Verdict]int{}
+		for range claims {
+			counts[<-decided]++
+		}
+		So(counts, ShouldResemble, map[once.Verdict]int{once.Run: claims - 1, once.Unknown: 1})
+		So(f.writes, ShouldBeLessThan, claims)
+	})
+}
--- a/siskinpathd/serve/node.go
+++ b/siskinpathd/serve/node.go
@@ -5,10 +5,8 @@
 	"log/slog"
 	"net"
 	"os"
-	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/dig"
 
 	"siskinpath/core/clock"
@@ -60,8 +58,6 @@
 	Operators *operator.Server
 }
 
-var errLeaving = errors.New("the host is shutting down")
-
 func (n *Node) run() (err error) {
 	got := signals()
 	ln, err := n.Callers.Bind()
@@ -71,31 +67,44 @@
 	n.join()
 	n.tellKeyWindow()
 	ctx, stop := context.WithCancelCause(context.Background())
-	var wg sync.WaitGroup
-	for _, f := range []func(context.Context) error{n.Link.Run, n.Operators.Run, n.follow, n.claims, n.housekeep} {
-		wg.Go(func() { untilDone(ctx, stop, f) })
+	endLink := start(func(ctx context.Context) { untilDone(ctx, stop, n.Link.Run) })
+	endCallers := start(func(ctx context.Context) { n.serveCallers(ctx, stop, ln) })
+	var others []func()
+	for _, f := range []func(context.Context) error{n.Operators.Run, n.follow, n.claims, n.housekeep} {
+		others = append(others, start(func(ctx context.Context) { untilDone(ctx, stop, f) }))
 	}
-	callers := make(chan struct{})
-	callersCtx, stopCallers := context.WithCancel(context.Background())
-	go func() {
-		defer close(callers)
-		n.serveCallers(callersCtx, stop, ln)
-	}()
 	n.Log.Info("started", "incarnation", n.Self.Incarnation, "callers", n.Settings.Listen.Caller)
 	select {
 	case <-ctx.Done():
 		err = context.Cause(ctx)
 	case <-got:
-		n.shutDown(got)
+		n.leave(got)
 	}
-	stopCallers()
-	<-callers
-	stop(errLeaving)
-	wg.Wait()
+	n.drain(got)
+	endCallers()
+	for _, end := range others {
+		end()
+	}
+	// The peer port closes last: a closed port is proof that this process is dead.
+	endLink()
 	n.Log.Info("stopped")
 	return err
 }
 
+// start runs f and returns what ends it and waits for its end.
+func start(f func(ctx context.Context)) (end func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		f(ctx)
+	}()
+	return func() {
+		cancel()
+		<-ended
+	}
+}
+
 func (n *Node) serveCallers(ctx context.Context, stop context.CancelCauseFunc, ln net.Listener) {
 	if err := n.Callers.Run(ctx, ln); err != nil && ctx.Err() == nil {
 		stop(err)
@@ -181,6 +190,7 @@
 		case <-sweep.C:
 			n.Upstreams.Sweep()
 		case <-turn.C:
+			n.Keeper.With(func(now clock.Millis, k *once.Keeper) { k.Tick(now) })
 			n.tellKeyWindow()
 		}
 	}
@@ -192,11 +202,10 @@
 	n.Fleet.SetKeyWindow(window)
 }
 
-// shutDown is graceful: the host leaves the answers to callers and gives up its
-// upstreams, serves on until kept answers have run out, closes connections
-// between requests, and waits for what is in flight. A second signal skips the
-// first wait, a third one the second.
-func (n *Node) shutDown(got <-chan os.Signal) {
+// leave begins a graceful shutdown: the host leaves the answers to callers, gives
+// up its upstreams, and serves on until kept answers have run out. A second
+// signal ends the wait.
+func (n *Node) leave(got <-chan os.Signal) {
 	n.Log.Info("leaving", "grace_ms", n.Settings.Shutdown.GraceMs)
 	n.Fleet.SetLeaving()
 	select {
@@ -204,6 +213,11 @@
 	case <-got:
 		n.Log.Info("leaving at once, on a second signal")
 	}
+}
+
+// drain closes callers' connections between requests and waits for what is in
+// flight. A further signal ends the wait.
+func (n *Node) drain(got <-chan os.Signal) {
 	n.Callers.Leave()
 	drained := make(chan struct{})
 	go func() {
@@ -213,6 +227,6 @@
 	select {
 	case <-drained:
 	case <-got:
-		n.Log.Warn("stopping with requests in flight, on a third signal", "in_flight", n.Chain.Admission.InFlight())
+		n.Log.Warn("stopping with requests in flight, on a further signal", "in_flight", n.Chain.Admission.InFlight())
 	}
 }
--- a/siskinpathd/service/attempt.go
+++ b/siskinpathd/service/attempt.go
@@ -36,18 +36,20 @@
 }
 
 func (r *Runner) run(ctx context.Context, w *waiter, id route.AttemptID, name string) {
-	guarded := false
+	asked, guarded := false, false
 	rep, result, _ := r.Upstreams.Send(ctx, r.Service, name, &upstream.Attempt{
 		Call:         w.call,
 		RequestID:    r.HostID + "-" + r.Service + "-" + strconv.FormatUint(uint64(id), 16),
 		Clock:        r.Clock,
 		MaxBodyBytes: r.MaxBodyBytes,
 		MaySend: func() bool {
+			asked = true
 			guarded = r.maySend(w, name)
 			return guarded
 		},
 	})
 	result.Attempt = id
+	result.Barred = asked && !guarded
 	didNotRun := result.Status == route.NotSent || result.Status == route.Refused
 	if guarded && didNotRun && w.call.NotSent != nil {
 		w.call.NotSent()
--- a/siskinpathd/service/runner.go
+++ b/siskinpathd/service/runner.go
@@ -189,7 +189,7 @@
 	case route.Refuse:
 		r.settle(a.Request, call.NotRun(string(a.Reason), a.RetryAfter))
 	case route.Unknown:
-		answer := call.Unknown(call.ReasonLost)
+		answer := call.Unknown(string(a.Reason))
 		answer.RetryAfter = a.RetryAfter
 		r.settle(a.Request, answer)
 	case route.SendDigest:
--- a/siskinpathd/service/set.go
+++ b/siskinpathd/service/set.go
@@ -112,9 +112,9 @@
 			owned += u.Slots
 		}
 	}
-	if svc.RatePerSecond > 0 && total > 0 {
-		// A host's part of the rate follows its part of the slots; it is never
-		// zero where it owns any, since zero would mean no limit.
+	if svc.RatePerSecond > 0 && owned > 0 {
+		// A host's part of the rate follows its part of the slots. One that owns
+		// none passes requests on and leaves the count to the owners.
 		cfg.RatePerSecond = max(svc.RatePerSecond*owned/total, 1)
 	}
 	for _, h := range owners {
