peer/follow: the follower gets the members that the assignment names

Cause: noteEpoch took the members from the hosts heard so far. A fresh host takes the assignment before it has heard them, so the list was empty, and it isn't told again within an epoch: no majority could ever be heard, and the host stayed without a table until the platform was back. Ruled out: links (4 dialled, 66 heartbeats sent) and copies (one held back).

--- a/siskinpathd/peer/follow/assignment.go
+++ b/siskinpathd/peer/follow/assignment.go
@@ -80,10 +80,8 @@
 	d.count.epoch.Set(epoch)
 	d.changed()
 	var members []string
-	for _, s := range d.view.Status(now) {
-		if s.Member {
-			members = append(members, s.ID)
-		}
+	for _, m := range d.view.State(now).Assignment.Members {
+		members = append(members, m.ID)
 	}
 	d.follower.Members(now, members)
 	d.Logger.Info("assignment in force", "epoch", epoch)
--- a/siskinpathd/peer/follow/driver_test.go
+++ b/siskinpathd/peer/follow/driver_test.go
@@ -433,3 +433,20 @@
 		})
 	})
 }
+
+func TestTableFromMembers(t *testing.T) {
+	convey.Convey("a host that learns the assignment before it has heard its members takes their table", t, func() {
+		f := &fleet{platform: &fakePlatform{}, links: &fakeLinks{drivers: map[string]*Driver{}, cut: map[string]bool{}}}
+		f.add("c", 103)
+		d := f.drivers[0]
+		d.AssignmentCopy("a", 3, []byte(goodAssignment))
+		d.TableCopy("a", 2, []byte(tableValue(csvText)))
+		convey.So(d.Table(), convey.ShouldBeNil)
+		for i, id := range []string{"a", "b"} {
+			from := member.Host{ID: id, Incarnation: member.Incarnation(i + 1), PeerAddress: "127.0.0.1:1"}
+			d.Heartbeat(member.Heartbeat{From: from, Sequence: 1, Epoch: 3, TableVersion: 2, PlatformAge: -1})
+		}
+		convey.So(d.Table(), convey.ShouldNotBeNil)
+		convey.So(d.Table().Version, convey.ShouldEqual, 2)
+	})
+}
