A lost hop of an idempotent request is tried elsewhere; claims are refused at once while the platform is away

Cause: a request passed to a host that froze waited for its whole deadline, and one whose link was cut ended unknown, though it may be sent twice; and keys without a prefix waited for a platform that the host knew to be away. Ruled out: a shorter time for requests that must run once (they can't be sent again, so giving up sooner gains nothing). Change: such a hop gets half the time left and counts as lost, within the retry budget; claims ask whether the platform answered when last looked at.

--- /dev/null
+++ b/core/route/hop_test.go
@@ -0,0 +1,48 @@
+package route
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// shouldAct says which kinds of action came back, digests left out.
+func shouldAct(actions []Action, want ...ActionKind) {
+	var got []ActionKind
+	for _, a := range actions {
+		if a.Kind != SendDigest {
+			got = append(got, a.Kind)
+		}
+	}
+	So(got, ShouldResemble, want)
+}
+
+func TestLostHop(t *testing.T) {
+	start := func(req Request) (s *Shard, first string) {
+		s = &Shard{Rand: rand.New(rand.NewPCG(1, 2))}
+		s.Configure(1000, Config{Self: "gh-1", Owners: []string{"gh-2", "gh-3"}})
+		req.ID, req.Deadline = 1, 3000
+		actions := s.Arrive(1000, req)
+		shouldAct(actions, Forward)
+		return s, actions[0].Host
+	}
+	lost := func(s *Shard, host string) []Action {
+		return s.Forwarded(1100, ForwardResult{Request: 1, Host: host, Lost: true})
+	}
+	Convey("an idempotent request whose hop is lost is passed to another owner, and ends unknown when there is none", t, func() {
+		s, first := start(Request{Idempotent: true})
+		actions := lost(s, first)
+		shouldAct(actions, Forward)
+		So(actions[0].Host, ShouldNotEqual, first)
+		shouldAct(lost(s, actions[0].Host), Unknown)
+	})
+	Convey("one that must run once is not sent again", t, func() {
+		s, first := start(Request{})
+		shouldAct(lost(s, first), Unknown)
+	})
+	Convey("nor is one that is nested below another call", t, func() {
+		s, first := start(Request{Idempotent: true, Depth: 1})
+		shouldAct(lost(s, first), Unknown)
+	})
+}
--- a/core/route/spill.go
+++ b/core/route/spill.go
@@ -210,7 +210,8 @@
 }
 
 // Forwarded takes in the end of a Forward. The driver ends each Forward by the
-// request's deadline; when NotRun is false it has answered the caller itself.
+// request's deadline; when NotRun and Lost are false it has answered the caller
+// itself.
 func (s *Shard) Forwarded(now clock.Millis, f ForwardResult) []Action {
 	s.begin()
 	if f.Digest != nil {
@@ -227,6 +228,8 @@
 	}
 	r.forwarded = false
 	switch {
+	case f.Lost:
+		s.hopLost(now, r, f.Host)
 	case !f.NotRun:
 		s.counters.AnsweredElsewhere++
 		s.forget(r)
@@ -241,6 +244,21 @@
 	return s.out
 }
 
+// hopLost decides what becomes of a request that another host may have run: an
+// idempotent one that isn't nested below another call is tried elsewhere.
+func (s *Shard) hopLost(now clock.Millis, r *request, host string) {
+	s.avoidOwner(now, host)
+	r.mayHaveRun = true
+	r.triedHosts = append(r.triedHosts, host)
+	again := r.Idempotent && r.Depth == 0 && now < r.Deadline
+	if !again || !s.retries.Spend() {
+		s.giveUp(now, r, ReasonLost)
+		return
+	}
+	s.counters.Retried++
+	s.place(now, r)
+}
+
 func (s *Shard) avoidOwner(now clock.Millis, host string) {
 	for _, o := range s.owners {
 		if o.digest.Host == host {
--- a/core/route/types.go
+++ b/core/route/types.go
@@ -123,6 +123,7 @@
 	Request    RequestID
 	Host       string
 	NotRun     bool    // the other host says that the request did not run, or it never got there
+	Lost       bool    // the other host gave no answer, or says that it can't tell: it may have run
 	Digest     *Digest // of Host, nil when the answer carried none
 	RetryAfter clock.Millis
 }
--- a/siskinpathd/claim/committer.go
+++ b/siskinpathd/claim/committer.go
@@ -37,6 +37,9 @@
 type Committer struct {
 	Keeper Keeper
 	Table  Table
+	// Reachable tells whether the platform answered when it was last looked at.
+	// While it did not, claims are given up at once. Nil means always.
+	Reachable func() bool
 
 	mu     sync.Mutex
 	open   map[once.RecordID]chan once.Decision
@@ -116,7 +119,7 @@
 		t.Checks = append(t.Checks, platform.Check{Key: w.RowKey, Version: w.ExpectVersion})
 		t.Puts = append(t.Puts, platform.Put{Key: w.RowKey, Value: w.Value})
 	}
-	result, err := c.Table.Transact(ctx, t)
+	result, err := c.transact(ctx, t)
 	c.Keeper.With(func(now clock.Millis, k *once.Keeper) {
 		for _, w := range writes {
 			k.ClaimResult(now, w.Record, outcome(w, result, err))
@@ -124,6 +127,24 @@
 	})
 }
 
+var errUnreachable = &platform.Error{Kind: platform.NotApplied, Cause: errors.New("the platform did not answer when last looked at")}
+
+func (c *Committer) away() bool { return c.Reachable != nil && !c.Reachable() }
+
+func (c *Committer) transact(ctx context.Context, t platform.Transaction) (platform.Result, error) {
+	if c.away() {
+		return platform.Result{}, errUnreachable
+	}
+	return c.Table.Transact(ctx, t)
+}
+
+func (c *Committer) readRows(ctx context.Context, keys []string) ([]platform.Row, error) {
+	if c.away() {
+		return nil, errUnreachable
+	}
+	return c.Table.Read(ctx, keys...)
+}
+
 // outcome tells what a transaction's end means for one of its claims.
 func outcome(w once.ClaimWrite, result platform.Result, err error) once.ClaimOutcome {
 	switch {
@@ -147,7 +168,7 @@
 	for i, r := range reads {
 		keys[i] = r.RowKey
 	}
-	rows, err := c.Table.Read(ctx, keys...)
+	rows, err := c.readRows(ctx, keys)
 	err = errors.WithMessage(err, "read claims back")
 	c.Keeper.With(func(now clock.Millis, k *once.Keeper) {
 		for i, r := range reads {
--- a/siskinpathd/claim/committer_test.go
+++ b/siskinpathd/claim/committer_test.go
@@ -113,6 +113,15 @@
 	Convey("without the platform nothing runs, and the answer comes at once", t, func() {
 		shouldSettle(&fakeTable{err: &platform.Error{Kind: platform.NotApplied, Cause: errors.New("refused")}}, once.Refuse, once.ReasonPlatformDown)
 	})
+	Convey("a platform that is known to be away is not waited for", t, func() {
+		f := &fakeTable{hold: make(chan struct{})}
+		c, k := run(f)
+		c.Reachable = func() bool { return false }
+		d := c.Settle(k.begin("k"))
+		So(d.Verdict, ShouldEqual, once.Refuse)
+		So(d.Reply.Reason, ShouldEqual, once.ReasonPlatformDown)
+		So(f.writes, ShouldEqual, 0)
+	})
 	Convey("a key that a host claimed which is gone may have run", t, func() {
 		row := platform.Row{Key: key, Version: 1, Value: `{"host":"gh-2","incarnation":8,"attempt":1,"organisation":"ring-7"}`}
 		shouldSettle(&fakeTable{rows: map[string]platform.Row{key: row}}, once.Unknown, once.ReasonHostGone)
--- a/siskinpathd/peer/follow/poll.go
+++ b/siskinpathd/peer/follow/poll.go
@@ -24,6 +24,8 @@
 	refusedTable, refusedEpoch uint64
 }
 
+func (p platformState) reachable() bool { return p.tried && p.failure == nil }
+
 // pollRows looks for a newer table and assignment until ctx is done.
 func (d *Driver) pollRows(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/siskinpathd/peer/follow/status.go
+++ b/siskinpathd/peer/follow/status.go
@@ -80,6 +80,11 @@
 	with(d, func(clock.Millis) struct{} { d.view.Released(epoch); return struct{}{} })
 }
 
+// PlatformReachable tells whether the platform answered when last looked at.
+func (d *Driver) PlatformReachable() bool {
+	return with(d, func(clock.Millis) bool { return d.platform.reachable() })
+}
+
 // SetKeyWindow sets the window for idempotency keys that others are told.
 func (d *Driver) SetKeyWindow(w uint32) {
 	with(d, func(clock.Millis) struct{} { d.view.SetKeyWindow(w); return struct{}{} })
@@ -99,7 +104,7 @@
 		s := State{
 			Member:            d.view.State(now),
 			Table:             d.follower.State(),
-			PlatformReachable: d.platform.tried && d.platform.failure == nil,
+			PlatformReachable: d.platform.reachable(),
 		}
 		if d.platform.failure != nil {
 			s.PlatformFailure = d.platform.failure.Error()
--- a/siskinpathd/serve/serve.go
+++ b/siskinpathd/serve/serve.go
@@ -103,7 +103,11 @@
 	return &filter.Keeper{Clock: c, Once: &once.Keeper{Incarnation: uint64(self.Incarnation), Host: self.ID}}
 }
 
-func newClaims(k *filter.Keeper, p *platform.Client) *claim.Committer { return claim.New(k, p) }
+func newClaims(k *filter.Keeper, p *platform.Client, f *follow.Driver) *claim.Committer {
+	c := claim.New(k, p)
+	c.Reachable = f.PlatformReachable
+	return c
+}
 
 func newLink(cfg *settings.Settings, self member.Host, log *slog.Logger) *peer.Link {
 	return &peer.Link{Self: self, Listen: cfg.Listen.Peer, MaxBodyBytes: cfg.Limits.MaxBodyBytes, Logger: log}
--- a/siskinpathd/service/attempt.go
+++ b/siskinpathd/service/attempt.go
@@ -15,6 +15,10 @@
 // ProbeTimeout is how long an upstream has to answer a probe.
 const ProbeTimeout = 500 * clock.Millisecond
 
+// idempotentPart is the part of the time left, as a divisor, that another host
+// gets for an idempotent request before it is tried elsewhere.
+const idempotentPart = 2
+
 var (
 	attemptsStarted = metrics.NewCounter("attempts_started_total")
 	attemptsBarred  = metrics.NewCounter("attempts_barred_before_first_byte_total")
@@ -98,6 +102,9 @@
 		r.passed(route.ForwardResult{Request: id, Host: host, NotRun: true})
 		return
 	}
+	if w.call.Idempotent {
+		left /= idempotentPart
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), left.Duration())
 	defer cancel()
 	next := *w.call
@@ -106,11 +113,14 @@
 	answer, notSent := r.Hosts.Forward(ctx, host, &next)
 	result := route.ForwardResult{Request: id, Host: host, Digest: answer.Digest, RetryAfter: answer.RetryAfter}
 	result.NotRun = notSent || answer.Outcome == once.NotRun
-	if !result.NotRun {
+	result.Lost = !result.NotRun && answer.Outcome == once.OutcomeUnknown && w.call.Idempotent
+	switch {
+	case result.Lost:
+	case !result.NotRun:
 		r.mu.Lock()
 		r.settle(id, answer)
 		r.mu.Unlock()
-	} else if w.call.NotSent != nil {
+	case w.call.NotSent != nil:
 		w.call.NotSent()
 	}
 	r.passed(result)
--- a/siskinpathd/service/runner_test.go
+++ b/siskinpathd/service/runner_test.go
@@ -109,3 +109,45 @@
 		h.release <- route.Cancelled
 	})
 }
+
+// lossyHosts lose every hop to one host, by its time or by its word.
+type lossyHosts struct {
+	lost string
+	wait bool
+}
+
+func (l *lossyHosts) Forward(ctx context.Context, host string, _ *call.Call) (call.Answer, bool) {
+	if host != l.lost {
+		return call.Answer{Reply: once.Reply{Outcome: once.Answered, Status: 200, Body: []byte(host)}}, false
+	}
+	if l.wait {
+		<-ctx.Done()
+	}
+	return call.Unknown(call.ReasonLost), false
+}
+
+func (l *lossyHosts) SendDigest(string, string, route.Digest) {}
+
+func TestLostHops(t *testing.T) {
+	for name, wait := range map[string]bool{"whose link is cut": false, "that is frozen": true} {
+		Convey("an idempotent request passed to a host "+name+" is answered by another", t, func() {
+			for seed := range uint64(4) { // either owner may be first
+				h := &lossyHosts{lost: "gh-2", wait: wait}
+				r := oneUpstream(newHeld())
+				r.Hosts = h
+				r.Shard = &route.Shard{Rand: rand.New(rand.NewPCG(seed, 2))}
+				r.Configure(route.Config{Self: "gh-1", Owners: []string{"gh-2", "gh-3"}})
+				c := &call.Call{Service: "rent", Idempotent: true, Deadline: r.Clock.Now() + 400*clock.Millisecond}
+				a := r.Do(c)
+				So(a.Outcome, ShouldEqual, once.Answered)
+				So(string(a.Body), ShouldEqual, "gh-3")
+			}
+		})
+	}
+	Convey("one that must run once is not sent again", t, func() {
+		r := oneUpstream(newHeld())
+		r.Hosts = &lossyHosts{lost: "gh-2"}
+		r.Configure(route.Config{Self: "gh-1", Owners: []string{"gh-2"}})
+		So((<-startCall(r, &call.Call{Key: "k"})).Outcome, ShouldEqual, once.OutcomeUnknown)
+	})
+}
