--- /dev/null
+++ b/siskinpathd/peer/follow/fakes_test.go
@@ -0,0 +1,271 @@
+package follow
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"sync"
+	"testing/synctest"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/member"
+	"siskinpath/core/table"
+	"siskinpath/siskinpathd/platform"
+)
+
+// fakePlatform holds rows in memory. Each call goes through fault first.
+type fakePlatform struct {
+	mu        sync.Mutex
+	rows      map[string]platform.Row
+	hosts     []member.ListedHost
+	fault     error // of every call
+	loseReply bool  // of the next transaction, which is applied all the same
+	fullReads int
+
+	unreachable map[string]bool // hosts that can't reach the platform
+}
+
+// hostPlatform is the platform as one host reaches it.
+type hostPlatform struct {
+	*fakePlatform
+	id string
+}
+
+var errRefused = &platform.Error{Kind: platform.NotApplied, Cause: errors.New("refused")}
+
+func (p hostPlatform) reach() (err error) {
+	p.set(func() {
+		if p.unreachable[p.id] {
+			err = errRefused
+		}
+	})
+	return err
+}
+
+func (p hostPlatform) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if err := p.reach(); err != nil {
+		return nil, err
+	}
+	return p.fakePlatform.Read(ctx, keys...)
+}
+
+func (p hostPlatform) ReadVersions(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if err := p.reach(); err != nil {
+		return nil, err
+	}
+	return p.fakePlatform.ReadVersions(ctx, keys...)
+}
+
+func (p hostPlatform) Transact(ctx context.Context, t platform.Transaction) (platform.Result, error) {
+	if err := p.reach(); err != nil {
+		return platform.Result{}, err
+	}
+	return p.fakePlatform.Transact(ctx, t)
+}
+
+func (p hostPlatform) Hosts(ctx context.Context) ([]member.ListedHost, error) {
+	if err := p.reach(); err != nil {
+		return nil, err
+	}
+	return p.fakePlatform.Hosts(ctx)
+}
+
+func (p *fakePlatform) put(key, value string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rows[key] = platform.Row{Key: key, Value: value, Version: p.rows[key].Version + 1}
+}
+
+func (p *fakePlatform) set(f func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f()
+}
+
+func (p *fakePlatform) row(key string) platform.Row {
+	row := p.rows[key]
+	row.Key = key
+	return row
+}
+
+func (p *fakePlatform) Read(_ context.Context, keys ...string) (rows []platform.Row, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fullReads++
+	for _, k := range keys {
+		rows = append(rows, p.row(k))
+	}
+	return rows, p.fault
+}
+
+func (p *fakePlatform) ReadVersions(_ context.Context, keys ...string) (rows []platform.Row, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, k := range keys {
+		rows = append(rows, platform.Row{Key: k, Version: p.rows[k].Version})
+	}
+	return rows, p.fault
+}
+
+func (p *fakePlatform) Transact(_ context.Context, t platform.Transaction) (r platform.Result, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fault != nil {
+		return r, p.fault
+	}
+	for _, c := range t.Checks {
+		if p.rows[c.Key].Version != c.Version {
+			return r, &platform.Error{Kind: platform.Conflict, Cause: errors.New("check failed")}
+		}
+	}
+	r.Committed = true
+	for _, put := range t.Puts {
+		p.rows[put.Key] = platform.Row{Key: put.Key, Value: put.Value, Version: p.rows[put.Key].Version + 1}
+		r.Rows = append(r.Rows, platform.Row{Key: put.Key, Version: p.rows[put.Key].Version})
+	}
+	if p.loseReply {
+		p.loseReply = false
+		return platform.Result{}, &platform.Error{Kind: platform.Lost, Cause: errors.New("reply lost")}
+	}
+	return r, nil
+}
+
+func (p *fakePlatform) Hosts(context.Context) ([]member.ListedHost, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hosts, p.fault
+}
+
+// fakeLinks carries messages among drivers in one process.
+type fakeLinks struct {
+	mu      sync.Mutex
+	drivers map[string]*Driver
+	cut     map[string]bool // hosts that nothing reaches or leaves
+	bound   error           // of binding
+	dialled []member.Host
+}
+
+type fakeLink struct {
+	links *fakeLinks
+	self  string
+}
+
+func (l fakeLink) to(id string) *Driver {
+	l.links.mu.Lock()
+	defer l.links.mu.Unlock()
+	if l.links.cut[id] || l.links.cut[l.self] {
+		return nil
+	}
+	return l.links.drivers[id]
+}
+
+func (l fakeLink) Bind() error   { return l.links.bound }
+func (l fakeLink) Keep([]string) {}
+
+func (l fakeLink) Dial(host member.Host) {
+	l.links.mu.Lock()
+	defer l.links.mu.Unlock()
+	l.links.dialled = append(l.links.dialled, host)
+}
+
+func (l fakeLink) SendHeartbeat(to member.Host, hb member.Heartbeat) {
+	if d := l.to(to.ID); d != nil {
+		go d.Heartbeat(hb)
+	}
+}
+
+func (l fakeLink) Fetch(hostID string, version, epoch uint64) {
+	d, self := l.to(hostID), l.to(l.self)
+	if d == nil || self == nil {
+		return
+	}
+	go func() {
+		c := d.Copies(version, epoch)
+		if c.Table != nil {
+			self.TableCopy(hostID, c.TableVersion, c.Table)
+		}
+		if c.Assignment != nil {
+			self.AssignmentCopy(hostID, c.Epoch, c.Assignment)
+		}
+	}()
+}
+
+func tableValue(csv string) string {
+	text, _ := json.Marshal(map[string]string{"edit_id": "e", "author": "a", "time": "2026-01-01T00:00:00Z", "csv": csv})
+	return string(text)
+}
+
+// fleet runs drivers a, b, c in virtual time.
+type fleet struct {
+	platform *fakePlatform
+	links    *fakeLinks
+	drivers  []*Driver
+	tables   []chan *table.Table
+	stop     context.CancelFunc
+	ended    sync.WaitGroup
+}
+
+func newFleet(ids ...string) *fleet {
+	f := &fleet{
+		platform: &fakePlatform{rows: map[string]platform.Row{}},
+		links:    &fakeLinks{drivers: map[string]*Driver{}, cut: map[string]bool{}},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stop = cancel
+	for i, id := range ids {
+		f.add(id, member.Incarnation(100+i))
+	}
+	for _, d := range f.drivers {
+		f.ended.Go(func() { d.Run(ctx) })
+	}
+	return f
+}
+
+func (f *fleet) add(id string, incarnation member.Incarnation) {
+	address := "127.0.0.1:7002"
+	f.platform.hosts = append(f.platform.hosts, member.ListedHost{
+		ID: id, AvailabilityZone: "z", PeerAddress: address, CallerAddress: address, OperatorAddress: address,
+	})
+	tables := make(chan *table.Table, 100)
+	d := &Driver{
+		Self: member.Host{
+			ID: id, Incarnation: incarnation, AvailabilityZone: "z",
+			PeerAddress: address, CallerAddress: address, OperatorAddress: address,
+		},
+		Clock:    clock.NewSystem(),
+		Platform: hostPlatform{fakePlatform: f.platform, id: id},
+		Link:     fakeLink{links: f.links, self: id},
+		Counters: metrics.NewSet(),
+		Logger:   slog.New(slog.NewTextHandler(io.Discard, nil)),
+		OnTable:  func(t *table.Table) { tables <- t },
+		OnRights: func() {},
+	}
+	f.drivers = append(f.drivers, d)
+	f.tables = append(f.tables, tables)
+	f.links.drivers[id] = d
+}
+
+func (f *fleet) end() {
+	f.stop()
+	f.ended.Wait()
+	synctest.Wait()
+}
+
+// fullRights counts, over all hosts, who holds each upstream in full.
+func (f *fleet) fullRights() map[string]int {
+	held := map[string]int{}
+	for _, d := range f.drivers {
+		for _, r := range d.Rights() {
+			if r.Full {
+				held[member.Key(r.Service, r.Upstream)]++
+			}
+		}
+	}
+	return held
+}
+
+func counted(d *Driver, name string) uint64 { return d.Counters.GetOrCreateCounter(name).Get() }
