--- a/core/once/claim.go
+++ b/core/once/claim.go
@@ -137,17 +137,11 @@
 // ClaimsWanted returns the claims to write now, at most MaxClaims, all in one
 // transaction. Each must be followed by a ClaimResult.
 func (k *Keeper) ClaimsWanted(now clock.Millis) []ClaimWrite {
-	k.advance(now)
-	k.expireClaims()
 	var writes []ClaimWrite
-	for _, r := range k.claims {
-		if r.phase != claimWanted || len(writes) == MaxClaims {
-			continue
-		}
-		r.phase = claimWriting
+	for _, r := range k.advanceClaims(now, claimWanted, claimWriting) {
 		writes = append(writes, ClaimWrite{
 			Record:        r.id,
-			RowKey:        RowKey(r.name.service, r.name.organisation, r.name.key),
+			RowKey:        r.rowKey(),
 			Value:         k.rowValue(r),
 			ExpectVersion: r.expectVersion,
 		})
@@ -163,23 +157,31 @@
 // must be followed by a ClaimResult: ClaimTaken with what the row holds,
 // ClaimAbsent or ClaimDown.
 func (k *Keeper) ClaimReadsWanted(now clock.Millis) []ClaimRead {
+	var reads []ClaimRead
+	for _, r := range k.advanceClaims(now, claimReading, claimReadOut) {
+		reads = append(reads, ClaimRead{Record: r.id, RowKey: r.rowKey()})
+	}
+	k.counts.ClaimReads += len(reads)
+	return reads
+}
+
+// advanceClaims moves at most MaxClaims open claims from one phase to the next
+// and returns them.
+func (k *Keeper) advanceClaims(now clock.Millis, from, to phase) []*record {
 	k.advance(now)
 	k.expireClaims()
-	var reads []ClaimRead
+	var moved []*record
 	for _, r := range k.claims {
-		if r.phase != claimReading || len(reads) == MaxClaims {
-			continue
+		if r.phase == from && len(moved) < MaxClaims {
+			r.phase = to
+			moved = append(moved, r)
 		}
-		r.phase = claimReadOut
-		reads = append(reads, ClaimRead{
-			Record: r.id,
-			RowKey: RowKey(r.name.service, r.name.organisation, r.name.key),
-		})
 	}
-	k.counts.ClaimReads += len(reads)
-	return reads
+	return moved
 }
 
+func (r *record) rowKey() string { return RowKey(r.name.service, r.name.organisation, r.name.key) }
+
 // ClaimResult takes the end of a claim's write or read. A result for a claim
 // that was given up in the meantime changes nothing.
 func (k *Keeper) ClaimResult(now clock.Millis, rec RecordID, out ClaimOutcome) {
