standin bench: a region of the planned size at rest; a waiting retry is told not_run only by the host that decides

Cause: control at rest was extrapolated to 22 hosts; and a retry that waited for another's claim was told not_run as if the record had decided it. Change: two more deployments, 22 hosts with 16 and with 224 upstreams; one field. Ruled out: looking over all owners at each tick (it is done only when the hosts heard change).

--- a/siskinpathd/filter/once.go
+++ b/siskinpathd/filter/once.go
@@ -142,7 +142,7 @@
 	defer timer.Stop()
 	select {
 	case r := <-ended:
-		return call.Answer{Reply: withStatus(r), Recorded: true, Decided: true}
+		return call.Answer{Reply: withStatus(r), Recorded: true, Decided: o.decides(c.Key)}
 	case <-timer.C:
 		return call.Unknown(once.ReasonStillRunning)
 	}
--- a/standin/measure/idle.go
+++ b/standin/measure/idle.go
@@ -16,6 +16,11 @@
 	baseHosts     = 4
 	baseServices  = 2
 	baseUpstreams = 16 // over all services
+
+	// A region of the planned size, as docs/CAPACITY.md assumes it.
+	regionHosts     = 22
+	regionServices  = 7
+	regionUpstreams = 224
 )
 
 // size is one deployment that is measured idle.
@@ -29,16 +34,18 @@
 type axis struct {
 	name  string
 	sizes []size
-	x     func(size) int
+	x     func(size) int // nil when nothing varies
 }
 
 var axes = []axis{
 	{"host", []size{{2, baseServices, baseUpstreams}, {baseHosts, baseServices, baseUpstreams},
-		{8, baseServices, baseUpstreams}, {16, baseServices, baseUpstreams}}, func(s size) int { return s.hosts }},
+		{8, baseServices, baseUpstreams}, {16, baseServices, baseUpstreams},
+		{regionHosts, baseServices, baseUpstreams}}, func(s size) int { return s.hosts }},
 	{"upstream", []size{{baseHosts, baseServices, baseUpstreams}, {baseHosts, baseServices, 128}},
 		func(s size) int { return s.upstreams }},
 	{"service", []size{{baseHosts, baseServices, baseUpstreams}, {baseHosts, 8, baseUpstreams}},
 		func(s size) int { return s.services }},
+	{"region", []size{{regionHosts, regionServices, regionUpstreams}}, nil},
 }
 
 // idleUse is what one host uses on average.
@@ -64,7 +71,9 @@
 			seen[s] = use
 			figures = append(figures, use.figures(s)...)
 		}
-		figures = append(figures, slopes(a, seen)...)
+		if a.x != nil {
+			figures = append(figures, slopes(a, seen)...)
+		}
 	}
 	return figures, nil
 }
