--- a/siskinpathd/filter/once.go
+++ b/siskinpathd/filter/once.go
@@ -166,6 +166,9 @@
 		asked.ClaimRow = d.ClaimRow
 	}
 	a, notSent := o.Hosts.Decide(ctx, d.Host, &asked)
+	if notSent && a.Outcome == once.NotRun {
+		return a, false // no time was left to ask
+	}
 	if notSent {
 		return call.Unknown(once.ReasonHostUnreachable), false
 	}
--- a/siskinpathd/filter/once_test.go
+++ b/siskinpathd/filter/once_test.go
@@ -156,8 +156,16 @@
 		So(f.asked.Load(), ShouldEqual, 1)
 		So(u.runs.Load(), ShouldEqual, 0)
 	})
+	Convey("a request without time left to ask did not run this time", t, func() {
+		o, c := newOnce(&fakeDeciders{presence: once.Present, notSent: true, answer: call.NotRun("deadline", 0)}, &fakeClaims{})
+		retry := keyed(c, other, "ring-7")
+		a := o.Apply(retry, nil)
+		So(a.Outcome, ShouldEqual, once.NotRun)
+		retry.Unanswered = true
+		So(a.Truthful(retry).Outcome, ShouldEqual, once.OutcomeUnknown)
+	})
 	Convey("a live host that can't be asked leaves the outcome unknown", t, func() {
-		o, c := newOnce(&fakeDeciders{presence: once.Present, notSent: true}, &fakeClaims{})
+		o, c := newOnce(&fakeDeciders{presence: once.Present, notSent: true, answer: call.Unknown("lost")}, &fakeClaims{})
 		u := &upstreamCount{}
 		So(o.Apply(keyed(c, other, "ring-7"), u.next).Outcome, ShouldEqual, once.OutcomeUnknown)
 		So(u.runs.Load(), ShouldEqual, 0)
