member: rights in the state dump are named in snake case like the rest

Cause: three names of the dump began with capitals (found by walking a dump). Change: JSON names. Figures: member, fleet, serve and follow tests passed.

--- a/core/member/types.go
+++ b/core/member/types.go
@@ -92,9 +92,9 @@
 
 // Right is what this host may do with one upstream.
 type Right struct {
-	Service  string
-	Upstream string
-	Full     bool // the whole of its limits, and probing; otherwise one slot and no probing
+	Service  string `json:"service"`
+	Upstream string `json:"upstream"`
+	Full     bool   `json:"full"` // the whole of its limits, and probing; otherwise one slot and no probing
 }
 
 // Presence is what is known of an incarnation.
