--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -2,26 +2,24 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"testing"
 
 	"siskinpath/core/clock"
 	"siskinpath/core/member"
+	"siskinpath/core/seeds"
 )
 
-// seeds returns how many seeds to run: SISKINPATH_SEEDS over part, or few.
-func seeds(t *testing.T, few, part int) uint64 {
+// seedCount returns how many seeds to run: SISKINPATH_SEEDS over part, or few.
+func seedCount(t *testing.T, few, part int) uint64 {
 	t.Helper()
-	text := os.Getenv("SISKINPATH_SEEDS")
-	if text == "" {
-		return uint64(few)
+	n, err := seeds.Count(0)
+	if err != nil {
+		t.Fatal(err)
 	}
-	n, err := strconv.Atoi(text)
-	if err != nil || n < 1 {
-		t.Fatalf("SISKINPATH_SEEDS=%q: want a number of 1 or more", text)
+	if n == 0 {
+		return uint64(few)
 	}
 	return uint64(max(n/part, 1))
 }
@@ -149,7 +147,7 @@
 	} {
 		t.Run(fmt.Sprintf("%d_hosts", c.hosts), func(t *testing.T) {
 			t.Parallel()
-			c.prove(t, seeds(t, c.few, c.part))
+			c.prove(t, seedCount(t, c.few, c.part))
 		})
 	}
 }
--- a/core/fleet/takeover_test.go
+++ b/core/fleet/takeover_test.go
@@ -31,7 +31,7 @@
 	} {
 		t.Run(strings.ReplaceAll(c.name, " ", "_"), func(t *testing.T) {
 			t.Parallel()
-			c.prove(t, seeds(t, 1, 10))
+			c.prove(t, seedCount(t, 1, 10))
 		})
 	}
 }
--- a/core/once/prove_test.go
+++ b/core/once/prove_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
-	"os"
-	"strconv"
 	"testing"
+
+	"siskinpath/core/seeds"
 )
 
 // Seeds of a run in CI, and of the tests that take a mechanism away.
@@ -14,15 +14,11 @@
 )
 
 func seedCount(t *testing.T) uint64 {
-	text := os.Getenv("SISKINPATH_SEEDS")
-	if text == "" {
-		return defaultSeeds
-	}
-	n, err := strconv.ParseUint(text, 10, 32)
+	n, err := seeds.Count(defaultSeeds)
 	if err != nil {
-		t.Fatalf("SISKINPATH_SEEDS: %q is not a number", text)
+		t.Fatal(err)
 	}
-	return n
+	return uint64(n)
 }
 
 // shortest returns the shorter of two traces, leaving out the empty one.
@@ -36,15 +32,15 @@
 func TestProveAtMostOnce(t *testing.T) {
 	var total figures
 	var trace string
-	seeds := seedCount(t)
-	for seed := range seeds {
+	count := seedCount(t)
+	for seed := range count {
 		f := runFleet(seed, allOn)
 		total.add(f.figures)
 		if f.firstBad != "" {
 			trace = shortest(trace, fmt.Sprintf("seed %d: %s", seed, f.firstBad))
 		}
 	}
-	fmt.Printf("once: seeds %d, events %d, violations %d\n", seeds, total.events, total.violations)
+	fmt.Printf("once: seeds %d, events %d, violations %d\n", count, total.events, total.violations)
 	fmt.Printf("once: tries %d, runs %d, of these while the platform was down %d\n", total.tries, total.runs, total.runsInOutage)
 	fmt.Printf("once: answered %d, not_run %d, unknown %d, lost with their host %d\n", total.answered, total.notRun, total.unknown, total.lost)
 	fmt.Printf("once: claim tries %d, writes %d, transactions %d, reads %d, take-overs %d\n",
--- a/core/route/property_test.go
+++ b/core/route/property_test.go
@@ -1,35 +1,38 @@
 package route
 
 import (
-	"cmp"
 	"flag"
 	"fmt"
-	"os"
+	"strconv"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"siskinpath/core/clock"
+	"siskinpath/core/seeds"
 )
 
 // sequences is the number of event sequences when SISKINPATH_SEEDS says nothing.
-const sequences = "100"
+const sequences = 100
 
 // TestProveShard drives a shard with random events in random order; world
 // checks after each that shares, rates and budgets hold, that a request which
 // must run once is sent once, that nothing goes to leaving upstreams, and that
 // each request ends exactly once.
 func TestProveShard(t *testing.T) {
-	most := cmp.Or(os.Getenv("SISKINPATH_SEEDS"), sequences)
-	if err := flag.Set("rapid.checks", most); err != nil {
-		t.Fatalf("SISKINPATH_SEEDS: %q is not a number", most)
+	most, err := seeds.Count(sequences)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := flag.Set("rapid.checks", strconv.Itoa(most)); err != nil {
+		t.Fatal(err)
 	}
 	var events, violations int
 	defer func() {
 		if t.Failed() {
 			violations = 1 // rapid stops at the first and prints its shortest form
 		}
-		t.Logf("sequences_run %s events %d violations %d", most, events, violations)
+		t.Logf("sequences_run %d events %d violations %d", most, events, violations)
 	}()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), t.Fatalf)
--- a/core/route/request.go
+++ b/core/route/request.go
@@ -80,14 +80,8 @@
 func (t *timer) place() *int { return &t.index }
 
 func (s *Shard) newRequest(req Request) *request {
-	var r *request
-	if n := len(s.freeRequests); n > 0 {
-		r = s.freeRequests[n-1]
-		s.freeRequests = s.freeRequests[:n-1]
-		*r = request{running: r.running[:0], tried: r.tried[:0], triedHosts: r.triedHosts[:0]}
-	} else {
-		r = &request{}
-	}
+	r := s.freeRequests.take()
+	*r = request{running: r.running[:0], tried: r.tried[:0], triedHosts: r.triedHosts[:0]}
 	s.lastOrder++
 	r.Request = req
 	r.order = s.lastOrder
@@ -102,13 +96,7 @@
 }
 
 func (s *Shard) newAttempt(now clock.Millis, r *request, u *upstream) *attempt {
-	var a *attempt
-	if n := len(s.freeAttempts); n > 0 {
-		a = s.freeAttempts[n-1]
-		s.freeAttempts = s.freeAttempts[:n-1]
-	} else {
-		a = &attempt{}
-	}
+	a := s.freeAttempts.take()
 	s.lastAttempt++
 	*a = attempt{id: s.lastAttempt, request: r, upstream: u, started: now}
 	a.hedge = timer{index: -1, request: r, attempt: a}
@@ -119,7 +107,7 @@
 func (s *Shard) recycleAttempt(a *attempt) {
 	a.request = nil
 	a.upstream = nil
-	s.freeAttempts = append(s.freeAttempts, a)
+	s.freeAttempts.put(a)
 }
 
 // forget removes a request that needs no further action, and cancels what runs
@@ -133,7 +121,7 @@
 	s.queue.remove(r)
 	s.timers.remove(&r.deadline)
 	delete(s.requests, r.ID)
-	s.freeRequests = append(s.freeRequests, r)
+	s.freeRequests.put(r)
 }
 
 func (s *Shard) emit(a Action) { s.out = append(s.out, a) }
--- a/core/route/shard.go
+++ b/core/route/shard.go
@@ -54,8 +54,8 @@
 	started     bool
 
 	out          []Action
-	freeRequests []*request
-	freeAttempts []*attempt
+	freeRequests freelist[request]
+	freeAttempts freelist[attempt]
 }
 
 // Configure replaces what the shard works with. Attempts in flight go on.
--- a/core/table/prove_test.go
+++ b/core/table/prove_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
-	"os"
-	"strconv"
 	"testing"
+
+	"siskinpath/core/seeds"
 )
 
 // Seeds of a run in CI, and of the tests that take a mechanism away.
@@ -14,29 +14,25 @@
 )
 
 func seedCount(t *testing.T) uint64 {
-	text := os.Getenv("SISKINPATH_SEEDS")
-	if text == "" {
-		return defaultSeeds
-	}
-	n, err := strconv.ParseUint(text, 10, 32)
+	n, err := seeds.Count(defaultSeeds)
 	if err != nil {
-		t.Fatalf("SISKINPATH_SEEDS: %q is not a number", text)
+		t.Fatal(err)
 	}
-	return n
+	return uint64(n)
 }
 
 func TestProveTable(t *testing.T) {
 	var total figures
 	var bad string
-	seeds := seedCount(t)
-	for seed := range seeds {
+	count := seedCount(t)
+	for seed := range count {
 		f := runFleet(seed, allOn)
 		total.add(f.figures)
 		if bad == "" && f.firstBad != "" {
 			bad = fmt.Sprintf("seed %d: %s", seed, f.firstBad)
 		}
 	}
-	fmt.Printf("table: seeds %d, events %d, violations %d\n", seeds, total.events, total.violations)
+	fmt.Printf("table: seeds %d, events %d, violations %d\n", count, total.events, total.violations)
 	fmt.Printf("table: accepted %d, of these merged %d; conflicts %d, platform away %d, of these uncertain %d\n",
 		total.accepted, total.merged, total.conflicts, total.down, total.uncertain)
 	fmt.Printf("table: versions put in force %d, of these from peers %d; copies held back %d, restarts %d\n",
--- a/siskinpathd/caller/server.go
+++ b/siskinpathd/caller/server.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"net"
 	"sync/atomic"
 	"time"
@@ -41,7 +40,6 @@
 	MaxBodyBytes   int
 	MaxHeaderBytes int
 	MaxConnections int
-	Log            *slog.Logger
 
 	http    *fasthttp.Server
 	leaving atomic.Bool
--- a/siskinpathd/serve/serve.go
+++ b/siskinpathd/serve/serve.go
@@ -167,7 +167,7 @@
 
 func newAddresses(c clock.Clock, f *follow.Driver) *addresses { return &addresses{fleet: f, clock: c} }
 
-func newCallers(cfg *settings.Settings, c clock.Clock, ch *filter.Chain, a *addresses, log *slog.Logger) *caller.Server {
+func newCallers(cfg *settings.Settings, c clock.Clock, ch *filter.Chain, a *addresses) *caller.Server {
 	return &caller.Server{
 		Listen:         cfg.Listen.Caller,
 		HostID:         cfg.ID,
@@ -177,7 +177,6 @@
 		MaxBodyBytes:   cfg.Limits.MaxBodyBytes,
 		MaxHeaderBytes: cfg.Limits.MaxHeaderBytes,
 		MaxConnections: cfg.Limits.MaxConnections,
-		Log:            log,
 	}
 }
 
