--- /dev/null
+++ b/core/discovery/registry.go
@@ -0,0 +1,159 @@
+// Package discovery keeps what the platform's service discovery says of
+// upstreams, and decides which entries still count around an outage of the
+// store. It is plain state without goroutines, sockets or wall clock.
+package discovery
+
+import (
+	"cmp"
+	"slices"
+
+	"siskinpath/core/clock"
+)
+
+// Upstream is the entry of one start of an upstream.
+type Upstream struct {
+	ID               string // names this start, mostly
+	Service          string
+	Address          string
+	AvailabilityZone string
+	Slots            int
+	Leaving          bool
+	ColdFor          clock.Millis // how much longer it is slow after its start
+	Started          int64        // point in time of its start by its own clock; tells two starts under one ID apart
+}
+
+// Entry is what the store holds under one id. Upstream is nil for an entry that
+// was removed or names no upstream that can be used.
+type Entry struct {
+	ID       string
+	Upstream *Upstream
+	Version  int64
+}
+
+const (
+	// returnWithin is how long after an outage a removed entry still counts. The
+	// entries of upstreams that live are back sooner.
+	returnWithin = 1800 * clock.Millisecond
+	// outageEcho is how long after an outage removals may be due to it.
+	outageEcho = 4 * clock.Second
+)
+
+// Registry holds the entries. The zero value is empty.
+type Registry struct {
+	entries  map[string]*entry
+	outageAt clock.Millis // when the store was last seen away
+	outage   bool         // it was seen away at all
+}
+
+type entry struct {
+	Upstream
+	version   int64
+	coldUntil clock.Millis
+	doubtAt   clock.Millis // when it was removed in the wake of an outage; 0 for not removed
+}
+
+// Known is an upstream that may be used, and until when it is slow.
+type Known struct {
+	Upstream
+	ColdUntil clock.Millis
+}
+
+// Outage takes in that the store could not be read just now.
+func (r *Registry) Outage(now clock.Millis) {
+	r.outageAt = now
+	r.outage = true
+}
+
+// Apply takes in entries. With whole, they are all that the store holds. Entries
+// older than what is known are passed over. It tells whether anything changed.
+func (r *Registry) Apply(now clock.Millis, entries []Entry, whole bool) (changed bool) {
+	if r.entries == nil {
+		r.entries = map[string]*entry{}
+	}
+	held := map[string]bool{}
+	for _, e := range entries {
+		held[e.ID] = e.Upstream != nil
+		changed = r.applyOne(now, e) || changed
+	}
+	if !whole {
+		return changed
+	}
+	for id := range r.entries {
+		if !held[id] {
+			changed = r.removed(now, id) || changed
+		}
+	}
+	return changed
+}
+
+func (r *Registry) applyOne(now clock.Millis, e Entry) (changed bool) {
+	known := r.entries[e.ID]
+	if known != nil && e.Version < known.version {
+		return false
+	}
+	if e.Upstream == nil {
+		return r.removed(now, e.ID)
+	}
+	if known != nil && known.Upstream == *e.Upstream && known.doubtAt == 0 {
+		known.version = e.Version
+		return false
+	}
+	next := &entry{Upstream: *e.Upstream, version: e.Version}
+	if e.Upstream.ColdFor > 0 {
+		next.coldUntil = now + e.Upstream.ColdFor
+	}
+	r.entries[e.ID] = next
+	return true
+}
+
+// removed drops an entry, or keeps it for a while when an outage may be why it
+// went. One that was leaving is dropped in any case.
+func (r *Registry) removed(now clock.Millis, id string) (changed bool) {
+	e := r.entries[id]
+	if e == nil {
+		return false
+	}
+	if e.Leaving || !r.outage || now-r.outageAt > outageEcho {
+		delete(r.entries, id)
+		return true
+	}
+	if e.doubtAt == 0 {
+		e.doubtAt = now
+	}
+	return false
+}
+
+// Tick drops entries that did not come back after an outage.
+func (r *Registry) Tick(now clock.Millis) (changed bool) {
+	for id, e := range r.entries {
+		if e.doubtAt > 0 && now-e.doubtAt >= returnWithin {
+			delete(r.entries, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Next returns when Tick is due, 0 for not at all.
+func (r *Registry) Next() (at clock.Millis) {
+	for _, e := range r.entries {
+		if e.doubtAt > 0 && (at == 0 || e.doubtAt+returnWithin < at) {
+			at = e.doubtAt + returnWithin
+		}
+	}
+	return at
+}
+
+// Service returns the upstreams of a service in the order of their ids.
+func (r *Registry) Service(name string) (list []Known) {
+	for _, e := range r.entries {
+		if e.Upstream.Service == name {
+			list = append(list, Known{Upstream: e.Upstream, ColdUntil: e.coldUntil})
+		}
+	}
+	slices.SortFunc(list, func(a, b Known) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// Len returns the number of entries that count.
+func (r *Registry) Len() int { return len(r.entries) }
--- /dev/null
+++ b/core/place/placer.go
@@ -0,0 +1,300 @@
+package place
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"siskinpath/core/admit"
+	"siskinpath/core/clock"
+	"siskinpath/core/probe"
+	"siskinpath/core/route"
+)
+
+// phase is where a request stands.
+type phase int
+
+const (
+	asking phase = iota // the load of likely upstreams is being asked for
+	queued              // no upstream has room
+	sent                // at least one attempt is in flight
+)
+
+// request is a request that has no final answer yet.
+type request struct {
+	Request
+	phase      phase
+	askUntil   clock.Millis // with asking: when to go by what is known
+	waitUntil  clock.Millis // when it is refused for want of room
+	recheckAt  clock.Millis // with queued: when to ask again
+	hedgeAt    clock.Millis // with sent: when to send it to a second upstream; 0 for never
+	asked      []*upstream
+	tried      []*upstream
+	running    []*attempt
+	arrivals   int             // attempts that reached an upstream or may have
+	mayHaveRun bool            // an attempt was lost
+	fallback   route.AttemptID // an upstream's own failure, used when nothing better comes; 0 for none
+	lastFault  route.Reason
+}
+
+// attempt is one sending of a request to one upstream.
+type attempt struct {
+	id       route.AttemptID
+	request  *request // nil once the request is settled
+	upstream *upstream
+	started  clock.Millis
+	slowdown float64 // believed at the start
+	target   clock.Millis
+	route    string
+}
+
+// Placer holds the requests of one service on one host. Set the exported fields
+// before the first event. Not safe for concurrent use.
+type Placer struct {
+	Service string
+	Tuning  Tuning
+	Rand    *rand.Rand
+
+	cfg       Config
+	upstreams []*upstream
+	byID      map[string]*upstream
+	requests  map[route.RequestID]*request
+	attempts  map[route.AttemptID]*attempt
+	queue     []*request // by priority, then by arrival
+	seconds   admit.Budget
+	spread    admit.Spread
+	probes    probe.Budget
+	usual     map[string]float64 // usual time of a route's answers at slowdown 1, in ms
+	slowdown  float64            // mean of what upstreams report
+	last      route.AttemptID
+	actions   []Action
+	notes     []Note
+}
+
+// Configure takes on the upstreams that discovery names.
+func (p *Placer) Configure(now clock.Millis, cfg Config) []Action {
+	p.init()
+	p.cfg = cfg
+	p.seconds.Ratio = cfg.SecondsRatio
+	p.seconds.Burst = max(1, cfg.SecondsBurst)
+	known := p.byID
+	p.byID = map[string]*upstream{}
+	p.upstreams = p.upstreams[:0]
+	for _, u := range cfg.Upstreams {
+		k := known[u.ID]
+		if k == nil {
+			k = &upstream{success: 1}
+		}
+		k.Upstream = u
+		p.byID[u.ID] = k
+		p.upstreams = append(p.upstreams, k)
+		p.probes.SetRate(now, p.Service, u.ID, cfg.ProbesPerSecond)
+	}
+	for id, u := range known {
+		if p.byID[id] == nil {
+			u.gone = true
+			p.probes.Drop(p.Service, id)
+		}
+	}
+	slices.SortFunc(p.upstreams, func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
+	p.serveQueue(now)
+	return p.take()
+}
+
+func (p *Placer) init() {
+	if p.requests != nil {
+		return
+	}
+	p.requests = map[route.RequestID]*request{}
+	p.attempts = map[route.AttemptID]*attempt{}
+	p.usual = map[string]float64{}
+	p.slowdown = 1
+	p.spread = admit.Spread{Least: leastRetryAfter, Most: mostRetryAfter}
+}
+
+// take hands out the actions gathered since the last event.
+func (p *Placer) take() []Action {
+	a := p.actions
+	p.actions = nil
+	return a
+}
+
+func (p *Placer) do(a route.Action) { p.actions = append(p.actions, Action{Action: a}) }
+
+// Offer takes in a request.
+func (p *Placer) Offer(now clock.Millis, in Request) []Action {
+	p.init()
+	r := &request{Request: in}
+	p.requests[in.ID] = r
+	p.seconds.Earn()
+	p.spread.Offered(now)
+	share := p.Tuning.WaitShare
+	if in.Priority < p.Tuning.Ordinary {
+		share = p.Tuning.UrgentWaitShare
+	}
+	r.waitUntil = min(in.GiveUp, in.Arrived+clock.Millis(share*float64(in.Target)))
+	p.seek(now, r)
+	return p.take()
+}
+
+// Measured takes in the answer to a probe.
+func (p *Placer) Measured(now clock.Millis, res route.ProbeResult) []Action {
+	u := p.byID[res.Upstream]
+	if u == nil {
+		return nil
+	}
+	p.learnProbe(now, u, res)
+	for _, r := range p.waitingFor(u) {
+		p.choose(now, r)
+	}
+	p.serveQueue(now)
+	return p.take()
+}
+
+// waitingFor returns the requests that have heard from all upstreams they asked,
+// u the last of them.
+func (p *Placer) waitingFor(u *upstream) (ready []*request) {
+	for _, r := range p.requests {
+		if r.phase != asking || !slices.Contains(r.asked, u) {
+			continue
+		}
+		if !slices.ContainsFunc(r.asked, func(u *upstream) bool { return u.probing }) {
+			ready = append(ready, r)
+		}
+	}
+	slices.SortFunc(ready, byUrgency)
+	return ready
+}
+
+// Ended takes in the end of an attempt.
+func (p *Placer) Ended(now clock.Millis, res route.Result) []Action {
+	a := p.attempts[res.Attempt]
+	if a == nil {
+		return nil
+	}
+	delete(p.attempts, res.Attempt)
+	p.learn(now, a, res)
+	if r := a.request; r != nil {
+		r.running = slices.DeleteFunc(r.running, func(x *attempt) bool { return x == a })
+		p.settle(now, r, a, res.Status)
+	}
+	p.serveQueue(now)
+	return p.take()
+}
+
+// Gone takes in that the caller has left.
+func (p *Placer) Gone(now clock.Millis, id route.RequestID) []Action {
+	if r := p.requests[id]; r != nil {
+		p.remove(r)
+		p.serveQueue(now)
+	}
+	return p.take()
+}
+
+// Tick does what is due.
+func (p *Placer) Tick(now clock.Millis) []Action {
+	var due []*request
+	for _, r := range p.requests {
+		if r.wakeAt() <= now {
+			due = append(due, r)
+		}
+	}
+	slices.SortFunc(due, byUrgency)
+	for _, r := range due {
+		p.wake(now, r)
+	}
+	return p.take()
+}
+
+// Next returns when Tick is due, 0 for not at all.
+func (p *Placer) Next() clock.Millis {
+	var next clock.Millis
+	for _, r := range p.requests {
+		if at := r.wakeAt(); next == 0 || at < next {
+			next = at
+		}
+	}
+	return next
+}
+
+// wakeAt returns when r needs a look.
+func (r *request) wakeAt() clock.Millis {
+	switch r.phase {
+	case asking:
+		return min(r.GiveUp, r.askUntil)
+	case queued:
+		return min(r.GiveUp, r.waitUntil, r.recheckAt)
+	}
+	if r.hedgeAt > 0 {
+		return min(r.GiveUp, r.hedgeAt)
+	}
+	return r.GiveUp
+}
+
+func (p *Placer) wake(now clock.Millis, r *request) {
+	if p.requests[r.ID] == nil {
+		return // settled by an earlier one
+	}
+	switch {
+	case now >= r.GiveUp:
+		p.giveUp(now, r)
+	case r.phase == asking:
+		p.choose(now, r)
+	case r.phase == queued && now >= r.waitUntil:
+		p.refuse(now, r, cmp.Or(r.lastFault, route.ReasonOverloaded))
+	case r.phase == queued:
+		p.recheck(now, r)
+	case r.hedgeAt > 0 && now >= r.hedgeAt:
+		p.hedge(now, r)
+	}
+}
+
+// byUrgency orders by priority, then by arrival.
+func byUrgency(a, b *request) int {
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Arrived, b.Arrived), cmp.Compare(a.ID, b.ID))
+}
+
+// remove forgets a request and cancels what is in flight for it.
+func (p *Placer) remove(r *request) {
+	for _, a := range r.running {
+		a.request = nil
+		p.do(route.Action{Kind: route.Cancel, Request: r.ID, Attempt: a.id, Upstream: a.upstream.ID})
+	}
+	r.running = nil
+	p.dequeue(r)
+	delete(p.requests, r.ID)
+}
+
+func (p *Placer) finish(r *request, id route.AttemptID) {
+	p.remove(r)
+	p.do(route.Action{Kind: route.Finish, Request: r.ID, Attempt: id})
+}
+
+// refuse answers that the request did not run, or that this isn't known when an
+// attempt was lost.
+func (p *Placer) refuse(now clock.Millis, r *request, reason route.Reason) {
+	if r.fallback != 0 {
+		p.finish(r, r.fallback)
+		return
+	}
+	p.remove(r)
+	if r.mayHaveRun {
+		p.do(route.Action{Kind: route.Unknown, Request: r.ID, Reason: reason})
+		return
+	}
+	after := p.spread.Refuse(now, clock.Millis(p.usualTime(r.Route, r.Target)/4), p.Rand)
+	p.do(route.Action{Kind: route.Refuse, Request: r.ID, Reason: reason, RetryAfter: after})
+}
+
+// giveUp ends a request whose time is over.
+func (p *Placer) giveUp(now clock.Millis, r *request) {
+	if len(r.running) > 0 {
+		for _, a := range r.running {
+			p.learnSilence(now, a)
+		}
+		r.mayHaveRun = true
+		p.refuse(now, r, route.ReasonTimeout)
+		return
+	}
+	p.refuse(now, r, route.ReasonDeadline)
+}
--- /dev/null
+++ b/core/place/types.go
@@ -0,0 +1,119 @@
+// Package place decides, for one service on a host that shares its upstreams
+// with all other hosts, which upstream runs which request and when. It is meant
+// for upstreams whose load shifts many times a second: just before a request is
+// sent, the likely upstreams are asked for their load, so that the decision
+// rests on what was true milliseconds ago. Requests that find no room wait a
+// little, by priority, and are then refused.
+//
+// It is a plain state machine: events go in with the current time, actions come
+// out. It has no goroutine, socket or wall clock.
+package place
+
+import (
+	"siskinpath/core/clock"
+	"siskinpath/core/route"
+)
+
+// Upstream is an upstream as discovery describes it.
+type Upstream struct {
+	ID               string
+	AvailabilityZone string
+	Slots            int          // requests it runs at a time
+	ColdUntil        clock.Millis // point in time until which it is slow after its start
+	Leaving          bool         // takes no new work
+}
+
+// Config is what a Placer works with until the next Config.
+type Config struct {
+	AvailabilityZone string
+	Upstreams        []Upstream
+	// ProbesPerSecond is what this host may spend on each upstream.
+	ProbesPerSecond float64
+	// SecondsRatio is how many sends beyond the first of each request are
+	// allowed, as a share of the requests.
+	SecondsRatio float64
+	// SecondsBurst is how many of them this host may save up.
+	SecondsBurst float64
+}
+
+// Request is a request that wants an upstream.
+type Request struct {
+	ID          route.RequestID
+	Route       string       // requests of one route need about the same work
+	Priority    int          // 0 is the most urgent
+	Arrived     clock.Millis // when the caller's request was read
+	Target      clock.Millis // time after Arrived within which an answer has its full value
+	GiveUp      clock.Millis // point in time at which it gets its final answer at the latest
+	Idempotent  bool
+	MaxAttempts int // upstreams that it may be sent to, at least 1
+}
+
+// Tuning are the figures that the decisions rest on.
+type Tuning struct {
+	// Asked is how many upstreams are asked for their load before a send.
+	Asked int
+	// AskWait is how long a request waits for the answers.
+	AskWait clock.Millis
+	// FreshFor is how long a load counts as known.
+	FreshFor clock.Millis
+	// Fill is the share of an upstream's slots up to which less urgent requests
+	// fill it: an upstream that is nearly full works more slowly.
+	Fill float64
+	// UrgentFill is the same for requests of the priorities below Ordinary.
+	UrgentFill float64
+	// Ordinary is the first priority that counts as less urgent.
+	Ordinary int
+	// WaitShare is the share of its target for which a request waits for room.
+	WaitShare float64
+	// UrgentWaitShare is the same for the priorities below Ordinary.
+	UrgentWaitShare float64
+	// HedgeAfter is the multiple of the usual time after which an idempotent
+	// request is sent to a second upstream.
+	HedgeAfter float64
+	// NoHedge and NoAsk take a mechanism out, for comparison.
+	NoHedge bool
+	NoAsk   bool
+}
+
+// DefaultTuning returns the figures in use. docs/MEASUREMENTS.md has the runs.
+func DefaultTuning() Tuning {
+	return Tuning{
+		Asked:           2,
+		AskWait:         12 * clock.Millisecond,
+		FreshFor:        8 * clock.Millisecond,
+		Fill:            0.8,
+		UrgentFill:      1,
+		Ordinary:        2,
+		WaitShare:       0.125,
+		UrgentWaitShare: 0.2,
+		HedgeAfter:      1.5,
+	}
+}
+
+// Action is something the driver of a Placer must do.
+type Action struct {
+	route.Action
+	Basis Basis // with route.Send: what the choice rests on
+}
+
+// Basis is what was known of an upstream when a request was sent to it.
+type Basis struct {
+	Waited   clock.Millis // since the request arrived
+	Asked    int          // upstreams asked for their load
+	Reported bool         // the upstream has said its load
+	Age      clock.Millis // of its report
+	Load     int          // requests running or waiting there
+	Slots    int
+	Slowdown float64
+	Attempt  int // 1 for the request's first
+	Hedge    bool
+}
+
+// Note is a change of what a Placer believes of an upstream.
+type Note struct {
+	Upstream string
+	Belief   string // "ejected", "unreachable" or "draining"
+	For      clock.Millis
+	Failures int     // in a row
+	Success  float64 // share of successes
+}
--- a/core/route/types.go
+++ b/core/route/types.go
@@ -60,6 +60,8 @@
 	InFlight int
 	Queued   int
 	Draining bool
+	Slots    int     // requests it runs at a time; 0 when it doesn't say
+	Slowdown float64 // how long work takes there now, 1 as usual; 0 when it doesn't say
 }
 
 // Result is the end of an attempt.
@@ -104,6 +106,8 @@
 	ReasonRate       Reason = "rate_limited"     // the service's rate is used up
 	ReasonRefused    Reason = "upstream_refused" // every upstream tried refused it
 	ReasonLost       Reason = "connection_lost"  // the connection failed after the first byte; only with Unknown
+	ReasonTimeout    Reason = "timeout"          // no answer in time from an upstream that has it; only with Unknown
+	ReasonGone       Reason = "caller_gone"      // the caller left
 )
 
 // Action is something the driver of a Shard must do.
--- a/siskinpathd/call/call.go
+++ b/siskinpathd/call/call.go
@@ -19,6 +19,7 @@
 	Key          string // idempotency key; empty when the request has none
 	Method       string
 	URI          string // path and query as the upstream sees them
+	Host         string // the Host header that the caller sent, for dialects that pass it on
 	Header       [][2]string
 	Body         []byte
 	Deadline     clock.Millis // point in time on this host's clock
--- /dev/null
+++ b/siskinpathd/entry/node.go
@@ -0,0 +1,252 @@
+// Package entry is a host that shares its upstreams with all others: it takes
+// callers' requests by the operators' configuration, and sends each to the
+// upstream that can answer it soonest. What is decided where is in
+// docs/design-platform.md.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/config"
+	"siskinpath/core/discovery"
+	"siskinpath/core/place"
+	"siskinpath/core/route"
+	"siskinpath/siskinpathd/upstream"
+	"siskinpath/siskinpathd/watch"
+)
+
+const (
+	// sweepEvery is how often unused connections are looked over.
+	sweepEvery = 2 * clock.Second
+	// secondsKeep is the share of the budget of second sends that is used; the rest
+	// covers requests that were counted and then refused.
+	secondsKeep = 0.9
+	// probesKeep is the same for probes.
+	probesKeep = 0.9
+)
+
+// Node is the host. Set the exported fields before Run.
+type Node struct {
+	Settings  *Settings
+	Log       *slog.Logger
+	Clock     clock.Clock
+	Upstreams *upstream.Dialect
+	Callers   CallerDialect
+	Config    watch.Source[*config.Config]
+	Discovery watch.Source[*discovery.Upstream]
+	// Hosts returns how many hosts share the upstreams, at least 1.
+	Hosts func() int
+
+	config    atomic.Pointer[config.Config]
+	found     atomic.Bool // discovery was read once
+	leaving   atomic.Int64
+	server    *Server
+	pools     *Pools
+	decisions *decisions
+	counters  counters
+	ours      map[string]bool // headers that only hosts set
+
+	mu       sync.Mutex // guards what is below
+	registry discovery.Registry
+	runners  map[string]*Runner
+	splitter config.Splitter
+	shared   int // hosts that the budgets were divided by
+}
+
+// Run serves until ctx ends, and then until callers have gone elsewhere.
+func (n *Node) Run(ctx context.Context) (err error) {
+	n.start()
+	if err = n.server.Bind(); err != nil {
+		return err
+	}
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	go n.server.Run()
+	go n.watchConfig().Run(work)
+	go n.watchDiscovery().Run(work)
+	go n.housekeep(work)
+	n.Log.Info("started", "callers", n.Settings.Listen.Caller, "platform", n.Settings.Platform.Address)
+	<-ctx.Done()
+	n.leave()
+	n.Log.Info("stopped")
+	return nil
+}
+
+func (n *Node) start() {
+	n.pools = &Pools{Clock: n.Clock, Dialect: n.Upstreams}
+	n.decisions = &decisions{log: n.Log, clock: n.Clock, limit: n.Settings.Log.LinesPerSecond}
+	n.runners = map[string]*Runner{}
+	n.splitter.Rand = newRand()
+	n.ours = map[string]bool{n.Upstreams.Instance: true}
+	n.server = &Server{Listen: n.Settings.Listen.Caller, Log: n.Log, Limits: n.limits, Handle: n.handle}
+}
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// Ready tells why callers should not use this host, nil when they may.
+func (n *Node) Ready() error {
+	switch {
+	case n.leaving.Load() != 0:
+		return errLeaving
+	case n.config.Load() == nil:
+		return errNoConfig
+	case !n.found.Load():
+		return errNoDiscovery
+	}
+	return nil
+}
+
+// Leaving tells whether this host is being stopped.
+func (n *Node) Leaving() bool { return n.leaving.Load() != 0 }
+
+// firstLimits hold until a configuration is known.
+var firstLimits = config.Limits{
+	MaxHeaderBytes: 16 << 10,
+	MaxBodyBytes:   64 << 20,
+	HeaderTimeout:  3 * clock.Second,
+	IdleTimeout:    15 * clock.Second,
+}
+
+func (n *Node) limits() config.Limits {
+	if c := n.config.Load(); c != nil {
+		return c.Limits
+	}
+	return firstLimits
+}
+
+// runnerFor chooses the service of a request and returns its runner, nil when
+// there is none.
+func (n *Node) runnerFor(r *request) *Runner {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r.service = n.splitter.Pick(r.route)
+	return n.runners[r.service]
+}
+
+// applyConfig takes on a configuration that is newer than the one in force.
+func (n *Node) applyConfig(rows []watch.Row[*config.Config], _ bool) {
+	for _, row := range rows {
+		if row.Removed || row.Fault != nil || row.Value == nil {
+			continue
+		}
+		old := n.config.Load()
+		if old != nil && row.Value.Version <= old.Version {
+			continue
+		}
+		n.config.Store(row.Value)
+		n.mu.Lock()
+		n.splitter.Keep(row.Value)
+		n.configure()
+		n.mu.Unlock()
+		n.Log.Info("configuration in force", "version", row.Value.Version, "row_version", row.Version,
+			"routes", len(row.Value.Routes), "services", len(row.Value.Services))
+	}
+}
+
+// applyDiscovery takes in entries of upstreams.
+func (n *Node) applyDiscovery(rows []watch.Row[*discovery.Upstream], whole bool) {
+	entries := make([]discovery.Entry, 0, len(rows))
+	for _, row := range rows {
+		e := discovery.Entry{ID: row.Key, Version: row.Version}
+		if !row.Removed && row.Fault == nil {
+			e.Upstream = row.Value
+		}
+		entries = append(entries, e)
+		n.decisions.discovered(row, whole)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.registry.Apply(n.Clock.Now(), entries, whole) {
+		n.configure()
+	}
+	if whole {
+		n.found.Store(true)
+		n.Log.Info("upstreams read whole", "entries", n.registry.Len())
+	}
+}
+
+// configure passes the configuration and the upstreams on to the runners. n.mu
+// is held.
+func (n *Node) configure() {
+	cfg := n.config.Load()
+	if cfg == nil {
+		return
+	}
+	n.shared = n.Hosts()
+	var all []discovery.Known
+	for name := range cfg.Services {
+		list := n.registry.Service(name)
+		all = append(all, list...)
+		if n.runners[name] == nil {
+			n.runners[name] = n.newRunner(name)
+		}
+	}
+	n.pools.Configure(all,
+		func(service string) string { return cfg.Services[service].HealthPath },
+		func(service string) int { return connectionShare(cfg.Services[service].MaxConnections, n.shared) })
+	for name, r := range n.runners {
+		r.Configure(n.placeConfig(n.registry.Service(name)))
+	}
+}
+
+// connectionShare is this host's part of the connections that an upstream takes.
+// Half of them are left for hosts that start again while the connections of the
+// old process are still open.
+func connectionShare(limit, hosts int) int {
+	if limit <= 0 {
+		return 0
+	}
+	return max(2, limit/(2*hosts))
+}
+
+func (n *Node) placeConfig(list []discovery.Known) place.Config {
+	b := n.Settings.Budgets
+	cfg := place.Config{
+		AvailabilityZone: n.Settings.AvailabilityZone,
+		ProbesPerSecond:  probesKeep * b.ProbesPerSecond / float64(n.shared),
+		SecondsRatio:     secondsKeep * b.SecondsRatio,
+		SecondsBurst:     1 + b.SecondsSlack/float64(2*n.shared),
+	}
+	for _, k := range list {
+		cfg.Upstreams = append(cfg.Upstreams, place.Upstream{
+			ID: k.ID, AvailabilityZone: k.AvailabilityZone, Slots: k.Slots, ColdUntil: k.ColdUntil, Leaving: k.Leaving,
+		})
+	}
+	return cfg
+}
+
+func (n *Node) newRunner(name string) *Runner {
+	r := &Runner{
+		Service: name, Clock: n.Clock, Pools: n.pools, Logs: n.decisions,
+		placer:  &place.Placer{Service: name, Tuning: place.DefaultTuning(), Rand: newRand()},
+		flights: map[route.RequestID]*flight{},
+		cancels: map[route.AttemptID]context.CancelCauseFunc{},
+	}
+	r.timer = time.AfterFunc(time.Hour, r.tick)
+	return r
+}
+
+// housekeep does what is due from time to time.
+func (n *Node) housekeep(ctx context.Context) {
+	t := time.NewTicker(sweepEvery.Duration())
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			n.pools.Sweep()
+			n.mu.Lock()
+			if n.registry.Tick(n.Clock.Now()) || n.Hosts() != n.shared {
+				n.configure()
+			}
+			n.mu.Unlock()
+		}
+	}
+}
--- /dev/null
+++ b/siskinpathd/entry/pools.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/discovery"
+	"siskinpath/core/route"
+	"siskinpath/siskinpathd/upstream"
+)
+
+const (
+	// dialTimeout is how long an upstream has to accept a connection: a first
+	// packet that was lost is sent again after a second, which is too late anyway.
+	dialTimeout = 500 * clock.Millisecond
+	// keepIdle is how long an unused connection is kept when the upstream does not
+	// say for how long it keeps its end.
+	keepIdle = 5 * clock.Second
+)
+
+// Pools holds the connections to all upstreams that discovery names.
+type Pools struct {
+	Clock   clock.Clock
+	Dialect *upstream.Dialect
+
+	mu    sync.RWMutex
+	pools map[string]*target // by the upstream's id
+}
+
+// target is an upstream with its connections.
+type target struct {
+	*upstream.Pool
+	id     string
+	health string // path of its status check
+}
+
+var errUnknownUpstream = errors.New("discovery no longer names the upstream")
+
+// Configure takes on the upstreams of a service. share is how many connections
+// this host may open to each, 0 for no limit.
+func (p *Pools) Configure(list []discovery.Known, health func(service string) string, share func(service string) int) {
+	pools := map[string]*target{}
+	p.mu.Lock()
+	old := p.pools
+	for _, k := range list {
+		t := old[k.ID]
+		if t == nil || t.Address != k.Address {
+			t = &target{id: k.ID, Pool: &upstream.Pool{
+				Address: k.Address, DialTimeout: dialTimeout, Clock: p.Clock, Dialect: p.Dialect, KeepIdle: keepIdle,
+			}}
+		} else {
+			t = &target{id: k.ID, Pool: t.Pool}
+		}
+		t.health = health(k.Service)
+		t.SetMaxConnections(share(k.Service))
+		pools[k.ID] = t
+	}
+	p.pools = pools
+	p.mu.Unlock()
+	for id, t := range old {
+		if pools[id] == nil || pools[id].Pool != t.Pool {
+			t.Close()
+		}
+	}
+}
+
+func (p *Pools) get(id string) *target {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.pools[id]
+}
+
+// Send carries out an attempt at an upstream; see upstream.Pool.Do.
+func (p *Pools) Send(ctx context.Context, id string, a *upstream.Attempt) (*upstream.Reply, route.Result, error) {
+	t := p.get(id)
+	if t == nil {
+		return nil, route.Result{Status: route.NotSent}, errUnknownUpstream
+	}
+	a.Instance = t.id
+	return t.Do(ctx, a)
+}
+
+// Probe asks an upstream for its load.
+func (p *Pools) Probe(ctx context.Context, _, id string) route.ProbeResult {
+	t := p.get(id)
+	if t == nil {
+		return route.ProbeResult{Upstream: id}
+	}
+	result, _ := t.Probe(ctx, t.health)
+	result.Upstream = id
+	return result
+}
+
+// Sweep closes connections that have been unused for long.
+func (p *Pools) Sweep() {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, t := range p.pools {
+		t.Sweep()
+	}
+}
--- /dev/null
+++ b/siskinpathd/entry/runner.go
@@ -0,0 +1,177 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/place"
+	"siskinpath/core/route"
+	"siskinpath/siskinpathd/call"
+	"siskinpath/siskinpathd/upstream"
+)
+
+// probeTimeout is how long a probe may take before its connection is given up.
+const probeTimeout = 300 * clock.Millisecond
+
+// Runner carries out what a Placer decides for one service.
+type Runner struct {
+	Service string
+	Clock   clock.Clock
+	Pools   *Pools
+	Logs    *decisions
+
+	mu      sync.Mutex
+	placer  *place.Placer
+	flights map[route.RequestID]*flight
+	cancels map[route.AttemptID]context.CancelCauseFunc
+	timer   *time.Timer
+	timerAt clock.Millis
+	lastID  route.RequestID
+}
+
+// flight is a request on its way.
+type flight struct {
+	call     *call.Call
+	id       string // the caller's id of the request
+	maxBody  int
+	replies  map[route.AttemptID]*upstream.Reply
+	settled  chan place.Action // gets the final action
+	attempts int
+}
+
+// outcome is how a request ended.
+type outcome struct {
+	action   place.Action
+	reply    *upstream.Reply // with route.Finish
+	attempts int
+}
+
+// Configure takes on a new set of upstreams.
+func (r *Runner) Configure(cfg place.Config) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.carryOut(r.placer.Configure(r.Clock.Now(), cfg))
+}
+
+// Do places a request and waits for its end. When ctx ends first the request is
+// cancelled.
+func (r *Runner) Do(ctx context.Context, c *call.Call, id string, maxBody int, in place.Request) outcome {
+	f := &flight{call: c, id: id, maxBody: maxBody, replies: map[route.AttemptID]*upstream.Reply{}, settled: make(chan place.Action, 1)}
+	r.mu.Lock()
+	r.lastID++
+	in.ID = r.lastID
+	r.flights[in.ID] = f
+	r.carryOut(r.placer.Offer(r.Clock.Now(), in))
+	r.mu.Unlock()
+	var end place.Action
+	select {
+	case end = <-f.settled:
+	case <-ctx.Done():
+		end = r.gone(f, in.ID)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return outcome{action: end, reply: f.replies[end.Attempt], attempts: f.attempts}
+}
+
+// gone cancels a request whose caller left, unless it has just been settled.
+func (r *Runner) gone(f *flight, id route.RequestID) place.Action {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.carryOut(r.placer.Gone(r.Clock.Now(), id))
+	delete(r.flights, id)
+	select {
+	case end := <-f.settled:
+		return end
+	default:
+		return place.Action{Action: route.Action{Kind: route.Unknown, Request: id, Reason: route.ReasonGone}}
+	}
+}
+
+// carryOut does what the placer asks for. r.mu is held.
+func (r *Runner) carryOut(actions []place.Action) {
+	for _, a := range actions {
+		switch a.Kind {
+		case route.Probe:
+			go r.probe(a.Upstream)
+		case route.Send:
+			r.send(a)
+		case route.Cancel:
+			if cancel := r.cancels[a.Attempt]; cancel != nil {
+				cancel(context.Canceled)
+			}
+		case route.Finish, route.Refuse, route.Unknown:
+			if f := r.flights[a.Request]; f != nil {
+				delete(r.flights, a.Request)
+				f.settled <- a
+			}
+		}
+	}
+	for _, n := range r.placer.Notes() {
+		r.Logs.believed(r.Service, n)
+	}
+	r.setTimer()
+}
+
+// setTimer sets when the placer wants to be called next. r.mu is held.
+func (r *Runner) setTimer() {
+	next := r.placer.Next()
+	if next == r.timerAt {
+		return
+	}
+	r.timerAt = next
+	if next == 0 {
+		r.timer.Stop()
+		return
+	}
+	r.timer.Reset(max(0, next-r.Clock.Now()).Duration())
+}
+
+func (r *Runner) tick() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.timerAt = 0
+	r.carryOut(r.placer.Tick(r.Clock.Now()))
+}
+
+func (r *Runner) probe(id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout.Duration())
+	defer cancel()
+	result := r.Pools.Probe(ctx, r.Service, id)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.carryOut(r.placer.Measured(r.Clock.Now(), result))
+}
+
+// send starts an attempt. r.mu is held.
+func (r *Runner) send(a place.Action) {
+	f := r.flights[a.Request]
+	ctx, cancel := context.WithCancelCause(context.Background())
+	r.cancels[a.Attempt] = cancel
+	f.attempts++
+	r.Logs.action(r.Service, f, a)
+	go r.attempt(ctx, f, a)
+}
+
+func (r *Runner) attempt(ctx context.Context, f *flight, a place.Action) {
+	reply, result, err := r.Pools.Send(ctx, a.Upstream, &upstream.Attempt{
+		Call:         f.call,
+		RequestID:    f.id,
+		Clock:        r.Clock,
+		MaxBodyBytes: f.maxBody,
+		MaySend:      func() bool { return ctx.Err() == nil },
+	})
+	result.Attempt = a.Attempt
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	cancel := r.cancels[a.Attempt]
+	delete(r.cancels, a.Attempt)
+	cancel(nil)
+	if reply != nil {
+		f.replies[a.Attempt] = reply
+	}
+	r.Logs.attemptEnded(r.Service, f, a, result, err)
+	r.carryOut(r.placer.Ended(r.Clock.Now(), result))
+}
--- a/siskinpathd/upstream/attempt.go
+++ b/siskinpathd/upstream/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -15,17 +14,6 @@
 	"siskinpath/siskinpathd/call"
 )
 
-// Headers between hosts and upstreams. See docs/architecture.md.
-const (
-	headerDeadline     = "Siskin-Deadline-Ms"
-	headerOrganisation = "Siskin-Organisation"
-	headerKey          = "Idempotency-Key"
-	headerDepth        = "Siskin-Depth"
-	headerRequestID    = "Siskin-Request-Id"
-	headerLoad         = "Siskin-Load"
-	headerRefused      = "Siskin-Refused"
-)
-
 var (
 	repliesOutOfStep = metrics.NewCounter("upstream_replies_out_of_step_total")
 	repliesCut       = metrics.NewCounter("upstream_replies_cut_total")
@@ -46,7 +34,8 @@
 // Attempt is one sending of a request to one upstream.
 type Attempt struct {
 	Call         *call.Call
-	RequestID    string // unique for each attempt
+	RequestID    string // unique for each attempt; "" when the caller gave none to check
+	Instance     string // the start of the upstream that is meant, for dialects that name it
 	Clock        clock.Clock
 	MaxBodyBytes int
 	// MaySend is asked right before the first byte.
@@ -67,29 +56,36 @@
 		result.Status = route.NotSent
 		return nil, result, nil
 	}
-	c.written = 0
+	c.written.Store(0)
+	c.halfWritten = false
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	err = exchange(c, a, resp)
+	err = p.exchange(c, a, resp)
 	if err != nil {
 		stop()
-		result.Status = failed(ctx, c.written)
+		result.Status = failed(ctx, c.written.Load())
 		p.discard(c)
 		return nil, result, err
 	}
-	usable := stop() && !resp.ConnectionClose() && c.r.Buffered() == 0
-	if usable {
+	if stop() && reusable(c, resp) {
+		c.keepFor(keptFor(resp))
 		p.put(c)
 	} else {
 		p.discard(c)
 	}
-	reply = copyReply(resp)
-	result.Status = statusOf(resp)
-	result.Load = parseLoad(resp.Header.Peek(headerLoad))
+	d := p.dialect()
+	reply = d.copyReply(resp)
+	result.Status = d.statusOf(resp)
+	result.Load = d.load(resp)
 	return reply, result, nil
 }
 
+// reusable tells whether a connection is in step after a whole reply.
+func reusable(c *conn, resp *fasthttp.Response) bool {
+	return !c.halfWritten && !resp.ConnectionClose() && c.r.Buffered() == 0 && resp.Header.ContentLength() != identityLength
+}
+
 func notSent(ctx context.Context) route.Status {
 	if ctx.Err() != nil {
 		return route.Cancelled
@@ -109,26 +105,75 @@
 }
 
 // exchange writes the request and reads the reply.
-func exchange(c *conn, a *Attempt, resp *fasthttp.Response) (err error) {
+func (p *Pool) exchange(c *conn, a *Attempt, resp *fasthttp.Response) (err error) {
 	left := a.Call.Deadline - a.Clock.Now()
 	if err = c.SetDeadline(time.Now().Add(left.Duration())); err != nil {
 		return err
 	}
-	if err = writeRequest(c, a, left); err != nil {
+	if len(a.Call.Body) <= writtenAtOnce {
+		if err = p.writeRequest(c, a, left); err != nil {
+			return err
+		}
+		return p.readReply(c, a, resp)
+	}
+	return p.exchangeBoth(c, a, left, resp)
+}
+
+// writtenAtOnce is the body size up to which a request is written before its
+// reply is read. It fits into any socket's buffer.
+const writtenAtOnce = 1024
+
+// exchangeBoth writes and reads at the same time: an upstream may reply before
+// it has read a long body. The connection of such a reply is not used again.
+func (p *Pool) exchangeBoth(c *conn, a *Attempt, left clock.Millis, resp *fasthttp.Response) (err error) {
+	written := make(chan error, 1)
+	go func() { written <- p.writeRequest(c, a, left) }()
+	err = p.readReply(c, a, resp)
+	select {
+	case werr := <-written:
+		if werr != nil && err == nil {
+			c.halfWritten = true
+		}
+		return err
+	default:
+		c.halfWritten = true
+		_ = c.Close() // ends the write
+		<-written
 		return err
 	}
-	return readReply(c, a, resp)
 }
 
+// lateReplies is how many replies to other requests are read past.
+const lateReplies = 2
+
 // readReply reads a reply and makes sure that it is whole and this request's.
-func readReply(c *conn, a *Attempt, resp *fasthttp.Response) (err error) {
+func (p *Pool) readReply(c *conn, a *Attempt, resp *fasthttp.Response) (err error) {
+	d := p.dialect()
+	for skipped := 0; ; skipped++ {
+		if err = p.readOne(c, a, resp); err != nil {
+			return err
+		}
+		if d.belongs(resp, a.RequestID) {
+			return nil
+		}
+		repliesOutOfStep.Inc()
+		if !d.SkipLate || skipped == lateReplies || resp.ConnectionClose() {
+			return errOutOfStep
+		}
+		c.halfWritten = true // out of step once is reason enough to close it afterwards
+		resp.Reset()
+	}
+}
+
+// readOne reads one reply.
+func (p *Pool) readOne(c *conn, a *Attempt, resp *fasthttp.Response) (err error) {
+	d := p.dialect()
 	if err = readHeader(c, resp); err != nil {
 		repliesCut.Inc()
 		return err
 	}
-	if string(resp.Header.Peek(headerRequestID)) != a.RequestID {
-		repliesOutOfStep.Inc()
-		return errOutOfStep
+	if !d.SkipLate && !d.belongs(resp, a.RequestID) {
+		return nil // readReply refuses it without its body
 	}
 	if bodiless(a.Call.Method, resp.StatusCode()) {
 		resp.SkipBody = true
@@ -136,8 +181,11 @@
 	}
 	// The library would set the length of such a body once it has read it.
 	if resp.Header.ContentLength() == identityLength {
-		repliesCut.Inc()
-		return errUnbounded
+		if !d.Unframed {
+			repliesCut.Inc()
+			return errUnbounded
+		}
+		c.halfWritten = true // the reply ends with its connection
 	}
 	if err = resp.ReadBody(c.r, a.MaxBodyBytes); err != nil {
 		repliesCut.Inc()
@@ -165,22 +213,12 @@
 // identityLength is fasthttp's content length of a body that ends with the connection.
 const identityLength = -2
 
-func writeRequest(c *conn, a *Attempt, left clock.Millis) (err error) {
+func (p *Pool) writeRequest(c *conn, a *Attempt, left clock.Millis) (err error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetMethod(a.Call.Method)
 	req.SetRequestURI(a.Call.URI)
-	req.Header.SetHost(hostOf(c.Conn))
-	for _, h := range a.Call.Header {
-		req.Header.Add(h[0], h[1])
-	}
-	req.Header.Set(headerDeadline, strconv.FormatInt(int64(left), 10))
-	req.Header.Set(headerOrganisation, a.Call.Organisation)
-	if a.Call.Key != "" {
-		req.Header.Set(headerKey, a.Call.Key)
-	}
-	req.Header.Set(headerDepth, strconv.Itoa(a.Call.Depth+1))
-	req.Header.Set(headerRequestID, a.RequestID)
+	p.dialect().setHeader(req, a, left, hostOf(c.Conn))
 	req.SetBodyRaw(a.Call.Body)
 	if err = req.Write(c.w); err != nil {
 		return err
@@ -189,32 +227,3 @@
 }
 
 func hostOf(c net.Conn) string { return c.RemoteAddr().String() }
-
-func statusOf(resp *fasthttp.Response) route.Status {
-	switch {
-	case resp.StatusCode() == fasthttp.StatusServiceUnavailable && len(resp.Header.Peek(headerRefused)) > 0:
-		return route.Refused
-	case resp.StatusCode() >= fasthttp.StatusInternalServerError:
-		return route.Errored
-	default:
-		return route.Succeeded
-	}
-}
-
-// hopByHop are headers that belong to one connection, not to the answer.
-var hopByHop = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Transfer-Encoding": true, "Content-Length": true,
-	"Date": true, "Server": true, "Trailer": true, "Upgrade": true,
-	headerRequestID: true, headerLoad: true, headerRefused: true,
-}
-
-func copyReply(resp *fasthttp.Response) *Reply {
-	r := &Reply{Status: resp.StatusCode()}
-	for k, v := range resp.Header.All() {
-		if !hopByHop[string(k)] {
-			r.Header = append(r.Header, [2]string{string(k), string(v)})
-		}
-	}
-	r.Body = append([]byte(nil), resp.Body()...)
-	return r
-}
--- a/siskinpathd/upstream/conn.go
+++ b/siskinpathd/upstream/conn.go
@@ -3,8 +3,13 @@
 import (
 	"bufio"
 	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"syscall"
 
+	"github.com/valyala/fasthttp"
+
 	"siskinpath/core/clock"
 )
 
@@ -17,8 +22,12 @@
 	net.Conn
 	r       *bufio.Reader
 	w       *bufio.Writer
-	written int64
+	written atomic.Int64
 	usedAt  clock.Millis
+	kept    clock.Millis // how long the upstream keeps it open unused; 0 when it does not say
+	// halfWritten says that the connection can't carry another request: its last
+	// one was not read whole, or its last reply was not alone.
+	halfWritten bool
 }
 
 func newConn(nc net.Conn) *conn {
@@ -36,10 +45,36 @@
 
 func (w countingWriter) Write(b []byte) (n int, err error) {
 	n, err = w.nc.Write(b)
-	w.c.written += int64(n)
+	w.c.written.Add(int64(n))
 	return n, err
 }
 
+// keepMargin is how long before the upstream's own time-out a connection is no
+// longer used, so that a request does not cross its close.
+const keepMargin = clock.Second
+
+func (c *conn) keepFor(d clock.Millis) {
+	if d > 0 {
+		c.kept = max(d-keepMargin, d/2)
+	}
+}
+
+// keptFor returns how long the upstream says that it keeps the connection open, 0
+// when it doesn't say.
+func keptFor(resp *fasthttp.Response) clock.Millis {
+	for field := range strings.SplitSeq(string(resp.Header.Peek("Keep-Alive")), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(value)
+		if err == nil && seconds > 0 {
+			return clock.Millis(seconds) * clock.Second
+		}
+	}
+	return 0
+}
+
 // alive tells whether the upstream has neither closed an idle connection nor
 // sent anything on it unasked. Asking before the first byte is what makes a
 // retry on another connection safe.
--- /dev/null
+++ b/siskinpathd/upstream/dialect.go
@@ -0,0 +1,136 @@
+package upstream
+
+import (
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/route"
+)
+
+// Dialect says what headers are called between hosts and upstreams. A name that
+// is empty is not used.
+type Dialect struct {
+	RequestID    string // on requests, and echoed on replies
+	Deadline     string // on requests: milliseconds left
+	Instance     string // on requests: the start of the upstream that is meant
+	Organisation string
+	Key          string
+	Depth        string
+	NotRun       string // on replies: the request did not run
+	Load         string // on replies: the load report
+	ParseLoad    func([]byte) *route.LoadReport
+	// NotRunStatus is a status that says the same as NotRun; 0 for none.
+	NotRunStatus int
+	// PassHost passes the caller's Host header on in place of the address.
+	PassHost bool
+	// PassRequestID leaves the caller's own id on the request and on the reply.
+	PassRequestID bool
+	// Unframed takes replies that end with their connection for whole.
+	Unframed bool
+	// SkipLate reads past replies that belong to other requests.
+	SkipLate bool
+}
+
+// Siskin is the product's own dialect. See docs/architecture.md.
+var Siskin = &Dialect{
+	RequestID:    "Siskin-Request-Id",
+	Deadline:     "Siskin-Deadline-Ms",
+	Organisation: "Siskin-Organisation",
+	Key:          "Idempotency-Key",
+	Depth:        "Siskin-Depth",
+	NotRun:       "Siskin-Refused",
+	Load:         "Siskin-Load",
+	ParseLoad:    parseLoad,
+}
+
+func (d *Dialect) setHeader(req *fasthttp.Request, a *Attempt, left clock.Millis, address string) {
+	c := a.Call
+	h := &req.Header
+	if d.PassHost {
+		address = c.Host
+	}
+	h.SetHost(address)
+	h.SetNoDefaultContentType(true)
+	for _, kv := range c.Header {
+		h.Add(kv[0], kv[1])
+	}
+	h.Set(d.Deadline, strconv.FormatInt(int64(left), 10))
+	if !d.PassRequestID {
+		h.Set(d.RequestID, a.RequestID)
+	}
+	if d.Instance != "" && a.Instance != "" {
+		h.Set(d.Instance, a.Instance)
+	}
+	if d.Organisation != "" {
+		h.Set(d.Organisation, c.Organisation)
+	}
+	if d.Key != "" && c.Key != "" {
+		h.Set(d.Key, c.Key)
+	}
+	if d.Depth != "" {
+		h.Set(d.Depth, strconv.Itoa(c.Depth+1))
+	}
+}
+
+// belongs tells whether a reply is that to the request with this id. A reply
+// that says not run may come without an id, as it is written before the request
+// is read.
+func (d *Dialect) belongs(resp *fasthttp.Response, id string) bool {
+	got := string(resp.Header.Peek(d.RequestID))
+	if got == id {
+		return true
+	}
+	if !d.PassRequestID {
+		return false
+	}
+	return id == "" || got == "" && resp.StatusCode() >= fasthttp.StatusMultipleChoices
+}
+
+func (d *Dialect) statusOf(resp *fasthttp.Response) route.Status {
+	status := resp.StatusCode()
+	switch {
+	case d.refused(resp), d.NotRunStatus != 0 && status == d.NotRunStatus:
+		return route.Refused
+	case status >= fasthttp.StatusInternalServerError:
+		return route.Errored
+	default:
+		return route.Succeeded
+	}
+}
+
+// refused tells whether the upstream says that it did not run the request. The
+// product's own dialect says so with 503 only.
+func (d *Dialect) refused(resp *fasthttp.Response) bool {
+	if len(resp.Header.Peek(d.NotRun)) == 0 {
+		return false
+	}
+	return d != Siskin || resp.StatusCode() == fasthttp.StatusServiceUnavailable
+}
+
+func (d *Dialect) load(resp *fasthttp.Response) *route.LoadReport {
+	return d.ParseLoad(resp.Header.Peek(d.Load))
+}
+
+// hopByHop are headers that belong to one connection, not to the answer.
+var hopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Transfer-Encoding": true, "Content-Length": true,
+	"Date": true, "Server": true, "Trailer": true, "Upgrade": true,
+}
+
+func (d *Dialect) copyReply(resp *fasthttp.Response) *Reply {
+	r := &Reply{Status: resp.StatusCode()}
+	for k, v := range resp.Header.All() {
+		if !hopByHop[string(k)] && !d.private(string(k)) {
+			r.Header = append(r.Header, [2]string{string(k), string(v)})
+		}
+	}
+	r.Body = append([]byte(nil), resp.Body()...)
+	return r
+}
+
+// private tells whether a reply's header is for the host alone.
+func (d *Dialect) private(name string) bool {
+	return name == d.Load || name == d.NotRun || name == d.RequestID && !d.PassRequestID
+}
--- a/siskinpathd/upstream/pool.go
+++ b/siskinpathd/upstream/pool.go
@@ -4,6 +4,7 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -31,6 +32,8 @@
 	MaxConnections int // 0 means no limit
 	DialTimeout    clock.Millis
 	Clock          clock.Clock
+	Dialect        *Dialect     // nil means Siskin
+	KeepIdle       clock.Millis // how long an unused connection is kept; 0 means IdleAfter
 
 	mu     sync.Mutex
 	idle   []*conn // most recently used last
@@ -38,6 +41,22 @@
 	closed bool
 }
 
+func (p *Pool) dialect() *Dialect {
+	if p.Dialect == nil {
+		return Siskin
+	}
+	return p.Dialect
+}
+
+// keeps tells whether an unused connection may still be used.
+func (p *Pool) keeps(c *conn) bool {
+	limit := cmp.Or(p.KeepIdle, IdleAfter)
+	if c.kept > 0 {
+		limit = min(limit, c.kept)
+	}
+	return p.Clock.Now()-c.usedAt < limit
+}
+
 // SetMaxConnections changes the limit. Connections above it close when they
 // come back.
 func (p *Pool) SetMaxConnections(n int) {
@@ -53,7 +72,7 @@
 		if c == nil {
 			return p.dial(ctx)
 		}
-		if c.alive() {
+		if p.keeps(c) && c.alive() {
 			return c, nil
 		}
 		connectionsStale.Inc()
@@ -126,12 +145,11 @@
 	p.release()
 }
 
-// Sweep closes connections that were idle for longer than IdleAfter.
+// Sweep closes connections that were idle for too long.
 func (p *Pool) Sweep() {
-	limit := p.Clock.Now() - IdleAfter
 	p.mu.Lock()
 	var old []*conn
-	for len(p.idle) > 0 && p.idle[0].usedAt < limit {
+	for len(p.idle) > 0 && !p.keeps(p.idle[0]) {
 		old = append(old, p.idle[0])
 		p.idle = p.idle[1:]
 	}
--- a/siskinpathd/upstream/pool_test.go
+++ b/siskinpathd/upstream/pool_test.go
@@ -69,7 +69,7 @@
 	return err == nil
 }
 
-func idOf(req *fasthttp.Request) string { return string(req.Header.Peek(headerRequestID)) }
+func idOf(req *fasthttp.Request) string { return string(req.Header.Peek(Siskin.RequestID)) }
 
 func attemptFor(p *Pool, id string) *Attempt {
 	return &Attempt{
--- a/siskinpathd/upstream/set.go
+++ b/siskinpathd/upstream/set.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
-	"github.com/valyala/fasthttp"
 
 	"siskinpath/core/clock"
 	"siskinpath/core/route"
@@ -78,57 +76,15 @@
 
 // Probe asks an upstream for a unit of work. It is bounded by ctx's deadline.
 func (s *Set) Probe(ctx context.Context, service, name string) (result route.ProbeResult) {
-	result.Upstream = name
 	p := s.get(service, name)
 	if p == nil {
-		return result
-	}
-	start := s.Clock.Now()
-	c, err := p.get(ctx)
-	if err != nil {
-		return result
-	}
-	load, err := probe(ctx, c)
-	result.Latency = s.Clock.Now() - start
-	if err != nil {
-		p.discard(c)
-		return result
+		return route.ProbeResult{Upstream: name}
 	}
-	p.put(c)
-	result.OK = true
-	result.Load = load
+	result, _ = p.Probe(ctx, probeURI)
+	result.Upstream = name
 	return result
 }
 
-func probe(ctx context.Context, c *conn) (load *route.LoadReport, err error) {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Now().Add(DialTimeout.Duration())
-	}
-	if err = c.SetDeadline(deadline); err != nil {
-		return nil, err
-	}
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	req.SetRequestURI(probeURI)
-	req.Header.SetHost(hostOf(c.Conn))
-	if err = req.Write(c.w); err != nil {
-		return nil, err
-	}
-	if err = c.w.Flush(); err != nil {
-		return nil, err
-	}
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	if err = resp.ReadLimitBody(c.r, bufferBytes); err != nil {
-		return nil, err
-	}
-	if resp.StatusCode() != fasthttp.StatusOK || resp.ConnectionClose() {
-		return nil, errors.Errorf("probe answered %d", resp.StatusCode())
-	}
-	return parseLoad(resp.Header.Peek(headerLoad)), nil
-}
-
 // Sweep closes connections that have been idle for long.
 func (s *Set) Sweep() {
 	s.mu.RLock()
