discovery: a removal that the store tells of is believed, also after an outage

Change: only entries that a whole read misses are doubted, and a timer drops them. Test fails without the change.

--- a/core/discovery/registry.go
+++ b/core/discovery/registry.go
@@ -31,10 +31,11 @@
 }
 
 const (
-	// returnWithin is how long after an outage a removed entry still counts. The
-	// entries of upstreams that live are back sooner.
-	returnWithin = 1800 * clock.Millisecond
-	// outageEcho is how long after an outage removals may be due to it.
+	// returnWithin is how long an entry still counts that was missing after an
+	// outage. Those of upstreams that live are back by then, and an upstream that
+	// leaves may get new work for two seconds.
+	returnWithin = 1700 * clock.Millisecond
+	// outageEcho is how long after an outage entries may be missing due to it.
 	outageEcho = 4 * clock.Second
 )
 
@@ -73,26 +74,27 @@
 	held := map[string]bool{}
 	for _, e := range entries {
 		held[e.ID] = e.Upstream != nil
-		changed = r.applyOne(now, e) || changed
+		changed = r.applyOne(e, now) || changed
 	}
 	if !whole {
 		return changed
 	}
 	for id := range r.entries {
 		if !held[id] {
-			changed = r.removed(now, id) || changed
+			changed = r.missing(now, id) || changed
 		}
 	}
 	return changed
 }
 
-func (r *Registry) applyOne(now clock.Millis, e Entry) (changed bool) {
+func (r *Registry) applyOne(e Entry, now clock.Millis) (changed bool) {
 	known := r.entries[e.ID]
 	if known != nil && e.Version < known.version {
 		return false
 	}
 	if e.Upstream == nil {
-		return r.removed(now, e.ID)
+		delete(r.entries, e.ID)
+		return known != nil
 	}
 	if known != nil && known.Upstream == *e.Upstream && known.doubtAt == 0 {
 		known.version = e.Version
@@ -106,13 +108,11 @@
 	return true
 }
 
-// removed drops an entry, or keeps it for a while when an outage may be why it
-// went. One that was leaving is dropped in any case.
-func (r *Registry) removed(now clock.Millis, id string) (changed bool) {
+// missing drops an entry that a whole read did not show, or keeps it for a while
+// when an outage may be why it lapsed. One that was leaving is dropped in any
+// case. A removal that the store tells of is always believed.
+func (r *Registry) missing(now clock.Millis, id string) (changed bool) {
 	e := r.entries[id]
-	if e == nil {
-		return false
-	}
 	if e.Leaving || !r.outage || now-r.outageAt > outageEcho {
 		delete(r.entries, id)
 		return true
--- a/core/discovery/registry_test.go
+++ b/core/discovery/registry_test.go
@@ -56,6 +56,11 @@
 			r.Apply(5500, []Entry{entryOf("b", 2)}, true)
 			So(ids(r), ShouldResemble, []string{"b"})
 		})
+		Convey("believes a removal that it is told of, also soon after an outage", func() {
+			r.Outage(5000)
+			So(r.Apply(5500, []Entry{{ID: "a", Version: 9}}, false), ShouldBeTrue)
+			So(ids(r), ShouldResemble, []string{"b"})
+		})
 		Convey("believes removals long after an outage", func() {
 			r.Outage(5000)
 			So(r.Apply(5000+outageEcho+1, []Entry{{ID: "a", Version: 7}}, false), ShouldBeTrue)
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -165,6 +165,7 @@
 	if n.registry.Apply(n.Clock.Now(), entries, whole) {
 		n.configure()
 	}
+	n.planDrop()
 	if whole {
 		n.found.Store(true)
 		n.Log.Info("upstreams read whole", "entries", n.registry.Len())
@@ -234,19 +235,35 @@
 
 // housekeep does what is due from time to time.
 func (n *Node) housekeep(ctx context.Context) {
-	t := time.NewTicker(sweepEvery.Duration())
-	defer t.Stop()
+	sweep := time.NewTicker(sweepEvery.Duration())
+	defer sweep.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.C:
+		case <-sweep.C:
 			n.pools.Sweep()
 			n.mu.Lock()
-			if n.registry.Tick(n.Clock.Now()) || n.Hosts() != n.shared {
+			if n.Hosts() != n.shared {
 				n.configure()
 			}
 			n.mu.Unlock()
 		}
 	}
 }
+
+// planDrop sets when entries that did not come back are dropped. n.mu is held.
+func (n *Node) planDrop() {
+	at := n.registry.Next()
+	if at == 0 {
+		return
+	}
+	time.AfterFunc(max(0, at-n.Clock.Now()).Duration(), func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.registry.Tick(n.Clock.Now()) {
+			n.Log.Info("upstreams dropped that did not come back", "entries", n.registry.Len())
+			n.configure()
+		}
+	})
+}
