place: urgent requests may fill an upstream, others only up to where it slows down

Cause: with load < 0.8 x slots five of six slots (four of four) were filled, past the knee. Change: load + 1 <= 0.8 x slots for less urgent requests, all slots for urgent ones.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -57,7 +57,7 @@
 	if r.Priority < p.Tuning.Ordinary {
 		fill = p.Tuning.UrgentFill
 	}
-	return float64(u.load()) < fill*float64(max(1, u.Slots))
+	return float64(u.load()+1) <= max(1, fill*float64(u.Slots))
 }
 
 // usable tells whether r may be sent to u at all.
