--- a/core/place/types.go
+++ b/core/place/types.go
@@ -78,7 +78,7 @@
 // DefaultTuning returns the figures in use. docs/MEASUREMENTS.md has the runs.
 func DefaultTuning() Tuning {
 	return Tuning{
-		Asked:           2,
+		Asked:           3,
 		AskWait:         12 * clock.Millisecond,
 		FreshFor:        8 * clock.Millisecond,
 		Fill:            0.8,
