--- a/siskinpathd/entry/decisions.go
+++ b/siskinpathd/entry/decisions.go
@@ -66,7 +66,7 @@
 }
 
 // discovered logs an entry of discovery.
-func (d *decisions) discovered(row watch.Row[*discovery.Upstream], whole bool) {
+func (d *decisions) discovered(row watch.Decoded[*discovery.Upstream], whole bool) {
 	if whole {
 		return
 	}
--- a/siskinpathd/entry/follow.go
+++ b/siskinpathd/entry/follow.go
@@ -1,41 +1,89 @@
 package entry
 
 import (
+	"context"
+	"math/rand/v2"
+	"time"
+
 	"siskinpath/core/clock"
-	"siskinpath/core/config"
-	"siskinpath/core/discovery"
+	"siskinpath/core/roster"
+	"siskinpath/siskinpathd/relay"
 	"siskinpath/siskinpathd/watch"
 )
 
 const (
-	// configBatch is how long changes of the configuration gather. It has to be in
-	// force two seconds after it was accepted.
-	configBatch = 1000 * clock.Millisecond
-	// discoveryBatch is the same for upstreams: one that leaves gets nothing new
-	// two seconds after it said so.
-	discoveryBatch = 1000 * clock.Millisecond
+	// batch is how long changes gather before a host that follows the store asks
+	// again. They have to be in force everywhere two seconds after they were
+	// accepted.
+	batch = 1000 * clock.Millisecond
 	// feedWait is how long the store holds an answer back while nothing changes. A
 	// store that falls silent is noticed when it has passed.
 	feedWait = 4 * clock.Second
 	// storeRetry and storeMostRetry bound the pause between calls that fail.
 	storeRetry     = 100 * clock.Millisecond
 	storeMostRetry = clock.Second
+	// hostsAgain is when a host that has just entered itself reads who else has.
+	hostsAgain = 1500 * clock.Millisecond
+	// hostsEvery is how often it reads them after that. Other hosts tell of new
+	// ones sooner.
+	hostsEvery = clock.Minute
+)
+
+// Names of the tables that hosts pass on to each other.
+const (
+	tableConfig    = "configuration"
+	tableUpstreams = "upstreams"
 )
 
-func (n *Node) watchConfig() *watch.Watcher[*config.Config] {
-	return &watch.Watcher[*config.Config]{
-		Name: "configuration", Source: n.Config, Clock: n.Clock, Log: n.Log,
-		Batch: configBatch, Wait: feedWait, Retry: storeRetry, MostRetry: storeMostRetry,
-		Apply: n.applyConfig,
+// Followed is a table of the store and what its values mean.
+type Followed[T any] struct {
+	Source watch.Source
+	Decode func(key string, value []byte) (T, error)
+}
+
+// HostTable is where hosts find each other at their start.
+type HostTable interface {
+	Read(ctx context.Context) ([]roster.Host, error)
+	Write(ctx context.Context, h roster.Host) error
+}
+
+// startRelay makes the tables and the relay that passes them on.
+func (n *Node) startRelay() {
+	cfg := n.Settings
+	n.relay = &relay.Relay{
+		Self: roster.Host{
+			ID: cfg.ID, Incarnation: rand.Uint64() | 1, AvailabilityZone: cfg.AvailabilityZone,
+			CallerAddress: cfg.Listen.Caller, PeerAddress: cfg.Listen.Peer,
+		},
+		Listen: cfg.Listen.Peer, Clock: n.Clock, Log: n.Log,
+		Lost:   func() bool { return n.lostCalls.Load() > 0 },
+		OnLost: n.storeLost,
 	}
+	n.configTable = newTable(n, tableConfig, n.Config, n.applyConfig)
+	n.upstreamTable = newTable(n, tableUpstreams, n.Discovery, n.applyDiscovery)
+	n.relay.Tables = map[string]watch.Store{tableConfig: n.configTable, tableUpstreams: n.upstreamTable}
 }
 
-func (n *Node) watchDiscovery() *watch.Watcher[*discovery.Upstream] {
-	return &watch.Watcher[*discovery.Upstream]{
-		Name: "upstreams", Source: n.Discovery, Clock: n.Clock, Log: n.Log,
-		Batch: discoveryBatch, Wait: feedWait, Retry: storeRetry, MostRetry: storeMostRetry,
-		Apply: n.applyDiscovery,
-		Lost:  func(error) { n.storeLost() },
+func newTable[T any](n *Node, name string, f Followed[T], apply func([]watch.Decoded[T], bool)) *watch.Table[T] {
+	return &watch.Table[T]{Name: name, Log: n.Log, Decode: f.Decode, Apply: apply, Changed: n.relay.Changed}
+}
+
+func (n *Node) watchers() []*watch.Watcher {
+	return []*watch.Watcher{
+		n.watcher(tableConfig, n.Config.Source, n.configTable.Version, n.configTable.Take),
+		n.watcher(tableUpstreams, n.Discovery.Source, n.upstreamTable.Version, n.upstreamTable.Take),
+	}
+}
+
+func (n *Node) watcher(name string, s watch.Source, version func() (int64, bool), take func(watch.Update) bool) *watch.Watcher {
+	return &watch.Watcher{
+		Name: name, Source: s, Log: n.Log, Version: version, Take: take, Needed: n.relay.Follows,
+		Batch: batch, Wait: feedWait, Retry: storeRetry, MostRetry: storeMostRetry,
+		Lost: func(error) {
+			n.lostCalls.Add(1)
+			n.storeLost()
+		},
+		Regained: func() { n.lostCalls.Store(0) },
 	}
 }
 
@@ -44,3 +92,51 @@
 	n.registry.Outage(n.Clock.Now())
 	n.mu.Unlock()
 }
+
+// followHosts enters this host among the others and finds them.
+func (n *Node) followHosts(ctx context.Context) {
+	self := n.relay.Self
+	pause := storeRetry
+	for ctx.Err() == nil {
+		hosts, err := n.Hosts.Read(ctx)
+		wrote := false
+		if err == nil {
+			n.relay.Learn(hosts)
+			if !entered(hosts, self) {
+				wrote = true
+				err = n.Hosts.Write(ctx, self)
+			}
+		}
+		switch {
+		case err != nil:
+			n.Log.Warn("hosts can't be read or written", "err", err)
+			pause = min(2*pause, hostsEvery)
+		case wrote:
+			pause = hostsAgain
+		default:
+			pause = hostsEvery
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause.Duration()):
+		}
+	}
+}
+
+// entered tells whether the row of this host is as it should be. The incarnation
+// is told by the host itself.
+func entered(hosts []roster.Host, self roster.Host) bool {
+	for _, h := range hosts {
+		if h.ID == self.ID {
+			return h.PeerAddress == self.PeerAddress && h.CallerAddress == self.CallerAddress
+		}
+	}
+	return false
+}
+
+// Addresses returns the hosts for callers of an availability zone.
+func (n *Node) Addresses(zone string) []string { return n.relay.Callers(zone, mostAddresses) }
+
+// mostAddresses is how many addresses callers get: enough that one of them works
+// when hosts have just failed.
+const mostAddresses = 4
--- a/siskinpathd/entry/leave.go
+++ b/siskinpathd/entry/leave.go
@@ -34,6 +34,7 @@
 	n.leaving.Store(int64(start))
 	grace := n.Settings.Shutdown.GraceMs
 	n.Log.Info("leaving", "grace_ms", grace, "in_flight", n.server.Busy())
+	n.relay.SetReady(false)
 	n.server.Leave()
 	closed := false
 	for {
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -17,6 +17,7 @@
 	"siskinpath/core/discovery"
 	"siskinpath/core/place"
 	"siskinpath/core/route"
+	"siskinpath/siskinpathd/relay"
 	"siskinpath/siskinpathd/upstream"
 	"siskinpath/siskinpathd/watch"
 )
@@ -38,19 +39,22 @@
 	Clock     clock.Clock
 	Upstreams *upstream.Dialect
 	Callers   CallerDialect
-	Config    watch.Source[*config.Config]
-	Discovery watch.Source[*discovery.Upstream]
-	// Hosts returns how many hosts share the upstreams, at least 1.
-	Hosts func() int
+	Config    Followed[*config.Config]
+	Discovery Followed[*discovery.Upstream]
+	Hosts     HostTable
 
-	config    atomic.Pointer[config.Config]
-	found     atomic.Bool // discovery was read once
-	leaving   atomic.Int64
-	server    *Server
-	pools     *Pools
-	decisions *decisions
-	counters  counters
-	ours      map[string]bool // headers that only hosts set
+	config        atomic.Pointer[config.Config]
+	found         atomic.Bool // discovery was read once
+	leaving       atomic.Int64
+	server        *Server
+	relay         *relay.Relay
+	lostCalls     atomic.Int64 // calls to the store that failed since one worked
+	pools         *Pools
+	configTable   *watch.Table[*config.Config]
+	upstreamTable *watch.Table[*discovery.Upstream]
+	decisions     *decisions
+	counters      counters
+	ours          map[string]bool // headers that only hosts set
 
 	mu       sync.Mutex // guards what is below
 	registry discovery.Registry
@@ -65,11 +69,17 @@
 	if err = n.server.Bind(); err != nil {
 		return err
 	}
+	if err = n.relay.Bind(); err != nil {
+		return err
+	}
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	go n.server.Run()
-	go n.watchConfig().Run(work)
-	go n.watchDiscovery().Run(work)
+	go n.relay.Run(work)
+	for _, w := range n.watchers() {
+		go w.Run(work)
+	}
+	go n.followHosts(work)
 	go n.housekeep(work)
 	n.Log.Info("started", "callers", n.Settings.Listen.Caller, "platform", n.Settings.Platform.Address)
 	<-ctx.Done()
@@ -84,6 +94,7 @@
 	n.runners = map[string]*Runner{}
 	n.splitter.Rand = newRand()
 	n.ours = map[string]bool{n.Upstreams.Instance: true}
+	n.startRelay()
 	n.server = &Server{Listen: n.Settings.Listen.Caller, Log: n.Log, Limits: n.limits, Handle: n.handle}
 }
 
@@ -130,7 +141,7 @@
 }
 
 // applyConfig takes on a configuration that is newer than the one in force.
-func (n *Node) applyConfig(rows []watch.Row[*config.Config], _ bool) {
+func (n *Node) applyConfig(rows []watch.Decoded[*config.Config], _ bool) {
 	for _, row := range rows {
 		if row.Removed || row.Fault != nil || row.Value == nil {
 			continue
@@ -147,10 +158,11 @@
 		n.Log.Info("configuration in force", "version", row.Value.Version, "row_version", row.Version,
 			"routes", len(row.Value.Routes), "services", len(row.Value.Services))
 	}
+	n.relay.SetReady(n.Ready() == nil)
 }
 
 // applyDiscovery takes in entries of upstreams.
-func (n *Node) applyDiscovery(rows []watch.Row[*discovery.Upstream], whole bool) {
+func (n *Node) applyDiscovery(rows []watch.Decoded[*discovery.Upstream], whole bool) {
 	entries := make([]discovery.Entry, 0, len(rows))
 	for _, row := range rows {
 		e := discovery.Entry{ID: row.Key, Version: row.Version}
@@ -169,6 +181,7 @@
 	if whole {
 		n.found.Store(true)
 		n.Log.Info("upstreams read whole", "entries", n.registry.Len())
+		n.relay.SetReady(n.Ready() == nil)
 	}
 }
 
@@ -179,7 +192,7 @@
 	if cfg == nil {
 		return
 	}
-	n.shared = n.Hosts()
+	n.shared = n.relay.Size()
 	var all []discovery.Known
 	for name := range cfg.Services {
 		list := n.registry.Service(name)
@@ -244,7 +257,7 @@
 		case <-sweep.C:
 			n.pools.Sweep()
 			n.mu.Lock()
-			if n.Hosts() != n.shared {
+			if n.relay.Size() != n.shared {
 				n.configure()
 			}
 			n.mu.Unlock()
--- /dev/null
+++ b/siskinpathd/relay/relay.go
@@ -0,0 +1,144 @@
+// Package relay carries what a few hosts read from the platform's store to all
+// others, and tells all of them which hosts live.
+//
+// A host opens a session to each host that it listens to. The session brings
+// whole tables first and then each change; both ends send heartbeats.
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/roster"
+	"siskinpath/siskinpathd/relay/relaypb"
+	"siskinpath/siskinpathd/watch"
+)
+
+const (
+	// targetsEvery is how often it is looked which hosts to listen to.
+	targetsEvery = 500 * clock.Millisecond
+	// dialTimeout is how long a host has to accept a session: several times the way
+	// to another availability zone and back.
+	dialTimeout = 300 * clock.Millisecond
+)
+
+var (
+	sessionsOpened = metrics.NewCounter("relay_sessions_opened_total")
+	sessionsLost   = metrics.NewCounter("relay_sessions_lost_total")
+	updatesSent    = metrics.NewCounter("relay_updates_sent_total")
+	updatesTaken   = metrics.NewCounter("relay_updates_received_total")
+)
+
+// Relay is both ends of the sessions of a host. Set the fields before Run.
+type Relay struct {
+	Self   roster.Host
+	Listen string
+	Clock  clock.Clock
+	Log    *slog.Logger
+	Tables map[string]watch.Store
+	// Lost tells whether this host can't read the store now.
+	Lost func() bool
+	// OnLost is told when all hosts that are listened to have lost the store.
+	OnLost func()
+
+	mu          sync.Mutex
+	roster      roster.Roster
+	listening   map[string]context.CancelFunc // by the host's id
+	subscribers map[*subscriber]bool
+	changed     chan struct{} // closed when what this host says of itself changes
+	ln          net.Listener
+}
+
+// Bind opens the listener.
+func (r *Relay) Bind() (err error) {
+	r.listening = map[string]context.CancelFunc{}
+	r.subscribers = map[*subscriber]bool{}
+	r.changed = make(chan struct{})
+	r.roster.Self = r.Self
+	r.ln, err = net.Listen("tcp", r.Listen)
+	return errors.WithMessagef(err, "peer listener %s", r.Listen)
+}
+
+// Run serves and listens until ctx ends.
+func (r *Relay) Run(ctx context.Context) {
+	go r.accept()
+	turn := time.NewTicker(targetsEvery.Duration())
+	defer turn.Stop()
+	beat := time.NewTicker(roster.HeartbeatEvery.Duration())
+	defer beat.Stop()
+	r.listen(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			_ = r.ln.Close()
+			return
+		case <-turn.C:
+			r.listen(ctx)
+		case <-beat.C:
+			r.heartbeat()
+		}
+	}
+}
+
+// Learn takes in hosts that the platform's store names.
+func (r *Relay) Learn(hosts []roster.Host) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.roster.Learn(hosts)
+}
+
+// Follows tells whether this host has to follow the store itself.
+func (r *Relay) Follows() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.roster.Follows(r.Clock.Now())
+}
+
+// Size returns how many hosts there are.
+func (r *Relay) Size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.roster.Size()
+}
+
+// Callers returns the addresses for callers of an availability zone.
+func (r *Relay) Callers(zone string, most int) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.roster.Callers(zone, most, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+}
+
+// SetReady tells all hosts whether callers may be sent to this one.
+func (r *Relay) SetReady(ready bool) {
+	r.mu.Lock()
+	changed := r.roster.Self.Ready != ready
+	r.roster.Self.Ready = ready
+	self := r.roster.Self
+	if changed {
+		close(r.changed)
+		r.changed = make(chan struct{})
+	}
+	r.mu.Unlock()
+	if changed {
+		r.send(&relaypb.FromWatcher{Hosts: []*relaypb.Host{hostToWire(self)}, StoreLost: r.Lost()})
+	}
+}
+
+// Changed passes an update on to all who listen.
+func (r *Relay) Changed(u watch.Update) {
+	r.send(&relaypb.FromWatcher{Updates: []*relaypb.Update{updateToWire(u)}})
+}
+
+func (r *Relay) self() roster.Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.roster.Self
+}
--- /dev/null
+++ b/siskinpathd/relay/wire.go
@@ -0,0 +1,76 @@
+package relay
+
+import (
+	"bufio"
+	"net"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"siskinpath/core/roster"
+	"siskinpath/siskinpathd/relay/relaypb"
+	"siskinpath/siskinpathd/watch"
+)
+
+const (
+	// maxMessage bounds what a peer may send: a whole table of some thousand rows.
+	maxMessage = 16 << 20
+	// bufferBytes is the size of a session's read buffer.
+	bufferBytes = 4096
+)
+
+// reader reads messages of a session. A peer that is silent for too long is an
+// error.
+type reader struct {
+	nc net.Conn
+	r  *bufio.Reader
+}
+
+func newReader(nc net.Conn) *reader { return &reader{nc: nc, r: bufio.NewReaderSize(nc, bufferBytes)} }
+
+func (r *reader) read(m proto.Message) (err error) {
+	if err = r.nc.SetReadDeadline(time.Now().Add(roster.SilentAfter.Duration())); err != nil {
+		return err
+	}
+	return protodelim.UnmarshalOptions{MaxSize: maxMessage}.UnmarshalFrom(r.r, m)
+}
+
+// write sends one message.
+func write(nc net.Conn, m proto.Message) (err error) {
+	if err = nc.SetWriteDeadline(time.Now().Add(roster.SilentAfter.Duration())); err != nil {
+		return err
+	}
+	_, err = protodelim.MarshalTo(nc, m)
+	return err
+}
+
+func hostToWire(h roster.Host) *relaypb.Host {
+	return &relaypb.Host{
+		Id: h.ID, Incarnation: h.Incarnation, AvailabilityZone: h.AvailabilityZone,
+		CallerAddress: h.CallerAddress, PeerAddress: h.PeerAddress, Ready: h.Ready,
+	}
+}
+
+func hostFromWire(h *relaypb.Host) roster.Host {
+	return roster.Host{
+		ID: h.GetId(), Incarnation: h.GetIncarnation(), AvailabilityZone: h.GetAvailabilityZone(),
+		CallerAddress: h.GetCallerAddress(), PeerAddress: h.GetPeerAddress(), Ready: h.GetReady(),
+	}
+}
+
+func updateToWire(u watch.Update) *relaypb.Update {
+	w := &relaypb.Update{Table: u.Table, Version: u.Version, Base: u.Base, Whole: u.Whole}
+	for _, r := range u.Rows {
+		w.Rows = append(w.Rows, &relaypb.Row{Key: r.Key, Value: r.Value, Removed: r.Removed, Version: r.Version})
+	}
+	return w
+}
+
+func updateFromWire(w *relaypb.Update) watch.Update {
+	u := watch.Update{Table: w.GetTable(), Version: w.GetVersion(), Base: w.GetBase(), Whole: w.GetWhole()}
+	for _, r := range w.GetRows() {
+		u.Rows = append(u.Rows, watch.Row{Key: r.GetKey(), Value: r.GetValue(), Removed: r.GetRemoved(), Version: r.GetVersion()})
+	}
+	return u
+}
--- /dev/null
+++ b/siskinpathd/watch/table.go
@@ -0,0 +1,130 @@
+package watch
+
+import (
+	"log/slog"
+	"sync"
+)
+
+// Row is a row of a table as the store holds it.
+type Row struct {
+	Key     string
+	Value   []byte
+	Removed bool
+	Version int64
+}
+
+// Update is a change of a table, or all of it.
+type Update struct {
+	Table   string
+	Version int64 // of the store, after the change
+	Base    int64 // the version before the change; not used with Whole
+	Whole   bool  // the rows are all that the table holds
+	Rows    []Row
+}
+
+// Decoded is a row with its decoded value.
+type Decoded[T any] struct {
+	Key     string
+	Value   T
+	Removed bool
+	// Fault says why the value could not be decoded. Value is not set then.
+	Fault   error
+	Version int64
+}
+
+// Table is what a host knows of a table of the store, from whoever told it. Set
+// the fields before use. Safe for concurrent use.
+type Table[T any] struct {
+	Name   string
+	Log    *slog.Logger
+	Decode func(key string, value []byte) (T, error)
+	// Apply takes in rows; with whole, they are all that the table holds.
+	Apply func(rows []Decoded[T], whole bool)
+	// Changed is told of each update that brought something new.
+	Changed func(u Update)
+
+	mu      sync.Mutex
+	version int64
+	known   bool
+	rows    map[string]Row
+}
+
+// Store is a Table of any type.
+type Store interface {
+	// Take takes in an update, from the store or from another host. One that is
+	// not newer than what is known is passed over. It is false when changes are
+	// missing before this one.
+	Take(u Update) bool
+	// Image returns the whole table. It is false before anything was taken in.
+	Image() (u Update, ok bool)
+}
+
+// Version returns the store's version up to which the table is known.
+func (t *Table[T]) Version() (version int64, known bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version, t.known
+}
+
+// Image returns the whole table.
+func (t *Table[T]) Image() (u Update, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u = Update{Table: t.Name, Version: t.version, Whole: true}
+	for _, r := range t.rows {
+		u.Rows = append(u.Rows, r)
+	}
+	return u, t.known
+}
+
+// Take takes in an update.
+func (t *Table[T]) Take(u Update) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.known && u.Version <= t.version:
+		return true
+	case !u.Whole && (!t.known || t.version < u.Base):
+		return false
+	}
+	if u.Whole {
+		t.rows = map[string]Row{}
+	}
+	fresh := make([]Row, 0, len(u.Rows))
+	for _, r := range u.Rows {
+		if !u.Whole && r.Version <= t.version {
+			continue // came from another host before
+		}
+		fresh = append(fresh, r)
+		if r.Removed {
+			delete(t.rows, r.Key)
+		} else {
+			t.rows[r.Key] = r
+		}
+	}
+	u.Base, u.Rows = t.version, fresh
+	t.version, t.known = u.Version, true
+	if len(fresh) == 0 && !u.Whole {
+		return true
+	}
+	t.Apply(t.decode(fresh), u.Whole)
+	if t.Changed != nil {
+		t.Changed(u)
+	}
+	return true
+}
+
+func (t *Table[T]) decode(rows []Row) []Decoded[T] {
+	out := make([]Decoded[T], 0, len(rows))
+	for _, r := range rows {
+		d := Decoded[T]{Key: r.Key, Removed: r.Removed, Version: r.Version}
+		if !r.Removed {
+			d.Value, d.Fault = t.Decode(r.Key, r.Value)
+		}
+		if d.Fault != nil {
+			t.Log.Warn("row can't be read", "table", t.Name, "key", r.Key, "version", r.Version, "err", d.Fault)
+		}
+		out = append(out, d)
+	}
+	return out
+}
--- a/siskinpathd/watch/watch.go
+++ b/siskinpathd/watch/watch.go
@@ -1,6 +1,6 @@
 // Package watch follows tables of the platform's store: a whole read first, then
 // changes as they come, taken up in batches so that a burst of changes costs a
-// few calls.
+// few calls. What is known may come from other hosts as well.
 package watch
 
 import (
@@ -17,31 +17,27 @@
 // has to be read whole.
 var ErrHistoryGone = errors.New("the store no longer has these changes")
 
-// Row is a row of a table with its decoded value.
-type Row[T any] struct {
-	Key     string
-	Value   T
-	Removed bool
-	// Fault says why the value could not be decoded. Value is not set then.
-	Fault   error
-	Version int64
-}
-
 // Source is a table of the store.
-type Source[T any] interface {
+type Source interface {
 	// Snapshot reads all rows as of one version.
-	Snapshot(ctx context.Context) (rows []Row[T], version int64, err error)
+	Snapshot(ctx context.Context) (rows []Row, version int64, err error)
 	// Changes returns the rows changed after a version, as soon as there is one
 	// and with none after wait. It fails with ErrHistoryGone when it can't know.
-	Changes(ctx context.Context, after int64, wait clock.Millis) (rows []Row[T], version int64, err error)
+	Changes(ctx context.Context, after int64, wait clock.Millis) (rows []Row, version int64, err error)
 }
 
-// Watcher follows one table. Set the fields before Run.
-type Watcher[T any] struct {
+// Watcher follows one table while it is needed. Set the fields before Run.
+type Watcher struct {
 	Name   string // for log lines
-	Source Source[T]
-	Clock  clock.Clock
+	Source Source
 	Log    *slog.Logger
+	// Version returns the version up to which the table is known.
+	Version func() (version int64, known bool)
+	// Take takes in what was read.
+	Take func(u Update) bool
+	// Needed tells whether this host has to follow the store itself. Nil means
+	// always.
+	Needed func() bool
 	// Batch is how long changes gather before they are asked for again.
 	Batch clock.Millis
 	// Wait is how long the store holds an answer back while nothing changes.
@@ -49,32 +45,36 @@
 	// Retry is the pause after the first failed call; it doubles up to MostRetry.
 	Retry     clock.Millis
 	MostRetry clock.Millis
-	// Apply takes in rows; with whole, they are all that the table holds.
-	Apply func(rows []Row[T], whole bool)
-	// Lost and Regained are told when calls begin to fail, each failure, and when
-	// they work again. Nil ignores it.
-	Lost     func(err error)
+	// Lost is told of each failed call. Nil ignores it.
+	Lost func(err error)
+	// Regained is told of the first call that works after failures. Nil ignores it.
 	Regained func()
 
-	version  int64
 	failures int
 }
 
+// needPoll is how often a watcher that is not needed looks whether it is.
+const needPoll = 100 * clock.Millisecond
+
 // Run follows the table until ctx ends.
-func (w *Watcher[T]) Run(ctx context.Context) {
+func (w *Watcher) Run(ctx context.Context) {
 	whole := true
 	for ctx.Err() == nil {
+		if _, known := w.Version(); known && w.Needed != nil && !w.Needed() {
+			pause(ctx, needPoll)
+			continue
+		}
 		n, err := w.step(ctx, whole)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, ErrHistoryGone):
-			w.Log.Info("history gone, reading whole", "table", w.Name, "after", w.version)
+			w.Log.Info("history gone, reading whole", "table", w.Name)
 			whole = true
 		case err != nil:
 			w.fail(ctx, err)
-			// After an outage the store may have dropped rows that are not in its
-			// changes, and a whole read costs the same single call.
+			// After an outage rows may be missing that no change tells of, and a
+			// whole read costs the same single call.
 			whole = true
 		default:
 			w.succeed()
@@ -87,30 +87,26 @@
 }
 
 // step makes one call and takes in what it brings.
-func (w *Watcher[T]) step(ctx context.Context, whole bool) (n int, err error) {
-	var rows []Row[T]
-	var version int64
-	if whole {
-		rows, version, err = w.Source.Snapshot(ctx)
+func (w *Watcher) step(ctx context.Context, whole bool) (n int, err error) {
+	u := Update{Table: w.Name, Whole: whole}
+	after, known := w.Version()
+	if whole || !known {
+		u.Whole = true
+		u.Rows, u.Version, err = w.Source.Snapshot(ctx)
 	} else {
-		rows, version, err = w.Source.Changes(ctx, w.version, w.Wait)
+		u.Rows, u.Version, err = w.Source.Changes(ctx, after, w.Wait)
 	}
 	if err != nil {
 		return 0, err
 	}
-	for _, r := range rows {
-		if r.Fault != nil {
-			w.Log.Warn("row can't be read", "table", w.Name, "key", r.Key, "version", r.Version, "err", r.Fault)
-		}
-	}
-	w.version = version
-	if whole || len(rows) > 0 {
-		w.Apply(rows, whole)
+	u.Base = after
+	if !w.Take(u) {
+		return 0, errors.Errorf("changes after version %d can't be joined to what is known", after)
 	}
-	return len(rows), nil
+	return len(u.Rows), nil
 }
 
-func (w *Watcher[T]) fail(ctx context.Context, err error) {
+func (w *Watcher) fail(ctx context.Context, err error) {
 	w.failures++
 	if w.failures == 1 {
 		w.Log.Warn("store lost", "table", w.Name, "err", err)
@@ -121,7 +117,7 @@
 	pause(ctx, min(w.MostRetry, w.Retry<<min(w.failures-1, 6)))
 }
 
-func (w *Watcher[T]) succeed() {
+func (w *Watcher) succeed() {
 	if w.failures == 0 {
 		return
 	}
