--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -55,6 +55,7 @@
 	sessions map[string]*session
 	heard    map[string]map[string]Host // by the host that tells, then by id
 	served   map[string]Host            // hosts that listen to this one
+	count    int                        // hosts that others know
 	ordered  []Host                     // all hosts in their order; nil when it has to be made anew
 	lostAt   clock.Millis               // since when all who are heard have lost the store; 0 for not
 }
@@ -98,7 +99,7 @@
 }
 
 // Size returns how many hosts there are, this one included.
-func (r *Roster) Size() int { return 1 + len(r.known) }
+func (r *Roster) Size() int { return max(1+len(r.known), r.count) }
 
 // orderKey makes the order of all hosts the same on each of them.
 const orderKey = "watchers"
@@ -152,14 +153,16 @@
 	r.heard[id] = map[string]Host{}
 }
 
-// Heard takes in a message of a host that is listened to.
-func (r *Roster) Heard(id string, lost bool, hosts []Host, gone []string) {
+// Heard takes in a message of a host that is listened to: whether it has lost the
+// store, how many hosts it knows, hosts that changed, and ids of those that went.
+func (r *Roster) Heard(id string, lost bool, count int, hosts []Host, gone []string) {
 	s := r.sessions[id]
 	if s == nil {
 		return
 	}
 	s.heard = true
 	s.lost = lost
+	r.count = max(r.count, count)
 	for _, h := range hosts {
 		r.heard[id][h.ID] = h
 	}
--- a/siskinpathd/entry/follow.go
+++ b/siskinpathd/entry/follow.go
@@ -65,7 +65,10 @@
 }
 
 func newTable[T any](n *Node, name string, f Followed[T], apply func([]watch.Decoded[T], bool)) *watch.Table[T] {
-	return &watch.Table[T]{Name: name, Log: n.Log, Decode: f.Decode, Apply: apply, Changed: n.relay.Changed}
+	return &watch.Table[T]{
+		Name: name, Log: n.Log, Decode: f.Decode, Apply: apply,
+		Changed: func(version int64) { n.relay.Changed(name, version) },
+	}
 }
 
 func (n *Node) watchers() []*watch.Watcher {
--- a/siskinpathd/relay/relay.go
+++ b/siskinpathd/relay/relay.go
@@ -1,8 +1,9 @@
 // Package relay carries what a few hosts read from the platform's store to all
 // others, and tells all of them which hosts live.
 //
-// A host opens a session to each host that it listens to. The session brings
-// whole tables first and then each change; both ends send heartbeats.
+// A host opens a session to each host that it listens to. Over it, it hears up
+// to which version tables are known there, and fetches what it lacks, from its
+// own availability zone if it can. Both ends send heartbeats.
 package relay
 
 import (
@@ -27,7 +28,9 @@
 	targetsEvery = 500 * clock.Millisecond
 	// dialTimeout is how long a host has to accept a session: several times the way
 	// to another availability zone and back.
-	dialTimeout = 300 * clock.Millisecond
+	dialTimeout = 400 * clock.Millisecond
+	// hostsWithin is how long changes of hosts gather before they are passed on.
+	hostsWithin = 100 * clock.Millisecond
 )
 
 var (
@@ -49,18 +52,19 @@
 	// OnLost is told when all hosts that are listened to have lost the store.
 	OnLost func()
 
-	mu          sync.Mutex
-	roster      roster.Roster
-	listening   map[string]context.CancelFunc // by the host's id
-	subscribers map[*subscriber]bool
-	changed     chan struct{} // closed when what this host says of itself changes
-	ln          net.Listener
+	mu        sync.Mutex
+	roster    roster.Roster
+	sessions  map[string]*session // to hosts that are listened to, by id
+	listeners map[*listener]bool
+	news      []*relaypb.Host // changes of hosts not yet passed on
+	changed   chan struct{}   // closed when what this host says of itself changes
+	ln        net.Listener
 }
 
 // Bind opens the listener.
 func (r *Relay) Bind() (err error) {
-	r.listening = map[string]context.CancelFunc{}
-	r.subscribers = map[*subscriber]bool{}
+	r.sessions = map[string]*session{}
+	r.listeners = map[*listener]bool{}
 	r.changed = make(chan struct{})
 	r.roster.Self = r.Self
 	r.ln, err = net.Listen("tcp", r.Listen)
@@ -119,26 +123,19 @@
 // SetReady tells all hosts whether callers may be sent to this one.
 func (r *Relay) SetReady(ready bool) {
 	r.mu.Lock()
-	changed := r.roster.Self.Ready != ready
-	r.roster.Self.Ready = ready
-	self := r.roster.Self
-	if changed {
-		close(r.changed)
-		r.changed = make(chan struct{})
-	}
-	r.mu.Unlock()
-	if changed {
-		r.send(&relaypb.FromWatcher{Hosts: []*relaypb.Host{hostToWire(self)}, StoreLost: r.Lost()})
+	defer r.mu.Unlock()
+	if r.roster.Self.Ready == ready {
+		return
 	}
+	r.roster.Self.Ready = ready
+	close(r.changed)
+	r.changed = make(chan struct{})
+	r.tellHost(hostToWire(r.roster.Self))
 }
 
-// Changed passes an update on to all who listen.
-func (r *Relay) Changed(u watch.Update) {
-	r.send(&relaypb.FromWatcher{Updates: []*relaypb.Update{updateToWire(u)}})
-}
-
-func (r *Relay) self() roster.Host {
+// self returns what this host says of itself, and what is closed when that changes.
+func (r *Relay) self() (roster.Host, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.roster.Self
+	return r.roster.Self, r.changed
 }
--- a/siskinpathd/relay/serve.go
+++ b/siskinpathd/relay/serve.go
@@ -2,21 +2,20 @@
 
 import (
 	"net"
-
-	"google.golang.org/protobuf/proto"
+	"time"
 
 	"siskinpath/core/roster"
 	"siskinpath/siskinpathd/relay/relaypb"
 )
 
 // outboxSize is how many messages may wait for a host that listens. One that is
-// further behind is cut off and begins anew with whole tables.
-const outboxSize = 256
+// further behind is cut off.
+const outboxSize = 64
 
-// subscriber is a host that listens to this one.
-type subscriber struct {
+// listener is a host that listens to this one.
+type listener struct {
 	nc   net.Conn
-	out  chan *relaypb.FromWatcher
+	out  chan []byte
 	host roster.Host
 }
 
@@ -30,103 +29,176 @@
 	}
 }
 
-// serve sends a host all that is known and each change, until it is silent.
+// serve answers a host that listens until it is silent.
 func (r *Relay) serve(nc net.Conn) {
 	defer func() { _ = nc.Close() }()
 	in := newReader(nc)
-	first := &relaypb.FromSubscriber{}
+	first := &relaypb.FromListener{}
 	if err := in.read(first); err != nil || first.GetSelf() == nil {
 		r.Log.Warn("session refused", "peer", nc.RemoteAddr().String(), "err", err)
 		return
 	}
-	s := &subscriber{nc: nc, out: make(chan *relaypb.FromWatcher, outboxSize), host: hostFromWire(first.GetSelf())}
-	r.join(s)
-	go s.send()
+	l := &listener{nc: nc, out: make(chan []byte, outboxSize), host: hostFromWire(first.GetSelf())}
+	r.join(l)
+	go l.send()
 	for {
-		m := &relaypb.FromSubscriber{}
+		m := &relaypb.FromListener{}
 		err := in.read(m)
 		if err != nil {
-			r.Log.Info("listener left", "host", s.host.ID, "err", err)
+			r.Log.Info("listener left", "host", l.host.ID, "err", err)
 			break
 		}
-		if m.GetSelf() != nil {
-			r.update(s, hostFromWire(m.GetSelf()))
+		r.answer(l, m)
+	}
+	r.part(l)
+}
+
+// answer takes in a message of a host that listens.
+func (r *Relay) answer(l *listener, m *relaypb.FromListener) {
+	if m.GetSelf() != nil {
+		r.mu.Lock()
+		l.host = hostFromWire(m.GetSelf())
+		r.roster.Serves(l.host)
+		r.tellHost(m.GetSelf())
+		r.mu.Unlock()
+	}
+	for _, f := range m.GetFetches() {
+		t := r.Tables[f.GetTable()]
+		if t == nil {
+			continue
+		}
+		if u, ok := t.Since(f.GetAfter()); ok {
+			updatesSent.Inc()
+			r.mu.Lock()
+			l.push(encode(&relaypb.FromWatcher{Updates: []*relaypb.Update{updateToWire(u)}, StoreLost: r.Lost()}))
+			r.mu.Unlock()
 		}
 	}
-	r.part(s)
 }
 
-// join adds a host that listens. What changes from here on reaches it after the
-// whole tables.
-func (r *Relay) join(s *subscriber) {
+// join adds a host that listens, and tells it what is known.
+func (r *Relay) join(l *listener) {
+	m := r.state()
 	r.mu.Lock()
-	r.roster.Serves(s.host)
-	hosts := []*relaypb.Host{hostToWire(r.roster.Self)}
+	defer r.mu.Unlock()
+	r.roster.Serves(l.host)
+	m.Hosts = []*relaypb.Host{hostToWire(r.roster.Self)}
 	for _, h := range r.roster.Served() {
-		hosts = append(hosts, hostToWire(h))
-	}
-	s.out <- &relaypb.FromWatcher{Hosts: hosts, StoreLost: r.Lost()}
-	r.subscribers[s] = true
-	r.mu.Unlock()
-	for _, t := range r.Tables {
-		if u, ok := t.Image(); ok {
-			s.push(&relaypb.FromWatcher{Updates: []*relaypb.Update{updateToWire(u)}, StoreLost: r.Lost()})
+		if h.AvailabilityZone == l.host.AvailabilityZone {
+			m.Hosts = append(m.Hosts, hostToWire(h))
 		}
 	}
-	r.send(&relaypb.FromWatcher{Hosts: []*relaypb.Host{hostToWire(s.host)}, StoreLost: r.Lost()})
+	m.HostCount = uint32(r.roster.Size())
+	l.push(encode(m))
+	r.listeners[l] = true
+	r.tellHost(hostToWire(l.host))
 }
 
-func (r *Relay) update(s *subscriber, h roster.Host) {
+// part drops a host that no longer listens, unless it has opened a newer session.
+func (r *Relay) part(l *listener) {
 	r.mu.Lock()
-	s.host = h
-	r.roster.Serves(h)
-	r.mu.Unlock()
-	r.send(&relaypb.FromWatcher{Hosts: []*relaypb.Host{hostToWire(h)}, StoreLost: r.Lost()})
+	defer r.mu.Unlock()
+	delete(r.listeners, l)
+	close(l.out)
+	for other := range r.listeners {
+		if other.host.ID == l.host.ID {
+			return
+		}
+	}
+	r.roster.Left(l.host.ID)
+	r.tellHost(&relaypb.Host{Id: l.host.ID, AvailabilityZone: l.host.AvailabilityZone, Gone: true})
 }
 
-// part drops a host that no longer listens, unless it has opened a newer session.
-func (r *Relay) part(s *subscriber) {
-	r.mu.Lock()
-	delete(r.subscribers, s)
-	close(s.out)
-	again := false
-	for other := range r.subscribers {
-		again = again || other.host.ID == s.host.ID
+// state says at which version each table last changed.
+func (r *Relay) state() *relaypb.FromWatcher {
+	m := &relaypb.FromWatcher{StoreLost: r.Lost()}
+	for name, t := range r.Tables {
+		if v, known := t.LastChange(); known {
+			m.Known = append(m.Known, &relaypb.Known{Table: name, Version: v})
+		}
 	}
-	if !again {
-		r.roster.Left(s.host.ID)
+	return m
+}
+
+// heartbeat tells all who listen that this host lives and what it knows.
+func (r *Relay) heartbeat() {
+	m := r.state()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m.HostCount = uint32(r.roster.Size())
+	b := encode(m)
+	for l := range r.listeners {
+		l.push(b)
 	}
-	r.mu.Unlock()
-	if !again {
-		r.send(&relaypb.FromWatcher{Hosts: []*relaypb.Host{{Id: s.host.ID, Gone: true}}, StoreLost: r.Lost()})
+}
+
+// Changed tells all who listen that a table has changed. It is called with the
+// table locked.
+func (r *Relay) Changed(table string, version int64) {
+	b := encode(&relaypb.FromWatcher{Known: []*relaypb.Known{{Table: table, Version: version}}, StoreLost: r.Lost()})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for l := range r.listeners {
+		l.push(b)
 	}
 }
 
-func (r *Relay) heartbeat() { r.send(&relaypb.FromWatcher{StoreLost: r.Lost()}) }
+// tellHost passes a change of a host on, together with others that come soon
+// after. r.mu is held.
+func (r *Relay) tellHost(h *relaypb.Host) {
+	r.news = append(r.news, h)
+	if len(r.news) == 1 {
+		time.AfterFunc(hostsWithin.Duration(), r.tellHosts)
+	}
+}
 
-// send passes a message on to all who listen.
-func (r *Relay) send(m *relaypb.FromWatcher) {
+// tellHosts tells each host that listens of the hosts in its availability zone,
+// and of this one.
+func (r *Relay) tellHosts() {
+	lost := r.Lost()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for s := range r.subscribers {
-		updatesSent.Inc()
-		s.push(m)
+	byZone := map[string][]byte{}
+	for l := range r.listeners {
+		zone := l.host.AvailabilityZone
+		b, made := byZone[zone]
+		if !made {
+			b = r.encodeNews(zone, lost)
+			byZone[zone] = b
+		}
+		if b != nil {
+			l.push(b)
+		}
+	}
+	r.news = nil
+}
+
+func (r *Relay) encodeNews(zone string, lost bool) []byte {
+	m := &relaypb.FromWatcher{StoreLost: lost, HostCount: uint32(r.roster.Size())}
+	for _, h := range r.news {
+		if h.GetAvailabilityZone() == zone || h.GetId() == r.Self.ID {
+			m.Hosts = append(m.Hosts, h)
+		}
+	}
+	if len(m.Hosts) == 0 {
+		return nil
 	}
+	return encode(m)
 }
 
-// push queues a message. A host whose queue is full is cut off.
-func (s *subscriber) push(m *relaypb.FromWatcher) {
+// push queues an encoded message. A host whose queue is full is cut off.
+func (l *listener) push(b []byte) {
 	select {
-	case s.out <- m:
+	case l.out <- b:
 	default:
-		_ = s.nc.Close()
+		_ = l.nc.Close()
 	}
 }
 
-func (s *subscriber) send() {
-	for m := range s.out {
-		if write(s.nc, proto.Message(m)) != nil {
-			_ = s.nc.Close() // its reader ends and drops it
+func (l *listener) send() {
+	for b := range l.out {
+		if writeBytes(l.nc, b) != nil {
+			_ = l.nc.Close() // its reader ends and drops it
 		}
 	}
 }
--- a/siskinpathd/relay/wire.go
+++ b/siskinpathd/relay/wire.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"encoding/binary"
 	"net"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"siskinpath/core/roster"
@@ -37,14 +39,27 @@
 }
 
 // write sends one message.
-func write(nc net.Conn, m proto.Message) (err error) {
+func write(nc net.Conn, m proto.Message) error { return writeBytes(nc, encode(m)) }
+
+func writeBytes(nc net.Conn, b []byte) (err error) {
 	if err = nc.SetWriteDeadline(time.Now().Add(roster.SilentAfter.Duration())); err != nil {
 		return err
 	}
-	_, err = protodelim.MarshalTo(nc, m)
+	_, err = nc.Write(b)
 	return err
 }
 
+// encode returns a message with its length before it.
+func encode(m proto.Message) []byte {
+	size := proto.Size(m)
+	b := protowire.AppendVarint(make([]byte, 0, size+binary.MaxVarintLen32), uint64(size))
+	b, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(b, m)
+	if err != nil {
+		panic(err) // only a missing required field or a broken string makes it fail
+	}
+	return b
+}
+
 func hostToWire(h roster.Host) *relaypb.Host {
 	return &relaypb.Host{
 		Id: h.ID, Incarnation: h.Incarnation, AvailabilityZone: h.AvailabilityZone,
--- a/siskinpathd/watch/table.go
+++ b/siskinpathd/watch/table.go
@@ -40,23 +40,36 @@
 	Decode func(key string, value []byte) (T, error)
 	// Apply takes in rows; with whole, they are all that the table holds.
 	Apply func(rows []Decoded[T], whole bool)
-	// Changed is told of each update that brought something new.
-	Changed func(u Update)
+	// Changed is told of each change, with its version.
+	Changed func(version int64)
 
 	mu      sync.Mutex
 	version int64
 	known   bool
 	rows    map[string]Row
+	removed map[string]Row // with the versions at which rows went
+	changed int64          // version of the newest change
+	since   int64          // version from which removed is complete
 }
 
+// keepRemoved is how many removed rows are remembered, so that a host that is not
+// far behind gets only what has changed.
+const keepRemoved = 1000
+
 // Store is a Table of any type.
 type Store interface {
 	// Take takes in an update, from the store or from another host. One that is
 	// not newer than what is known is passed over. It is false when changes are
 	// missing before this one.
 	Take(u Update) bool
-	// Image returns the whole table. It is false before anything was taken in.
-	Image() (u Update, ok bool)
+	// Since returns what has changed after a version, or the whole table when that
+	// can't be known. It is false before anything was taken in.
+	Since(after int64) (u Update, ok bool)
+	// Version returns the store's version up to which the table is known.
+	Version() (version int64, known bool)
+	// LastChange returns the version of the newest change of the table that is
+	// known. The store's version rises with other tables too.
+	LastChange() (version int64, known bool)
 }
 
 // Version returns the store's version up to which the table is known.
@@ -66,17 +79,38 @@
 	return t.version, t.known
 }
 
-// Image returns the whole table.
-func (t *Table[T]) Image() (u Update, ok bool) {
+// LastChange returns the version of the newest change that is known.
+func (t *Table[T]) LastChange() (version int64, known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	u = Update{Table: t.Name, Version: t.version, Whole: true}
+	return t.changed, t.known
+}
+
+// Since returns what has changed after a version, or the whole table.
+func (t *Table[T]) Since(after int64) (u Update, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u = Update{Table: t.Name, Version: t.version, Base: after, Whole: after < t.since}
 	for _, r := range t.rows {
-		u.Rows = append(u.Rows, r)
+		if u.Whole || r.Version > after {
+			u.Rows = append(u.Rows, r)
+		}
+	}
+	for _, r := range t.removed {
+		if !u.Whole && r.Version > after {
+			u.Rows = append(u.Rows, r)
+		}
 	}
 	return u, t.known
 }
 
+// forget drops the removed rows when there are too many of them, or when it is
+// not known which have gone.
+func (t *Table[T]) forget() {
+	t.removed = map[string]Row{}
+	t.since = t.version
+}
+
 // Take takes in an update.
 func (t *Table[T]) Take(u Update) bool {
 	t.mu.Lock()
@@ -98,19 +132,24 @@
 		fresh = append(fresh, r)
 		if r.Removed {
 			delete(t.rows, r.Key)
+			t.removed[r.Key] = r
 		} else {
 			t.rows[r.Key] = r
+			delete(t.removed, r.Key)
 		}
 	}
-	u.Base, u.Rows = t.version, fresh
 	t.version, t.known = u.Version, true
+	if u.Whole || len(t.removed) > keepRemoved {
+		t.forget()
+	}
 	if len(fresh) == 0 && !u.Whole {
 		return true
 	}
-	t.Apply(t.decode(fresh), u.Whole)
+	t.changed = t.version
 	if t.Changed != nil {
-		t.Changed(u)
+		t.Changed(t.changed)
 	}
+	t.Apply(t.decode(fresh), u.Whole)
 	return true
 }
 
