relay: two tiers, calls at starts, whole reads as changes

Change: from 40 hosts on the next of the order pass changes on; a host that starts waits 60 ms (2 s at the first start) for others before it reads the store; a whole read is taken as the changes it shows; a session silent for 900 ms is not relied on.

--- a/core/discovery/registry.go
+++ b/core/discovery/registry.go
@@ -28,6 +28,8 @@
 	ID       string
 	Upstream *Upstream
 	Version  int64
+	// Missing says that a whole read did not show the entry any more.
+	Missing bool
 }
 
 const (
@@ -65,25 +67,15 @@
 	r.outage = true
 }
 
-// Apply takes in entries. With whole, they are all that the store holds. Entries
-// older than what is known are passed over. It tells whether anything changed.
-func (r *Registry) Apply(now clock.Millis, entries []Entry, whole bool) (changed bool) {
+// Apply takes in entries that have changed. Those older than what is known are
+// passed over. It tells whether anything changed.
+func (r *Registry) Apply(now clock.Millis, entries []Entry) (changed bool) {
 	if r.entries == nil {
 		r.entries = map[string]*entry{}
 	}
-	held := map[string]bool{}
 	for _, e := range entries {
-		held[e.ID] = e.Upstream != nil
 		changed = r.applyOne(e, now) || changed
 	}
-	if !whole {
-		return changed
-	}
-	for id := range r.entries {
-		if !held[id] {
-			changed = r.missing(now, id) || changed
-		}
-	}
 	return changed
 }
 
@@ -92,6 +84,9 @@
 	if known != nil && e.Version < known.version {
 		return false
 	}
+	if known != nil && e.Missing {
+		return r.missing(now, e.ID)
+	}
 	if e.Upstream == nil {
 		delete(r.entries, e.ID)
 		return known != nil
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -2,14 +2,16 @@
 // which of them a host listens to, and which hosts callers may be sent to. It is
 // plain state without goroutines, sockets or wall clock.
 //
-// All hosts order each other in the same way. Each listens to the first few of
-// that order that it reaches, and a host follows the store when it is among them,
-// when somebody listens to it, or when it hears nobody. So the calls to the store
-// grow with the changes and not with the hosts, and nothing has to be agreed.
+// All hosts order each other in the same way. The first few that a host reaches
+// follow the store. In a small fleet all others listen to them; in a large one
+// the next of the order do, and the rest listens to these. A host that hears
+// nobody who can read the store follows it itself. So the calls to the store grow
+// with the changes and not with the hosts, and nothing has to be agreed.
 package roster
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -24,6 +26,7 @@
 	AvailabilityZone string
 	CallerAddress    string
 	PeerAddress      string
+	Capacity         int  // thousandths of a core that it may use
 	Ready            bool // takes callers
 }
 
@@ -31,6 +34,12 @@
 	// Listened is how many hosts a host listens to: enough that two of them may
 	// be cut off at the same moment.
 	Listened = 3
+	// directly is the size of a fleet up to which all hosts listen to those that
+	// follow the store.
+	directly = 40
+	// relayServes is how many hosts there are for each one that passes changes on
+	// in a larger fleet. Each of them is listened to by three times as many.
+	relayServes = 12
 	// HeartbeatEvery is how often both ends of a session say that they live.
 	HeartbeatEvery = 400 * clock.Millisecond
 	// SilentAfter is the silence after which a session is given up: three
@@ -41,6 +50,11 @@
 	// leastAddresses is how many addresses callers get from their own availability
 	// zone before those of others are added.
 	leastAddresses = 2
+	// doubtAfter is the silence after which a host is no longer relied on, though
+	// its session still stands: two heartbeats.
+	doubtAfter = 900 * clock.Millisecond
+	// alonePatience is how long a host waits for another to listen to.
+	alonePatience = 100 * clock.Millisecond
 	// lostPatience is how long a host waits while all whom it hears have lost the
 	// store, before it tries the store itself.
 	lostPatience = 500 * clock.Millisecond
@@ -57,7 +71,9 @@
 	served   map[string]Host            // hosts that listen to this one
 	count    int                        // hosts that others know
 	ordered  []Host                     // all hosts in their order; nil when it has to be made anew
-	lostAt   clock.Millis               // since when all who are heard have lost the store; 0 for not
+	aloneAt  clock.Millis               // since when nobody is heard who can read the store; 0 for somebody is
+	patience clock.Millis               // how long that is borne
+	learned  bool                       // other hosts are known
 }
 
 // known is a host that may be listened to.
@@ -68,8 +84,8 @@
 
 // session is a connection to a host that is listened to.
 type session struct {
-	heard bool // it has sent its tables
-	lost  bool // it can't read the store
+	heardAt clock.Millis // 0 for not yet
+	lost    bool         // it can't read the store
 }
 
 // Learn takes in hosts from the platform's store or from other hosts.
@@ -84,6 +100,7 @@
 			continue
 		}
 		r.known[h.ID] = &known{Host: h}
+		r.learned = true
 		r.ordered = nil
 	}
 }
@@ -114,8 +131,9 @@
 	for _, k := range r.known {
 		all = append(all, k.Host)
 	}
-	rank := func(h Host) uint64 { return member.Rendezvous(orderKey, h.ID) }
-	slices.SortFunc(all, func(a, b Host) int { return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.ID, b.ID)) })
+	slices.SortFunc(all, func(a, b Host) int {
+		return cmp.Or(cmp.Compare(rank(orderKey, a), rank(orderKey, b)), cmp.Compare(a.ID, b.ID))
+	})
 	seen := map[string]int{}
 	turn := map[string]int{} // which of its zone a host is
 	for _, h := range all {
@@ -127,25 +145,65 @@
 	return all
 }
 
+// rank places a host in an order in which those of more capacity tend to come
+// first.
+func rank(key string, h Host) float64 {
+	uniform := (float64(member.Rendezvous(key, h.ID)>>11) + 0.5) / (1 << 53)
+	return -math.Log(uniform) / float64(max(1, h.Capacity))
+}
+
+// reached returns the order without the hosts that this one could not reach.
+func (r *Roster) reached(now clock.Millis) (hosts []Host) {
+	for _, h := range r.order() {
+		if h.ID == r.Self.ID || now >= r.known[h.ID].avoidUntil {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
 // Targets returns the hosts to listen to now.
 func (r *Roster) Targets(now clock.Millis) (targets []Host) {
 	r.init()
-	want := Listened
-	for _, h := range r.order() {
-		if len(targets) >= want {
-			break
-		}
-		if h.ID == r.Self.ID {
-			want-- // its own turn: it has the store itself
-			continue
-		}
-		if now >= r.known[h.ID].avoidUntil {
+	hosts := r.reached(now)
+	relays := 0
+	if n := r.Size(); n > directly {
+		relays = n / relayServes
+	}
+	first := hosts[:min(len(hosts), Listened)]
+	next := hosts[len(first):min(len(hosts), Listened+relays)]
+	if relays > 0 && !contains(first, r.Self.ID) && !contains(next, r.Self.ID) {
+		first = r.nearest(next)
+	}
+	for _, h := range first {
+		if h.ID != r.Self.ID {
 			targets = append(targets, h)
 		}
 	}
 	return targets
 }
 
+// nearest returns the hosts of list that this one listens to: those of its
+// availability zone first, and within these its own choice, so that the load is
+// spread.
+func (r *Roster) nearest(list []Host) []Host {
+	list = slices.Clone(list)
+	far := func(h Host) int {
+		if h.AvailabilityZone == r.Self.AvailabilityZone {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(list, func(a, b Host) int {
+		return cmp.Or(cmp.Compare(far(a), far(b)), cmp.Compare(rank(r.Self.ID, a), rank(r.Self.ID, b)))
+	})
+	return list[:min(len(list), Listened)]
+}
+
+func contains(list []Host, id string) bool {
+	return slices.ContainsFunc(list, func(h Host) bool { return h.ID == id })
+}
+
 // Opened takes in that a session began with a host.
 func (r *Roster) Opened(id string) {
 	r.init()
@@ -155,12 +213,12 @@
 
 // Heard takes in a message of a host that is listened to: whether it has lost the
 // store, how many hosts it knows, hosts that changed, and ids of those that went.
-func (r *Roster) Heard(id string, lost bool, count int, hosts []Host, gone []string) {
+func (r *Roster) Heard(now clock.Millis, id string, lost bool, count int, hosts []Host, gone []string) {
 	s := r.sessions[id]
 	if s == nil {
 		return
 	}
-	s.heard = true
+	s.heardAt = now
 	s.lost = lost
 	r.count = max(r.count, count)
 	for _, h := range hosts {
@@ -206,40 +264,41 @@
 // Follows tells whether this host has to follow the store itself.
 func (r *Roster) Follows(now clock.Millis) bool {
 	r.init()
-	if len(r.served) > 0 || r.isFirst() {
+	hosts := r.reached(now)
+	if r.learned && contains(hosts[:min(len(hosts), Listened)], r.Self.ID) {
 		return true
 	}
 	heard := false
 	for _, s := range r.sessions {
-		if s.heard && !s.lost {
-			r.lostAt = 0
+		if s.heardAt == 0 || now-s.heardAt > doubtAfter {
+			continue
+		}
+		if !s.lost {
+			r.aloneAt, r.patience = 0, alonePatience
 			return false
 		}
-		heard = heard || s.heard
+		heard = true
 	}
-	if !heard {
-		return true
-	}
-	if r.lostAt == 0 {
-		r.lostAt = now
+	if r.aloneAt == 0 {
+		r.aloneAt = now
 	}
-	return now-r.lostAt >= lostPatience
+	return now-r.aloneAt >= r.patience && (!heard || now-r.aloneAt >= lostPatience)
 }
 
-// isFirst tells whether this host is one of those that the others listen to.
-func (r *Roster) isFirst() bool {
-	order := r.order()
-	return slices.ContainsFunc(order[:min(len(order), Listened)], func(h Host) bool { return h.ID == r.Self.ID })
+// Start begins the time for which a host that has heard nobody yet waits.
+func (r *Roster) Start(now, patience clock.Millis) {
+	r.init()
+	r.aloneAt, r.patience = now, patience
 }
 
 // StoreLost tells whether all hosts that are heard have lost the store.
 func (r *Roster) StoreLost() bool {
 	heard := false
 	for _, s := range r.sessions {
-		if s.heard && !s.lost {
+		if s.heardAt > 0 && !s.lost {
 			return false
 		}
-		heard = heard || s.heard
+		heard = heard || s.heardAt > 0
 	}
 	return heard
 }
--- a/siskinpathd/entry/decisions.go
+++ b/siskinpathd/entry/decisions.go
@@ -66,12 +66,9 @@
 }
 
 // discovered logs an entry of discovery.
-func (d *decisions) discovered(row watch.Decoded[*discovery.Upstream], whole bool) {
-	if whole {
-		return
-	}
+func (d *decisions) discovered(row watch.Decoded[*discovery.Upstream]) {
 	if row.Removed || row.Fault != nil || row.Value == nil {
-		d.log.Info("upstream gone", "upstream", row.Key, "row_version", row.Version)
+		d.log.Info("upstream gone", "upstream", row.Key, "row_version", row.Version, "missing", row.Missing)
 		return
 	}
 	u := row.Value
--- a/siskinpathd/entry/follow.go
+++ b/siskinpathd/entry/follow.go
@@ -23,12 +23,20 @@
 	storeRetry     = 100 * clock.Millisecond
 	storeMostRetry = clock.Second
 	// hostsAgain is when a host that has just entered itself reads who else has.
-	hostsAgain = 1500 * clock.Millisecond
+	hostsAgain = 700 * clock.Millisecond
+	// firstPatience is how long a host waits for others when all start for the first
+	// time: they find each other after hostsAgain.
+	firstPatience = 2 * clock.Second
+	// startPatience is the same at any other start. Callers wait.
+	startPatience = 60 * clock.Millisecond
 	// hostsEvery is how often it reads them after that. Other hosts tell of new
 	// ones sooner.
 	hostsEvery = clock.Minute
 )
 
+// thousandths of a core are the unit of a host's capacity.
+const thousandths = 1000
+
 // Names of the tables that hosts pass on to each other.
 const (
 	tableConfig    = "configuration"
@@ -54,17 +62,19 @@
 		Self: roster.Host{
 			ID: cfg.ID, Incarnation: rand.Uint64() | 1, AvailabilityZone: cfg.AvailabilityZone,
 			CallerAddress: cfg.Listen.Caller, PeerAddress: cfg.Listen.Peer,
+			Capacity: int(cfg.Cores * thousandths),
 		},
 		Listen: cfg.Listen.Peer, Clock: n.Clock, Log: n.Log,
-		Lost:   func() bool { return n.lostCalls.Load() > 0 },
-		OnLost: n.storeLost,
+		Patience: n.patience(),
+		Lost:     func() bool { return n.lostCalls.Load() > 0 },
+		OnLost:   n.storeLost,
 	}
 	n.configTable = newTable(n, tableConfig, n.Config, n.applyConfig)
 	n.upstreamTable = newTable(n, tableUpstreams, n.Discovery, n.applyDiscovery)
 	n.relay.Tables = map[string]watch.Store{tableConfig: n.configTable, tableUpstreams: n.upstreamTable}
 }
 
-func newTable[T any](n *Node, name string, f Followed[T], apply func([]watch.Decoded[T], bool)) *watch.Table[T] {
+func newTable[T any](n *Node, name string, f Followed[T], apply func([]watch.Decoded[T])) *watch.Table[T] {
 	return &watch.Table[T]{
 		Name: name, Log: n.Log, Decode: f.Decode, Apply: apply,
 		Changed: func(version int64) { n.relay.Changed(name, version) },
@@ -90,6 +100,15 @@
 	}
 }
 
+// patience is how long this host waits at its start to hear from others what the
+// store holds.
+func (n *Node) patience() clock.Millis {
+	if n.Settings.FirstStart {
+		return firstPatience
+	}
+	return startPatience
+}
+
 func (n *Node) storeLost() {
 	n.mu.Lock()
 	n.registry.Outage(n.Clock.Now())
@@ -100,24 +119,24 @@
 func (n *Node) followHosts(ctx context.Context) {
 	self := n.relay.Self
 	pause := storeRetry
+	write := n.Settings.FirstStart // then nobody has entered this host yet
 	for ctx.Err() == nil {
-		hosts, err := n.Hosts.Read(ctx)
-		wrote := false
-		if err == nil {
-			n.relay.Learn(hosts)
-			if !entered(hosts, self) {
-				wrote = true
-				err = n.Hosts.Write(ctx, self)
+		pause = min(2*pause, storeMostRetry)
+		if write {
+			if err := n.Hosts.Write(ctx, self); err != nil {
+				n.Log.Warn("this host can't be entered", "err", err)
+			} else {
+				write = false
+				pause = hostsAgain
 			}
-		}
-		switch {
-		case err != nil:
-			n.Log.Warn("hosts can't be read or written", "err", err)
-			pause = min(2*pause, hostsEvery)
-		case wrote:
-			pause = hostsAgain
-		default:
+		} else if hosts, err := n.Hosts.Read(ctx); err != nil {
+			n.Log.Warn("hosts can't be read", "err", err)
+		} else {
+			n.relay.Learn(hosts)
 			pause = hostsEvery
+			if write = !entered(hosts, self); write {
+				continue
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -131,7 +150,7 @@
 func entered(hosts []roster.Host, self roster.Host) bool {
 	for _, h := range hosts {
 		if h.ID == self.ID {
-			return h.PeerAddress == self.PeerAddress && h.CallerAddress == self.CallerAddress
+			return h.PeerAddress == self.PeerAddress && h.CallerAddress == self.CallerAddress && h.Capacity == self.Capacity
 		}
 	}
 	return false
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -141,7 +141,7 @@
 }
 
 // applyConfig takes on a configuration that is newer than the one in force.
-func (n *Node) applyConfig(rows []watch.Decoded[*config.Config], _ bool) {
+func (n *Node) applyConfig(rows []watch.Decoded[*config.Config]) {
 	for _, row := range rows {
 		if row.Removed || row.Fault != nil || row.Value == nil {
 			continue
@@ -162,24 +162,23 @@
 }
 
 // applyDiscovery takes in entries of upstreams.
-func (n *Node) applyDiscovery(rows []watch.Decoded[*discovery.Upstream], whole bool) {
+func (n *Node) applyDiscovery(rows []watch.Decoded[*discovery.Upstream]) {
 	entries := make([]discovery.Entry, 0, len(rows))
 	for _, row := range rows {
-		e := discovery.Entry{ID: row.Key, Version: row.Version}
+		e := discovery.Entry{ID: row.Key, Version: row.Version, Missing: row.Missing}
 		if !row.Removed && row.Fault == nil {
 			e.Upstream = row.Value
 		}
 		entries = append(entries, e)
-		n.decisions.discovered(row, whole)
+		n.decisions.discovered(row)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.registry.Apply(n.Clock.Now(), entries, whole) {
+	if n.registry.Apply(n.Clock.Now(), entries) {
 		n.configure()
 	}
 	n.planDrop()
-	if whole {
-		n.found.Store(true)
+	if n.found.CompareAndSwap(false, true) {
 		n.Log.Info("upstreams read whole", "entries", n.registry.Len())
 		n.relay.SetReady(n.Ready() == nil)
 	}
--- a/siskinpathd/entry/settings.go
+++ b/siskinpathd/entry/settings.go
@@ -12,12 +12,14 @@
 type Settings struct {
 	ID               string   `toml:"id"`
 	AvailabilityZone string   `toml:"availability_zone"`
+	FirstStart       bool     `toml:"first_start"` // the whole fleet starts for the first time
 	Listen           Listen   `toml:"listen"`
 	Platform         Platform `toml:"platform"`
 	Budgets          Budgets  `toml:"budgets"`
 	Shutdown         Shutdown `toml:"shutdown"`
 	Log              LogLimit `toml:"log"`
 	MemoryMB         int      `toml:"memory_mb"` // that the process may use
+	Cores            float64  `toml:"cores"`     // that the process may use
 }
 
 // Listen holds the addresses that the host serves, as ip:port.
--- a/siskinpathd/relay/listen.go
+++ b/siskinpathd/relay/listen.go
@@ -150,7 +150,7 @@
 		}
 	}
 	r.mu.Lock()
-	r.roster.Heard(s.host.ID, m.GetStoreLost(), int(m.GetHostCount()), hosts, gone)
+	r.roster.Heard(r.Clock.Now(), s.host.ID, m.GetStoreLost(), int(m.GetHostCount()), hosts, gone)
 	lost := r.roster.StoreLost()
 	r.mu.Unlock()
 	if lost {
--- a/siskinpathd/relay/relay.go
+++ b/siskinpathd/relay/relay.go
@@ -47,7 +47,10 @@
 	Clock  clock.Clock
 	Log    *slog.Logger
 	Tables map[string]watch.Store
-	// Lost tells whether this host can't read the store now.
+	// Patience is how long this host waits at its start for others, before it reads
+	// the store itself.
+	Patience clock.Millis
+	// Lost tells whether this host's own calls to the store fail.
 	Lost func() bool
 	// OnLost is told when all hosts that are listened to have lost the store.
 	OnLost func()
@@ -58,6 +61,7 @@
 	listeners map[*listener]bool
 	news      []*relaypb.Host // changes of hosts not yet passed on
 	changed   chan struct{}   // closed when what this host says of itself changes
+	learned   chan struct{}   // there may be other hosts to listen to
 	ln        net.Listener
 }
 
@@ -66,7 +70,9 @@
 	r.sessions = map[string]*session{}
 	r.listeners = map[*listener]bool{}
 	r.changed = make(chan struct{})
+	r.learned = make(chan struct{}, 1)
 	r.roster.Self = r.Self
+	r.roster.Start(r.Clock.Now(), r.Patience)
 	r.ln, err = net.Listen("tcp", r.Listen)
 	return errors.WithMessagef(err, "peer listener %s", r.Listen)
 }
@@ -86,6 +92,8 @@
 			return
 		case <-turn.C:
 			r.listen(ctx)
+		case <-r.learned:
+			r.listen(ctx)
 		case <-beat.C:
 			r.heartbeat()
 		}
@@ -97,6 +105,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.roster.Learn(hosts)
+	select {
+	case r.learned <- struct{}{}:
+	default: // it will look anyway
+	}
 }
 
 // Follows tells whether this host has to follow the store itself.
@@ -139,3 +151,14 @@
 	defer r.mu.Unlock()
 	return r.roster.Self, r.changed
 }
+
+// lost tells whether this host can't know what the store holds now.
+func (r *Relay) lost() bool {
+	own := r.Lost()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.roster.Follows(r.Clock.Now()) {
+		return own
+	}
+	return r.roster.StoreLost()
+}
--- a/siskinpathd/relay/serve.go
+++ b/siskinpathd/relay/serve.go
@@ -69,9 +69,7 @@
 		}
 		if u, ok := t.Since(f.GetAfter()); ok {
 			updatesSent.Inc()
-			r.mu.Lock()
-			l.push(encode(&relaypb.FromWatcher{Updates: []*relaypb.Update{updateToWire(u)}, StoreLost: r.Lost()}))
-			r.mu.Unlock()
+			l.push(encode(&relaypb.FromWatcher{Updates: []*relaypb.Update{updateToWire(u)}, StoreLost: r.lost()}))
 		}
 	}
 }
@@ -111,7 +109,7 @@
 
 // state says at which version each table last changed.
 func (r *Relay) state() *relaypb.FromWatcher {
-	m := &relaypb.FromWatcher{StoreLost: r.Lost()}
+	m := &relaypb.FromWatcher{StoreLost: r.lost()}
 	for name, t := range r.Tables {
 		if v, known := t.LastChange(); known {
 			m.Known = append(m.Known, &relaypb.Known{Table: name, Version: v})
@@ -135,7 +133,7 @@
 // Changed tells all who listen that a table has changed. It is called with the
 // table locked.
 func (r *Relay) Changed(table string, version int64) {
-	b := encode(&relaypb.FromWatcher{Known: []*relaypb.Known{{Table: table, Version: version}}, StoreLost: r.Lost()})
+	b := encode(&relaypb.FromWatcher{Known: []*relaypb.Known{{Table: table, Version: version}}, StoreLost: r.lost()})
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for l := range r.listeners {
@@ -155,7 +153,7 @@
 // tellHosts tells each host that listens of the hosts in its availability zone,
 // and of this one.
 func (r *Relay) tellHosts() {
-	lost := r.Lost()
+	lost := r.lost()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	byZone := map[string][]byte{}
--- a/siskinpathd/relay/wire.go
+++ b/siskinpathd/relay/wire.go
@@ -63,21 +63,21 @@
 func hostToWire(h roster.Host) *relaypb.Host {
 	return &relaypb.Host{
 		Id: h.ID, Incarnation: h.Incarnation, AvailabilityZone: h.AvailabilityZone,
-		CallerAddress: h.CallerAddress, PeerAddress: h.PeerAddress, Ready: h.Ready,
+		CallerAddress: h.CallerAddress, PeerAddress: h.PeerAddress, Ready: h.Ready, Capacity: uint32(h.Capacity),
 	}
 }
 
 func hostFromWire(h *relaypb.Host) roster.Host {
 	return roster.Host{
 		ID: h.GetId(), Incarnation: h.GetIncarnation(), AvailabilityZone: h.GetAvailabilityZone(),
-		CallerAddress: h.GetCallerAddress(), PeerAddress: h.GetPeerAddress(), Ready: h.GetReady(),
+		CallerAddress: h.GetCallerAddress(), PeerAddress: h.GetPeerAddress(), Ready: h.GetReady(), Capacity: int(h.GetCapacity()),
 	}
 }
 
 func updateToWire(u watch.Update) *relaypb.Update {
 	w := &relaypb.Update{Table: u.Table, Version: u.Version, Base: u.Base, Whole: u.Whole}
 	for _, r := range u.Rows {
-		w.Rows = append(w.Rows, &relaypb.Row{Key: r.Key, Value: r.Value, Removed: r.Removed, Version: r.Version})
+		w.Rows = append(w.Rows, &relaypb.Row{Key: r.Key, Value: r.Value, Removed: r.Removed, Missing: r.Missing, Version: r.Version})
 	}
 	return w
 }
@@ -85,7 +85,7 @@
 func updateFromWire(w *relaypb.Update) watch.Update {
 	u := watch.Update{Table: w.GetTable(), Version: w.GetVersion(), Base: w.GetBase(), Whole: w.GetWhole()}
 	for _, r := range w.GetRows() {
-		u.Rows = append(u.Rows, watch.Row{Key: r.GetKey(), Value: r.GetValue(), Removed: r.GetRemoved(), Version: r.GetVersion()})
+		u.Rows = append(u.Rows, watch.Row{Key: r.GetKey(), Value: r.GetValue(), Removed: r.GetRemoved(), Missing: r.GetMissing(), Version: r.GetVersion()})
 	}
 	return u
 }
--- a/siskinpathd/watch/table.go
+++ b/siskinpathd/watch/table.go
@@ -10,6 +10,9 @@
 	Key     string
 	Value   []byte
 	Removed bool
+	// Missing says that a whole read did not show the row any more. Removed is set
+	// too.
+	Missing bool
 	Version int64
 }
 
@@ -27,6 +30,7 @@
 	Key     string
 	Value   T
 	Removed bool
+	Missing bool // removed because a whole read did not show it
 	// Fault says why the value could not be decoded. Value is not set then.
 	Fault   error
 	Version int64
@@ -38,8 +42,8 @@
 	Name   string
 	Log    *slog.Logger
 	Decode func(key string, value []byte) (T, error)
-	// Apply takes in rows; with whole, they are all that the table holds.
-	Apply func(rows []Decoded[T], whole bool)
+	// Apply takes in rows that have changed. The first time there may be none.
+	Apply func(rows []Decoded[T])
 	// Changed is told of each change, with its version.
 	Changed func(version int64)
 
@@ -104,13 +108,6 @@
 	return u, t.known
 }
 
-// forget drops the removed rows when there are too many of them, or when it is
-// not known which have gone.
-func (t *Table[T]) forget() {
-	t.removed = map[string]Row{}
-	t.since = t.version
-}
-
 // Take takes in an update.
 func (t *Table[T]) Take(u Update) bool {
 	t.mu.Lock()
@@ -121,42 +118,65 @@
 	case !u.Whole && (!t.known || t.version < u.Base):
 		return false
 	}
-	if u.Whole {
-		t.rows = map[string]Row{}
-	}
-	fresh := make([]Row, 0, len(u.Rows))
-	for _, r := range u.Rows {
-		if !u.Whole && r.Version <= t.version {
-			continue // came from another host before
-		}
-		fresh = append(fresh, r)
-		if r.Removed {
-			delete(t.rows, r.Key)
-			t.removed[r.Key] = r
-		} else {
-			t.rows[r.Key] = r
-			delete(t.removed, r.Key)
-		}
+	first := !t.known
+	if first {
+		t.rows, t.removed = map[string]Row{}, map[string]Row{}
+		t.since = u.Version
 	}
+	fresh := t.fresh(u)
 	t.version, t.known = u.Version, true
-	if u.Whole || len(t.removed) > keepRemoved {
-		t.forget()
+	if len(t.removed) > keepRemoved {
+		t.removed, t.since = map[string]Row{}, t.version
 	}
-	if len(fresh) == 0 && !u.Whole {
+	if len(fresh) == 0 && !first {
 		return true
 	}
 	t.changed = t.version
 	if t.Changed != nil {
 		t.Changed(t.changed)
 	}
-	t.Apply(t.decode(fresh), u.Whole)
+	t.Apply(t.decode(fresh))
 	return true
 }
 
+// fresh takes over the rows of an update and returns those that are new here.
+func (t *Table[T]) fresh(u Update) (fresh []Row) {
+	shown := map[string]bool{}
+	for _, r := range u.Rows {
+		shown[r.Key] = true
+		if old, held := t.rows[r.Key]; held && r.Version <= old.Version || !u.Whole && r.Version <= t.version {
+			continue // came from another host before, or has not changed
+		}
+		fresh = append(fresh, r)
+		t.keep(r)
+	}
+	if !u.Whole {
+		return fresh
+	}
+	for key := range t.rows {
+		if !shown[key] {
+			r := Row{Key: key, Removed: true, Missing: true, Version: u.Version}
+			fresh = append(fresh, r)
+			t.keep(r)
+		}
+	}
+	return fresh
+}
+
+func (t *Table[T]) keep(r Row) {
+	if r.Removed {
+		delete(t.rows, r.Key)
+		t.removed[r.Key] = r
+		return
+	}
+	t.rows[r.Key] = r
+	delete(t.removed, r.Key)
+}
+
 func (t *Table[T]) decode(rows []Row) []Decoded[T] {
 	out := make([]Decoded[T], 0, len(rows))
 	for _, r := range rows {
-		d := Decoded[T]{Key: r.Key, Removed: r.Removed, Version: r.Version}
+		d := Decoded[T]{Key: r.Key, Removed: r.Removed, Missing: r.Missing, Version: r.Version}
 		if !r.Removed {
 			d.Value, d.Fault = t.Decode(r.Key, r.Value)
 		}
--- a/siskinpathd/watch/watch.go
+++ b/siskinpathd/watch/watch.go
@@ -53,15 +53,23 @@
 	failures int
 }
 
-// needPoll is how often a watcher that is not needed looks whether it is.
-const needPoll = 100 * clock.Millisecond
+const (
+	// needPoll is how often a watcher that is not needed looks whether it is.
+	needPoll = 50 * clock.Millisecond
+	// firstPoll is the same until the table is known.
+	firstPoll = 10 * clock.Millisecond
+)
 
 // Run follows the table until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	whole := true
 	for ctx.Err() == nil {
-		if _, known := w.Version(); known && w.Needed != nil && !w.Needed() {
-			pause(ctx, needPoll)
+		if w.Needed != nil && !w.Needed() {
+			poll := needPoll
+			if _, known := w.Version(); !known {
+				poll = firstPoll
+			}
+			pause(ctx, poll)
 			continue
 		}
 		n, err := w.step(ctx, whole)
