entry: bounded log lines, metrics and state for operators, settings read again

Cause: on-call engineers have logs and metrics alone; SIGHUP was ignored. Change: siskinpathd/logs (a limit for each kind of line, a writer that never blocks), trails of failed requests, counters and histograms, a state dump, settings taken on SIGHUP and when the file changes.

--- /dev/null
+++ b/core/place/report.go
@@ -0,0 +1,40 @@
+package place
+
+import "siskinpath/core/clock"
+
+// Report is what a Placer knows, for a person.
+type Report struct {
+	Requests    int              `json:"requests"` // without a final answer
+	Queued      int              `json:"queued"`
+	SecondsKept float64          `json:"seconds_kept"` // second sends that the budget has left
+	Slowdown    float64          `json:"slowdown"`     // mean of the upstreams' reports
+	Upstreams   []UpstreamReport `json:"upstreams"`
+}
+
+// UpstreamReport is what a Placer knows of an upstream. Times are in milliseconds.
+type UpstreamReport struct {
+	ID         string       `json:"id"`
+	InFlight   int          `json:"in_flight"` // of this host
+	Load       int          `json:"load"`      // of all hosts
+	Slots      int          `json:"slots"`
+	Reported   bool         `json:"reported"`
+	AgeMs      clock.Millis `json:"age_ms"`
+	Slowdown   float64      `json:"slowdown"`
+	Success    float64      `json:"success"`
+	Leaving    bool         `json:"leaving"`
+	OutForMs   clock.Millis `json:"out_for_ms"` // how much longer it is out of use
+	Unanswered bool         `json:"unanswered"` // it owes the answer to a probe
+}
+
+// Report returns what the Placer knows now.
+func (p *Placer) Report(now clock.Millis) Report {
+	r := Report{Requests: len(p.requests), Queued: len(p.queue), SecondsKept: p.seconds.Kept(), Slowdown: p.slowdown}
+	for _, u := range p.upstreams {
+		r.Upstreams = append(r.Upstreams, UpstreamReport{
+			ID: u.ID, InFlight: u.inFlight, Load: u.load(), Slots: u.Slots, Reported: u.reporting, AgeMs: now - u.loadAt,
+			Slowdown: u.slowdownAt(now, p.slowdown), Success: u.successAt(now), Leaving: u.Leaving,
+			OutForMs: max(0, u.ejectedUntil-now), Unanswered: u.silent(now),
+		})
+	}
+	return r
+}
--- a/siskinpathd/entry/decisions.go
+++ b/siskinpathd/entry/decisions.go
@@ -7,6 +7,7 @@
 	"siskinpath/core/discovery"
 	"siskinpath/core/place"
 	"siskinpath/core/route"
+	"siskinpath/siskinpathd/logs"
 	"siskinpath/siskinpathd/watch"
 )
 
@@ -15,32 +16,41 @@
 type decisions struct {
 	log   *slog.Logger
 	clock clock.Clock
-	limit int
+	limit *logs.Limiter
 }
 
+// Messages of the lines that a request may cause, which are limited before their
+// values are gathered.
+const (
+	lineSent     = "sent"
+	lineAttempt  = "attempt ended"
+	lineRefused  = "refused"
+	lineAnswered = "answered by the host"
+)
+
 // statusNames are how log lines call the ends of an attempt.
 var statusNames = map[route.Status]string{
 	route.Succeeded: "succeeded", route.Errored: "errored", route.Refused: "refused",
 	route.NotSent: "not_sent", route.Lost: "lost", route.Cancelled: "cancelled",
 }
 
-// action logs what a placer decided.
-func (d *decisions) action(service string, f *flight, a place.Action) {
-	if a.Kind != route.Send || f == nil {
+// sent logs an attempt and what the choice of its upstream rests on.
+func (d *decisions) sent(service string, f *flight, a place.Action) {
+	if !d.limit.Allow(lineSent) {
 		return
 	}
 	b := a.Basis
-	d.log.Info("sent", "id", f.id, "service", service, "upstream", a.Upstream, "attempt", b.Attempt, "hedge", b.Hedge,
+	d.log.Info(lineSent, "id", f.id, "service", service, "upstream", a.Upstream, "attempt", b.Attempt, "hedge", b.Hedge,
 		"waited_ms", b.Waited, "asked", b.Asked, "reported", b.Reported, "age_ms", b.Age, "load", b.Load, "slots", b.Slots,
 		"slowdown", b.Slowdown)
 }
 
 // ended logs an attempt that did not end with an answer.
 func (d *decisions) attemptEnded(service string, f *flight, a place.Action, res route.Result, err error) {
-	if res.Status == route.Succeeded {
+	if res.Status == route.Succeeded || !d.limit.Allow(lineAttempt) {
 		return
 	}
-	d.log.Info("attempt ended", "id", f.id, "service", service, "upstream", a.Upstream, "status", statusNames[res.Status], "err", err)
+	d.log.Info(lineAttempt, "id", f.id, "service", service, "upstream", a.Upstream, "status", statusNames[res.Status], "err", err)
 }
 
 // believed logs a change of what a placer believes of an upstream.
@@ -51,17 +61,20 @@
 
 // refused logs a request that reached no placer.
 func (d *decisions) refused(r *request, reason string, a *Answer) *Answer {
-	d.log.Info("refused", "id", r.id, "reason", reason, "status", a.Status, "retry_after_ms", a.RetryAfter)
+	if !d.limit.Allow(lineRefused) {
+		return a
+	}
+	d.log.Info(lineRefused, "id", r.id, "reason", reason, "status", a.Status, "retry_after_ms", a.RetryAfter)
 	return a
 }
 
 // ended logs the end of a request that a host's own answer gives.
 func (d *decisions) ended(r *request, end outcome, a *Answer) *Answer {
-	if a.Reason == "" {
+	if a.Reason == "" || !d.limit.Allow(lineAnswered) {
 		return a
 	}
-	d.log.Info("answered by the host", "id", r.id, "route", r.route.Name, "service", r.service, "reason", a.Reason, "status", a.Status,
-		"after_ms", d.clock.Now()-r.arrived, "attempts", end.attempts, "retry_after_ms", a.RetryAfter)
+	d.log.Info(lineAnswered, "id", r.id, "route", r.route.Name, "service", r.service, "reason", a.Reason, "status", a.Status,
+		"after_ms", d.clock.Now()-r.arrived, "trail", end.trail, "retry_after_ms", a.RetryAfter)
 	return a
 }
 
--- a/siskinpathd/entry/follow.go
+++ b/siskinpathd/entry/follow.go
@@ -57,7 +57,7 @@
 
 // startRelay makes the tables and the relay that passes them on.
 func (n *Node) startRelay() {
-	cfg := n.Settings
+	cfg := n.cfg()
 	n.relay = &relay.Relay{
 		Self: roster.Host{
 			ID: cfg.ID, Incarnation: rand.Uint64() | 1, AvailabilityZone: cfg.AvailabilityZone,
@@ -103,7 +103,7 @@
 // patience is how long this host waits at its start to hear from others what the
 // store holds.
 func (n *Node) patience() clock.Millis {
-	if n.Settings.FirstStart {
+	if n.cfg().FirstStart {
 		return firstPatience
 	}
 	return startPatience
@@ -119,7 +119,7 @@
 func (n *Node) followHosts(ctx context.Context) {
 	self := n.relay.Self
 	pause := storeRetry
-	write := n.Settings.FirstStart // then nobody has entered this host yet
+	write := n.cfg().FirstStart // then nobody has entered this host yet
 	for ctx.Err() == nil {
 		pause = min(2*pause, storeMostRetry)
 		if write {
--- a/siskinpathd/entry/leave.go
+++ b/siskinpathd/entry/leave.go
@@ -32,7 +32,7 @@
 func (n *Node) leave() {
 	start := n.Clock.Now()
 	n.leaving.Store(int64(start))
-	grace := n.Settings.Shutdown.GraceMs
+	grace := n.cfg().Shutdown.GraceMs
 	n.Log.Info("leaving", "grace_ms", grace, "in_flight", n.server.Busy())
 	n.relay.SetReady(false)
 	n.server.Leave()
@@ -67,6 +67,6 @@
 	if at == 0 {
 		return false
 	}
-	end := clock.Millis(at) + share(n.Settings.Shutdown.GraceMs, stopAt)
+	end := clock.Millis(at) + share(n.cfg().Shutdown.GraceMs, stopAt)
 	return r.arrived+r.route.Target > end
 }
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -8,6 +8,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	"siskinpath/core/discovery"
 	"siskinpath/core/place"
 	"siskinpath/core/route"
+	"siskinpath/siskinpathd/logs"
 	"siskinpath/siskinpathd/relay"
 	"siskinpath/siskinpathd/upstream"
 	"siskinpath/siskinpathd/watch"
@@ -34,8 +36,13 @@
 
 // Node is the host. Set the exported fields before Run.
 type Node struct {
-	Settings  *Settings
-	Log       *slog.Logger
+	Settings *Settings
+	Log      *slog.Logger
+	Lines    *logs.Limiter // of Log
+	// Path is where Settings were read from, and Changed says that they may have
+	// changed there.
+	Path      string
+	Changed   <-chan os.Signal
 	Clock     clock.Clock
 	Upstreams *upstream.Dialect
 	Callers   CallerDialect
@@ -43,6 +50,7 @@
 	Discovery Followed[*discovery.Upstream]
 	Hosts     HostTable
 
+	settings      atomic.Pointer[Settings] // in force
 	config        atomic.Pointer[config.Config]
 	found         atomic.Bool // discovery was read once
 	leaving       atomic.Int64
@@ -53,7 +61,6 @@
 	configTable   *watch.Table[*config.Config]
 	upstreamTable *watch.Table[*discovery.Upstream]
 	decisions     *decisions
-	counters      counters
 	ours          map[string]bool // headers that only hosts set
 
 	mu       sync.Mutex // guards what is below
@@ -72,6 +79,9 @@
 	if err = n.relay.Bind(); err != nil {
 		return err
 	}
+	if err = n.runOperator(); err != nil {
+		return err
+	}
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	go n.server.Run()
@@ -81,7 +91,8 @@
 	}
 	go n.followHosts(work)
 	go n.housekeep(work)
-	n.Log.Info("started", "callers", n.Settings.Listen.Caller, "platform", n.Settings.Platform.Address)
+	go n.reload(work)
+	n.Log.Info("started", "callers", n.cfg().Listen.Caller, "platform", n.cfg().Platform.Address)
 	<-ctx.Done()
 	n.leave()
 	n.Log.Info("stopped")
@@ -89,15 +100,19 @@
 }
 
 func (n *Node) start() {
+	n.settings.Store(n.Settings)
 	n.pools = &Pools{Clock: n.Clock, Dialect: n.Upstreams}
-	n.decisions = &decisions{log: n.Log, clock: n.Clock, limit: n.Settings.Log.LinesPerSecond}
+	n.decisions = &decisions{log: n.Log, clock: n.Clock, limit: n.Lines}
 	n.runners = map[string]*Runner{}
 	n.splitter.Rand = newRand()
 	n.ours = map[string]bool{n.Upstreams.Instance: true}
 	n.startRelay()
-	n.server = &Server{Listen: n.Settings.Listen.Caller, Log: n.Log, Limits: n.limits, Handle: n.handle}
+	n.server = &Server{Listen: n.cfg().Listen.Caller, Log: n.Log, Limits: n.limits, Handle: n.handle}
 }
 
+// cfg returns the settings in force.
+func (n *Node) cfg() *Settings { return n.settings.Load() }
+
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // Ready tells why callers should not use this host, nil when they may.
@@ -219,9 +234,9 @@
 }
 
 func (n *Node) placeConfig(list []discovery.Known) place.Config {
-	b := n.Settings.Budgets
+	b := n.cfg().Budgets
 	cfg := place.Config{
-		AvailabilityZone: n.Settings.AvailabilityZone,
+		AvailabilityZone: n.cfg().AvailabilityZone,
 		ProbesPerSecond:  probesKeep * b.ProbesPerSecond / float64(n.shared),
 		SecondsRatio:     secondsKeep * b.SecondsRatio,
 		SecondsBurst:     1 + b.SecondsSlack/float64(2*n.shared),
--- /dev/null
+++ b/siskinpathd/entry/operator.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/fasthttp/router"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"siskinpath/core/place"
+)
+
+// state is the dump of this process for a person.
+type state struct {
+	ID            string                  `json:"id"`
+	Incarnation   uint64                  `json:"incarnation"`
+	ConfigVersion int64                   `json:"configuration_version"`
+	Upstreams     int                     `json:"upstreams"`
+	Hosts         int                     `json:"hosts"`
+	FollowsStore  bool                    `json:"follows_store"`
+	Leaving       bool                    `json:"leaving"`
+	NotReady      string                  `json:"not_ready,omitempty"`
+	Services      map[string]place.Report `json:"services"`
+}
+
+// runOperator serves metrics and the state dump, when settings name an address.
+func (n *Node) runOperator() (err error) {
+	address := n.cfg().Listen.Metrics
+	if address == "" {
+		return nil
+	}
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.WithMessagef(err, "listen.metrics %s", address)
+	}
+	r := router.New()
+	r.GET("/metrics", func(ctx *fasthttp.RequestCtx) { metrics.WritePrometheus(ctx, true) })
+	r.GET("/v1/state", n.dump)
+	s := &fasthttp.Server{Handler: r.Handler, NoDefaultServerHeader: true, IdleTimeout: time.Minute}
+	go func() {
+		if err := s.Serve(ln); err != nil {
+			n.Log.Error("operators' listener ended", "address", address, "err", err)
+		}
+	}()
+	return nil
+}
+
+func (n *Node) dump(ctx *fasthttp.RequestCtx) {
+	s := state{
+		ID: n.cfg().ID, Incarnation: n.relay.Self.Incarnation, Hosts: n.relay.Size(), FollowsStore: n.relay.Follows(),
+		Leaving: n.leaving.Load() != 0, Services: map[string]place.Report{},
+	}
+	if cfg := n.config.Load(); cfg != nil {
+		s.ConfigVersion = cfg.Version
+	}
+	if err := n.Ready(); err != nil {
+		s.NotReady = err.Error()
+	}
+	n.mu.Lock()
+	s.Upstreams = n.registry.Len()
+	for name, r := range n.runners {
+		s.Services[name] = r.report()
+	}
+	n.mu.Unlock()
+	b, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
+
+func (r *Runner) report() place.Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.placer.Report(r.Clock.Now())
+}
--- a/siskinpathd/entry/pools.go
+++ b/siskinpathd/entry/pools.go
@@ -84,7 +84,7 @@
 }
 
 // Probe asks an upstream for its load.
-func (p *Pools) Probe(ctx context.Context, _, id string) route.ProbeResult {
+func (p *Pools) Probe(ctx context.Context, id string) route.ProbeResult {
 	t := p.get(id)
 	if t == nil {
 		return route.ProbeResult{Upstream: id}
--- a/siskinpathd/entry/request.go
+++ b/siskinpathd/entry/request.go
@@ -50,7 +50,7 @@
 func (n *Node) handle(ctx context.Context, req *fasthttp.Request) *Answer {
 	r := &request{id: string(req.Header.Peek(n.Callers.RequestID)), arrived: n.Clock.Now()}
 	a := n.answer(ctx, req, r)
-	n.counters.answered(r, a, n.Clock.Now()-r.arrived)
+	countAnswer(r, a, n.Clock.Now()-r.arrived)
 	return a
 }
 
--- a/siskinpathd/entry/runner.go
+++ b/siskinpathd/entry/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,19 +34,28 @@
 
 // flight is a request on its way.
 type flight struct {
-	call     *call.Call
-	id       string // the caller's id of the request
-	maxBody  int
-	replies  map[route.AttemptID]*upstream.Reply
-	settled  chan place.Action // gets the final action
-	attempts int
+	call    *call.Call
+	id      string // the caller's id of the request
+	maxBody int
+	replies map[route.AttemptID]*upstream.Reply
+	settled chan place.Action // gets the final action
+	trail   []step
+}
+
+// step is an attempt of a request, for the line that tells how it ended.
+type step struct {
+	Upstream string       `json:"upstream"`
+	Status   string       `json:"status"`
+	Took     clock.Millis `json:"ms"`
+	started  clock.Millis
+	attempt  route.AttemptID
 }
 
 // outcome is how a request ended.
 type outcome struct {
-	action   place.Action
-	reply    *upstream.Reply // with route.Finish
-	attempts int
+	action place.Action
+	reply  *upstream.Reply // with route.Finish
+	trail  []step
 }
 
 // Configure takes on a new set of upstreams.
@@ -73,7 +83,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return outcome{action: end, reply: f.replies[end.Attempt], attempts: f.attempts}
+	return outcome{action: end, reply: f.replies[end.Attempt], trail: slices.Clone(f.trail)}
 }
 
 // gone cancels a request whose caller left, unless it has just been settled.
@@ -139,7 +149,11 @@
 func (r *Runner) probe(id string) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout.Duration())
 	defer cancel()
-	result := r.Pools.Probe(ctx, r.Service, id)
+	result := r.Pools.Probe(ctx, id)
+	probesSent.Inc()
+	if !result.OK {
+		probesFailed.Inc()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.carryOut(r.placer.Measured(r.Clock.Now(), result))
@@ -150,11 +164,24 @@
 	f := r.flights[a.Request]
 	ctx, cancel := context.WithCancelCause(context.Background())
 	r.cancels[a.Attempt] = cancel
-	f.attempts++
-	r.Logs.action(r.Service, f, a)
+	f.trail = append(f.trail, step{Upstream: a.Upstream, Status: statusRunning, started: r.Clock.Now(), attempt: a.Attempt})
+	countSend(a.Basis)
+	r.Logs.sent(r.Service, f, a)
 	go r.attempt(ctx, f, a)
 }
 
+// statusRunning is the status of an attempt that has not ended.
+const statusRunning = "running"
+
+// ended notes the end of an attempt in the request's trail.
+func (f *flight) ended(id route.AttemptID, status route.Status, now clock.Millis) {
+	for i := range f.trail {
+		if s := &f.trail[i]; s.attempt == id {
+			s.Status, s.Took = statusNames[status], now-s.started
+		}
+	}
+}
+
 func (r *Runner) attempt(ctx context.Context, f *flight, a place.Action) {
 	reply, result, err := r.Pools.Send(ctx, a.Upstream, &upstream.Attempt{
 		Call:         f.call,
@@ -172,6 +199,8 @@
 	if reply != nil {
 		f.replies[a.Attempt] = reply
 	}
+	countAttempt(r.Service, result.Status)
+	f.ended(a.Attempt, result.Status, r.Clock.Now())
 	r.Logs.attemptEnded(r.Service, f, a, result, err)
 	r.carryOut(r.placer.Ended(r.Clock.Now(), result))
 }
--- a/siskinpathd/watch/watch.go
+++ b/siskinpathd/watch/watch.go
@@ -55,7 +55,7 @@
 
 const (
 	// needPoll is how often a watcher that is not needed looks whether it is.
-	needPoll = 50 * clock.Millisecond
+	needPoll = 100 * clock.Millisecond
 	// firstPoll is the same until the table is known.
 	firstPoll = 10 * clock.Millisecond
 )
