--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -79,16 +79,13 @@
 
 // ask adds upstreams to those that r has asked.
 func (p *Placer) ask(now clock.Millis, r *request) {
-	if p.Tuning.NoAsk {
-		return
-	}
 	for range p.Tuning.Asked {
 		u := p.likeliest(now, r)
 		if u == nil {
 			return
 		}
 		r.asked = append(r.asked, u)
-		if u.probing || u.fresh(now, p.Tuning.FreshFor) {
+		if u.probing || u.fresh(now, p.Tuning.FreshFor) || p.Tuning.NoAsk {
 			continue
 		}
 		if p.probes.Allow(now, p.Service, u.ID) {
