place: a second upstream is asked for when the first is slow now; far upstreams cost 30 ms

Change: 1.2 usual times before the target the upstream that has the request is asked; if it is slow now, another that is fast gets it too.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -16,7 +16,7 @@
 	nearlyFullFactor = 1.7
 	// farCost is what an upstream in another availability zone costs more: the
 	// way there and back, and bytes that are paid for.
-	farCost = 12 * clock.Millisecond
+	farCost = 30 * clock.Millisecond
 	// slowAnswer is the slowdown from which further upstreams are asked.
 	slowAnswer = 1.8
 	// askRounds is how many times a request asks before it takes the best it knows.
@@ -84,17 +84,20 @@
 		if u == nil {
 			return
 		}
-		r.asked = append(r.asked, u)
-		if u.probing || u.fresh(now, p.Tuning.FreshFor) || p.Tuning.NoAsk {
-			continue
-		}
-		if p.probes.Allow(now, p.Service, u.ID) {
-			u.probing = true
-			u.probedAt = now
-			u.sentSinceProbe = 0
-			p.do(route.Action{Kind: route.Probe, Upstream: u.ID})
-		}
+		p.measure(now, r, u)
+	}
+}
+
+// measure asks u for its load on behalf of r, unless that is known or being asked.
+func (p *Placer) measure(now clock.Millis, r *request, u *upstream) {
+	r.asked = append(r.asked, u)
+	if u.probing || u.fresh(now, p.Tuning.FreshFor) || p.Tuning.NoAsk || !p.probes.Allow(now, p.Service, u.ID) {
+		return
 	}
+	u.probing = true
+	u.probedAt = now
+	u.sentSinceProbe = 0
+	p.do(route.Action{Kind: route.Probe, Upstream: u.ID})
 }
 
 // likeliest returns the upstream that looks best for r of those it has not asked.
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -15,9 +15,10 @@
 type phase int
 
 const (
-	asking phase = iota // the load of likely upstreams is being asked for
-	queued              // no upstream has room
-	sent                // at least one attempt is in flight
+	asking   phase = iota // the load of likely upstreams is being asked for
+	queued                // no upstream has room
+	sent                  // at least one attempt is in flight
+	checking              // the same, and it is being asked whether it is slow
 )
 
 // request is a request that has no final answer yet.
@@ -145,7 +146,11 @@
 	}
 	p.learnProbe(now, u, res)
 	for _, r := range p.waitingFor(u) {
-		p.choose(now, r)
+		if r.phase == checking {
+			p.hedge(now, r)
+		} else {
+			p.choose(now, r)
+		}
 	}
 	p.serveQueue(now)
 	return p.take()
@@ -155,7 +160,7 @@
 // u the last of them.
 func (p *Placer) waitingFor(u *upstream) (ready []*request) {
 	for _, r := range p.requests {
-		if r.phase != asking || !slices.Contains(r.asked, u) {
+		if r.phase != asking && r.phase != checking || !slices.Contains(r.asked, u) {
 			continue
 		}
 		if !slices.ContainsFunc(r.asked, func(u *upstream) bool { return u.probing }) {
@@ -220,7 +225,7 @@
 // wakeAt returns when r needs a look.
 func (r *request) wakeAt() clock.Millis {
 	switch r.phase {
-	case asking:
+	case asking, checking:
 		return min(r.GiveUp, r.askUntil)
 	case queued:
 		return min(r.GiveUp, r.waitUntil, r.recheckAt)
@@ -240,12 +245,14 @@
 		p.giveUp(now, r)
 	case r.phase == asking:
 		p.choose(now, r)
+	case r.phase == checking:
+		p.hedge(now, r)
 	case r.phase == queued && now >= r.waitUntil:
 		p.refuse(now, r, cmp.Or(r.lastFault, route.ReasonOverloaded))
 	case r.phase == queued:
 		p.recheck(now, r)
 	case r.hedgeAt > 0 && now >= r.hedgeAt:
-		p.hedge(now, r)
+		p.check(now, r)
 	}
 }
 
--- a/core/place/second.go
+++ b/core/place/second.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"siskinpath/core/clock"
 	"siskinpath/core/route"
@@ -12,8 +13,15 @@
 	mostTries = 4
 	// hedgeReserve is how many second sends are kept back for requests that failed.
 	hedgeReserve = 1.0
-	// hedgeSlowdown is the slowdown up to which an upstream gets second sends.
-	hedgeSlowdown = 1.3
+	// slowHedge is the slowdown from which an upstream is helped out.
+	slowHedge = 1.6
+	// fastHedge is the slowdown up to which an upstream gets second sends, and
+	// hedgeFill the share of its slots.
+	fastHedge = 1.3
+	hedgeFill = 0.8
+	// leastHedgeAge is the least age of an attempt, in usual times, at which it is
+	// looked after: sooner nothing is known of it.
+	leastHedgeAge = 0.4
 )
 
 // settle decides how a request goes on after an attempt of it has ended.
@@ -61,26 +69,49 @@
 	return r.arrivals < max(1, r.MaxAttempts) && p.seconds.Spend()
 }
 
-// planHedge sets when r is sent to a second upstream, if it may be. The first
-// attempt has had its usual time by then, and the second still has its own
-// before the target.
+// planHedge sets when it is looked whether r needs a second upstream: as late as
+// one that is asked then can still answer within the target.
 func (p *Placer) planHedge(r *request, a *attempt) {
 	if p.Tuning.NoHedge || !r.Idempotent || r.MaxAttempts < 2 || len(r.running) > 1 || r.arrivals > 0 {
 		return
 	}
 	usual := p.usualTime(r.Route, r.Target)
-	r.hedgeAt = a.started + clock.Millis(p.Tuning.HedgeAfter*usual)
+	latest := r.Arrived + r.Target - clock.Millis(p.Tuning.HedgeBefore*usual) - p.Tuning.AskWait
+	if latest < a.started+clock.Millis(usual*leastHedgeAge) {
+		return // the first has hardly begun by then
+	}
+	r.hedgeAt = latest
 }
 
-// hedge sends r to a second upstream when one is known to be fast and the budget
-// has more than what failures need.
-func (p *Placer) hedge(now clock.Millis, r *request) {
+// check asks the upstream that has r, and others, how slow they are now.
+func (p *Placer) check(now clock.Millis, r *request) {
 	r.hedgeAt = 0
-	if p.seconds.Kept() < 1+hedgeReserve {
+	if p.seconds.Kept() < 1+hedgeReserve || len(r.running) != 1 {
+		return
+	}
+	r.phase = checking
+	r.asked = r.asked[:0]
+	r.askUntil = now + p.Tuning.AskWait
+	p.measure(now, r, r.running[0].upstream)
+	p.ask(now, r)
+	if !slices.ContainsFunc(r.asked, func(u *upstream) bool { return u.probing }) {
+		p.hedge(now, r)
+	}
+}
+
+// hedge sends r to a second upstream when the one that has it is slow now, and
+// the other is fast and has room.
+func (p *Placer) hedge(now clock.Millis, r *request) {
+	r.phase = sent
+	if len(r.running) != 1 {
+		return
+	}
+	has := r.running[0].upstream
+	if !has.probing && has.slowdownAt(now, p.slowdown) < slowHedge {
 		return
 	}
-	u := p.likeliest(now, r)
-	if u == nil || !p.room(r, u) || u.slowdownAt(now, p.slowdown) > max(hedgeSlowdown, p.slowdown) {
+	u := p.bestOf(now, r, r.asked)
+	if u == nil || u.slowdownAt(now, p.slowdown) > fastHedge || float64(u.load()+1) > hedgeFill*float64(u.Slots) {
 		return
 	}
 	if p.seconds.Spend() {
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -67,9 +67,9 @@
 	WaitShare float64
 	// UrgentWaitShare is the same for the priorities below Ordinary.
 	UrgentWaitShare float64
-	// HedgeAfter is the multiple of the usual time after which an idempotent
-	// request is sent to a second upstream.
-	HedgeAfter float64
+	// HedgeBefore is how many usual times before its target it is looked whether an
+	// idempotent request needs a second upstream.
+	HedgeBefore float64
 	// NoHedge and NoAsk take a mechanism out, for comparison.
 	NoHedge bool
 	NoAsk   bool
@@ -86,7 +86,7 @@
 		Ordinary:        2,
 		WaitShare:       0.125,
 		UrgentWaitShare: 0.2,
-		HedgeAfter:      1.5,
+		HedgeBefore:     1.2,
 	}
 }
 
