place: in a large fleet a host uses 40 upstreams of a service

Change: place.Subset, by rendezvous, seven tenths of it in the host's availability zone; the budget of probes is shared by the hosts that use an upstream.

--- /dev/null
+++ b/core/place/subset_test.go
@@ -0,0 +1,53 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestSubset(t *testing.T) {
+	zones := []string{"a", "b", "c"}
+	all := make([]Upstream, 0, 324)
+	for i := range 324 {
+		all = append(all, Upstream{ID: fmt.Sprintf("u%d", i), AvailabilityZone: zones[i%3]})
+	}
+	Convey("218 hosts use 324 upstreams", t, func() {
+		users := map[string]int{}
+		changed := 0
+		for h := range 218 {
+			host := fmt.Sprintf("h%d", h)
+			before := Subset(host, zones[h%3], all)
+			So(before, ShouldHaveLength, mostUpstreams)
+			for _, u := range before {
+				users[u.ID]++
+			}
+			for _, u := range Subset(host, zones[h%3], all[1:]) {
+				if !contains(before, u.ID) {
+					changed++
+				}
+			}
+		}
+		Convey("each upstream by several, none by many more than others", func() {
+			for _, u := range all {
+				So(users[u.ID], ShouldBeBetween, 218*mostUpstreams/324/3, 3*218*mostUpstreams/324)
+			}
+		})
+		Convey("one that goes changes at most one choice of a host", func() {
+			So(changed, ShouldBeLessThanOrEqualTo, users["u0"])
+		})
+	})
+	Convey("a small service is used whole", t, func() {
+		So(Subset("h", "a", all[:mostUpstreams]), ShouldHaveLength, mostUpstreams)
+	})
+}
+
+func contains(list []Upstream, id string) bool {
+	for _, u := range list {
+		if u.ID == id {
+			return true
+		}
+	}
+	return false
+}
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -237,7 +237,6 @@
 	b := n.cfg().Budgets
 	cfg := place.Config{
 		AvailabilityZone: n.cfg().AvailabilityZone,
-		ProbesPerSecond:  probesKeep * b.ProbesPerSecond / float64(n.shared),
 		SecondsRatio:     secondsKeep * b.SecondsRatio,
 		SecondsBurst:     1 + b.SecondsSlack/float64(2*n.shared),
 	}
@@ -246,6 +245,12 @@
 			ID: k.ID, AvailabilityZone: k.AvailabilityZone, Slots: k.Slots, ColdUntil: k.ColdUntil, Leaving: k.Leaving,
 		})
 	}
+	all := len(cfg.Upstreams)
+	cfg.Upstreams = place.Subset(n.cfg().ID, cfg.AvailabilityZone, cfg.Upstreams)
+	if used := len(cfg.Upstreams); used > 0 {
+		// An upstream is used by hosts*used/all of the hosts.
+		cfg.ProbesPerSecond = probesKeep * b.ProbesPerSecond * float64(all) / float64(n.shared*used)
+	}
 	return cfg
 }
 
