Tests of the roster, the relay and the watcher

Change: who follows the store in fleets of 20 to 400, what a host does when those go silent, lose the store or end; changes, gaps and whole reads of a table; sessions over loopback.

--- /dev/null
+++ b/core/roster/roster_test.go
@@ -0,0 +1,170 @@
+package roster
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"siskinpath/core/clock"
+)
+
+func fleet(n int) []Host {
+	zones := []string{"a", "b", "c"}
+	hosts := make([]Host, 0, n)
+	for i := range n {
+		id := fmt.Sprintf("h%03d", i)
+		hosts = append(hosts, Host{ID: id, AvailabilityZone: zones[i%3], CallerAddress: id + ":80", PeerAddress: id + ":90", Capacity: 100 + 50*(i%5), Ready: true})
+	}
+	return hosts
+}
+
+func rosterOf(self Host, hosts []Host) *Roster {
+	r := &Roster{Self: self}
+	r.Start(0, 0)
+	r.Learn(hosts)
+	return r
+}
+
+func TestOrder(t *testing.T) {
+	Convey("in a small fleet three hosts of three zones follow the store, and all others listen to them", t, func() {
+		hosts := fleet(20)
+		follow := map[string]bool{}
+		zones := map[string]bool{}
+		for _, h := range hosts {
+			r := rosterOf(h, hosts)
+			if contains(r.reached(1000)[:Listened], h.ID) {
+				follow[h.ID], zones[h.AvailabilityZone] = true, true
+				So(r.Follows(1000), ShouldBeTrue)
+			}
+		}
+		So(follow, ShouldHaveLength, Listened)
+		So(zones, ShouldHaveLength, 3)
+		for _, h := range hosts {
+			for _, target := range rosterOf(h, hosts).Targets(1000) {
+				So(follow[target.ID], ShouldBeTrue)
+			}
+		}
+	})
+	Convey("in a large fleet nobody is listened to by many", t, func() {
+		hosts := fleet(218)
+		listeners := map[string]int{}
+		for _, h := range hosts {
+			for _, target := range rosterOf(h, hosts).Targets(1000) {
+				listeners[target.ID]++
+			}
+		}
+		for _, n := range listeners {
+			So(n, ShouldBeLessThan, 110)
+		}
+		So(len(listeners), ShouldBeBetweenOrEqual, Listened, Listened+218/relayServes)
+	})
+}
+
+// TestCalls is what the calls to the store rest on: how many hosts follow it does
+// not grow with the fleet.
+func TestCalls(t *testing.T) {
+	Convey("as many hosts follow the store in a fleet of 20 as in one of 400", t, func() {
+		for _, n := range []int{20, 218, 400} {
+			hosts := fleet(n)
+			follows := 0
+			for _, h := range hosts {
+				r := rosterOf(h, hosts)
+				for _, target := range r.Targets(1000) {
+					r.Opened(target.ID)
+					r.Heard(1000, target.ID, false, n, nil, nil)
+				}
+				if r.Follows(1000) {
+					follows++
+				}
+			}
+			So(follows, ShouldEqual, Listened)
+		}
+	})
+}
+
+func TestFollows(t *testing.T) {
+	Convey("a host that listens to three", t, func() {
+		hosts := fleet(20)
+		var r *Roster
+		for _, h := range hosts {
+			if r = rosterOf(h, hosts); !r.Follows(10) {
+				continue
+			}
+			if !contains(r.reached(10)[:Listened], h.ID) {
+				break
+			}
+		}
+		targets := r.Targets(1000)
+		So(targets, ShouldHaveLength, Listened)
+		for _, target := range targets {
+			r.Opened(target.ID)
+			r.Heard(1000, target.ID, false, 20, hosts, nil)
+		}
+		So(r.Follows(1050), ShouldBeFalse)
+		Convey("does not follow the store itself", func() { So(r.Follows(1100), ShouldBeFalse) })
+		Convey("does when all fall silent, in time for what must be known within 2 s", func() {
+			at := clock.Millis(1000)
+			for ; !r.Follows(at); at += 50 {
+				So(at, ShouldBeLessThan, 2500)
+			}
+			So(at-1000, ShouldBeLessThan, 1200)
+		})
+		Convey("does not when one of them falls silent", func() {
+			r.Heard(2500, targets[0].ID, false, 20, nil, nil)
+			So(r.Follows(2600), ShouldBeFalse)
+		})
+		Convey("tries the store when all have lost it, but not at once", func() {
+			for _, target := range targets {
+				r.Heard(1000, target.ID, true, 20, nil, nil)
+			}
+			So(r.StoreLost(), ShouldBeTrue)
+			So(r.Follows(1100), ShouldBeFalse)
+			for _, target := range targets {
+				r.Heard(1700, target.ID, true, 20, nil, nil)
+			}
+			So(r.Follows(1700), ShouldBeTrue)
+		})
+		Convey("listens to the next one when it can't reach one of them", func() {
+			r.Closed(1000, targets[0].ID)
+			So(contains(r.Targets(1100), targets[0].ID), ShouldBeFalse)
+			So(r.Targets(1100), ShouldHaveLength, Listened)
+			So(contains(r.Targets(1000+avoidFor), targets[0].ID), ShouldBeTrue)
+		})
+	})
+}
+
+func TestCallers(t *testing.T) {
+	Convey("addresses for callers", t, func() {
+		hosts := fleet(9)
+		r := rosterOf(hosts[0], hosts)
+		rnd := rand.New(rand.NewPCG(1, 1))
+		target := r.Targets(1000)[0]
+		r.Opened(target.ID)
+		r.Heard(1000, target.ID, false, 9, hosts, nil)
+		Convey("begin with this host and stay in its zone", func() {
+			got := r.Callers("a", 4, rnd)
+			So(got[0], ShouldEqual, "h000:80")
+			slices.Sort(got)
+			So(got, ShouldResemble, []string{"h000:80", "h003:80", "h006:80"})
+		})
+		Convey("leave out hosts that went, leave or are not known to live", func() {
+			leaving := hosts[3]
+			leaving.Ready = false
+			r.Heard(1100, target.ID, false, 9, []Host{leaving}, []string{"h006"})
+			So(r.Callers("a", 2, rnd), ShouldNotContain, "h003:80")
+			So(r.Callers("a", 9, rnd), ShouldNotContain, "h006:80")
+		})
+		Convey("are those of other zones when there is none nearby", func() {
+			r.Self.Ready = false
+			r.Heard(1100, target.ID, false, 9, nil, []string{"h003", "h006"})
+			So(r.Callers("a", 9, rnd), ShouldHaveLength, 6)
+		})
+		Convey("are only this one when nobody is heard", func() {
+			r.Closed(1100, target.ID)
+			So(r.Callers("a", 4, rnd), ShouldResemble, []string{"h000:80"})
+		})
+	})
+}
--- /dev/null
+++ b/siskinpathd/relay/relay_test.go
@@ -0,0 +1,164 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/roster"
+	"siskinpath/siskinpathd/watch"
+)
+
+// host is a host with one table, "t".
+type host struct {
+	relay  *Relay
+	table  *watch.Table[string]
+	cancel context.CancelFunc
+
+	mu   sync.Mutex
+	rows map[string]string
+	lost bool
+}
+
+func freeAddress() string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+func start(id, address string, c clock.Clock) *host {
+	log := slog.New(slog.DiscardHandler)
+	h := &host{rows: map[string]string{}}
+	h.relay = &Relay{
+		Self:   roster.Host{ID: id, Incarnation: 1, AvailabilityZone: "a", CallerAddress: id + ":80", PeerAddress: address, Capacity: 100},
+		Listen: address, Clock: c, Log: log, Patience: 0,
+		Lost:   func() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.lost },
+		OnLost: func() {},
+	}
+	h.table = &watch.Table[string]{
+		Name: "t", Log: log,
+		Decode:  func(_ string, b []byte) (string, error) { return string(b), nil },
+		Apply:   h.apply,
+		Changed: func(v int64) { h.relay.Changed("t", v) },
+	}
+	h.relay.Tables = map[string]watch.Store{"t": h.table}
+	So(h.relay.Bind(), ShouldBeNil)
+	var ctx context.Context
+	ctx, h.cancel = context.WithCancel(context.Background())
+	go h.relay.Run(ctx)
+	return h
+}
+
+func (h *host) apply(rows []watch.Decoded[string]) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, r := range rows {
+		if r.Removed {
+			delete(h.rows, r.Key)
+		} else {
+			h.rows[r.Key] = r.Value
+		}
+	}
+}
+
+func (h *host) value(key string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.rows[key]
+}
+
+func shouldBecome(what func() bool) {
+	end := time.Now().Add(20 * time.Second)
+	for !what() && time.Now().Before(end) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	So(what(), ShouldBeTrue)
+}
+
+func TestRelay(t *testing.T) {
+	Convey("five hosts, of which those that follow the store know a row", t, func() {
+		c := clock.NewSystem()
+		var hosts []*host
+		var known []roster.Host
+		for i := range 5 {
+			h := start(fmt.Sprintf("h%d", i), freeAddress(), c)
+			hosts = append(hosts, h)
+			known = append(known, h.relay.Self)
+		}
+		Reset(func() {
+			for _, h := range hosts {
+				h.cancel()
+			}
+		})
+		for _, h := range hosts {
+			h.relay.Learn(known)
+			h.relay.SetReady(true)
+		}
+		var following, others []*host
+		shouldBecome(func() bool {
+			following, others = nil, nil
+			for _, h := range hosts {
+				if h.relay.Follows() {
+					following = append(following, h)
+				} else {
+					others = append(others, h)
+				}
+			}
+			return len(following) == roster.Listened
+		})
+		for _, h := range following {
+			h.table.Take(watch.Update{Version: 7, Whole: true, Rows: []watch.Row{{Key: "k", Value: []byte("1"), Version: 7}}})
+		}
+		for _, h := range others {
+			shouldBecome(func() bool { return h.value("k") == "1" })
+		}
+		Convey("a change that one of them reads reaches all", func() {
+			following[0].table.Take(watch.Update{Version: 9, Base: 7, Rows: []watch.Row{{Key: "k", Value: []byte("2"), Version: 9}}})
+			for _, h := range hosts {
+				shouldBecome(func() bool { return h.value("k") == "2" })
+			}
+		})
+		Convey("callers are told of all hosts, and no more of one that leaves or ends", func() {
+			shouldBecome(func() bool { return len(others[0].relay.Callers("a", 9)) == 5 })
+			following[1].relay.SetReady(false)
+			shouldBecome(func() bool { return len(others[0].relay.Callers("a", 9)) == 4 })
+			others[1].cancel()
+			shouldBecome(func() bool { return len(others[0].relay.Callers("a", 9)) == 3 })
+		})
+		Convey("the others follow the store themselves when those who do are gone", func() {
+			for _, h := range following {
+				h.cancel()
+			}
+			for _, h := range others {
+				shouldBecome(h.relay.Follows)
+			}
+		})
+		Convey("and when those who do have lost it", func() {
+			for _, h := range following {
+				h.mu.Lock()
+				h.lost = true
+				h.mu.Unlock()
+			}
+			for _, h := range others {
+				shouldBecome(h.relay.Follows)
+			}
+		})
+		Convey("bytes that are no message end only their own session", func() {
+			nc, err := net.Dial("tcp", others[0].relay.Listen)
+			So(err, ShouldBeNil)
+			_, err = nc.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+			So(err, ShouldBeNil)
+			_ = nc.Close()
+			following[0].table.Take(watch.Update{Version: 11, Base: 7, Rows: []watch.Row{{Key: "k", Value: []byte("3"), Version: 11}}})
+			shouldBecome(func() bool { return others[0].value("k") == "3" })
+		})
+	})
+}
