--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -56,28 +56,33 @@
 	Tuning  Tuning
 	Rand    *rand.Rand
 
-	cfg       Config
-	upstreams []*upstream
-	byID      map[string]*upstream
-	requests  map[route.RequestID]*request
-	attempts  map[route.AttemptID]*attempt
-	queue     []*request // by priority, then by arrival
-	seconds   admit.Budget
-	spread    admit.Spread
-	probes    probe.Budget
-	usual     map[string]float64 // usual time of a route's answers at slowdown 1, in ms
-	slowdown  float64            // mean of what upstreams report
-	last      route.AttemptID
-	actions   []Action
-	notes     []Note
+	cfg        Config
+	configured bool
+	upstreams  []*upstream
+	byID       map[string]*upstream
+	requests   map[route.RequestID]*request
+	attempts   map[route.AttemptID]*attempt
+	queue      []*request // by priority, then by arrival
+	seconds    admit.Budget
+	spread     admit.Spread
+	probes     probe.Budget
+	usual      map[string]float64 // usual time of a route's answers at slowdown 1, in ms
+	slowdown   float64            // mean of what upstreams report
+	last       route.AttemptID
+	actions    []Action
+	notes      []Note
 }
 
 // Configure takes on the upstreams that discovery names.
 func (p *Placer) Configure(now clock.Millis, cfg Config) []Action {
 	p.init()
-	p.cfg = cfg
 	p.seconds.Ratio = cfg.SecondsRatio
 	p.seconds.Burst = max(1, cfg.SecondsBurst)
+	if !p.configured {
+		p.configured = true
+		p.seconds.Fill()
+	}
+	p.cfg = cfg
 	known := p.byID
 	p.byID = map[string]*upstream{}
 	p.upstreams = p.upstreams[:0]
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -30,7 +30,10 @@
 	// secondsKeep is the share of the budget of second sends that is used; the rest
 	// covers requests that were counted and then refused.
 	secondsKeep = 0.9
-	// probesKeep is the same for probes.
+	// slackKeep is the share of the slack that hosts may save up together. They
+	// start with it, and many may start twice in the span that is counted.
+	slackKeep = 0.25
+	// probesKeep is the same as secondsKeep for probes.
 	probesKeep = 0.9
 )
 
@@ -128,8 +131,8 @@
 	return nil
 }
 
-// Leaving tells whether this host is being stopped.
-func (n *Node) Leaving() bool { return n.leaving.Load() != 0 }
+// InFlight returns the number of requests that are not answered yet.
+func (n *Node) InFlight() int { return n.server.Busy() }
 
 // firstLimits hold until a configuration is known.
 var firstLimits = config.Limits{
@@ -238,7 +241,7 @@
 	cfg := place.Config{
 		AvailabilityZone: n.cfg().AvailabilityZone,
 		SecondsRatio:     secondsKeep * b.SecondsRatio,
-		SecondsBurst:     1 + b.SecondsSlack/float64(2*n.shared),
+		SecondsBurst:     1 + slackKeep*b.SecondsSlack/float64(n.shared),
 	}
 	for _, k := range list {
 		cfg.Upstreams = append(cfg.Upstreams, place.Upstream{
