upstream: a reply of another upstream at the same address tells nothing of the one that was meant

Change: replies and probes of another start are told apart; such an upstream is left alone for 5 s, by when discovery tells.

--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -24,6 +24,9 @@
 	mostEjection  = 8 * clock.Second
 	// unreachableFor is how long an upstream that takes no connection is left alone.
 	unreachableFor = 400 * clock.Millisecond
+	// replacedFor is how long one whose address another has is left alone; by then
+	// discovery tells.
+	replacedFor = 5 * clock.Second
 	// drainedFor is how long one that says it is draining is left alone; by then
 	// discovery tells.
 	drainedFor = 3 * clock.Second
@@ -125,6 +128,10 @@
 
 func (p *Placer) learnProbe(now clock.Millis, u *upstream, res route.ProbeResult) {
 	u.probing = false
+	if res.Replaced {
+		p.leaveAlone(now, u, "replaced", replacedFor)
+		return
+	}
 	if res.OK || res.Load != nil {
 		// A status check that fails decides nothing by itself: discovery tells who
 		// leaves, and requests tell who fails.
@@ -149,6 +156,10 @@
 		p.learnTime(a, now-a.started)
 		u.succeeded(now)
 	case route.Refused:
+		if res.Replaced {
+			p.leaveAlone(now, u, "replaced", replacedFor)
+			return
+		}
 		p.learnRefused(now, u, res)
 	case route.NotSent:
 		if res.Barred {
--- a/core/route/types.go
+++ b/core/route/types.go
@@ -70,6 +70,8 @@
 	Status  Status
 	Load    *LoadReport // nil when the reply carried none
 	Barred  bool        // with NotSent: this host would not send it, which says nothing of the upstream
+	// Replaced says, with Refused, that another upstream has the address now.
+	Replaced bool
 }
 
 // Digest is what an owner tells the other owners of a service about itself.
@@ -136,6 +138,7 @@
 type ProbeResult struct {
 	Upstream string
 	OK       bool
+	Replaced bool // another upstream has the address now
 	Latency  clock.Millis
 	Load     *LoadReport
 }
--- a/siskinpathd/entry/pools.go
+++ b/siskinpathd/entry/pools.go
@@ -89,7 +89,7 @@
 	if t == nil {
 		return route.ProbeResult{Upstream: id}
 	}
-	result, _ := t.Probe(ctx, t.health)
+	result, _ := t.Probe(ctx, t.health, t.id)
 	result.Upstream = id
 	return result
 }
--- a/siskinpathd/upstream/attempt.go
+++ b/siskinpathd/upstream/attempt.go
@@ -77,7 +77,9 @@
 	d := p.dialect()
 	reply = d.copyReply(resp)
 	result.Status = d.statusOf(resp)
-	result.Load = d.load(resp)
+	if result.Replaced = d.replaced(resp); !result.Replaced {
+		result.Load = d.load(resp) // else it is another upstream's
+	}
 	return reply, result, nil
 }
 
--- a/siskinpathd/upstream/dialect.go
+++ b/siskinpathd/upstream/dialect.go
@@ -15,14 +15,16 @@
 	RequestID    string // on requests, and echoed on replies
 	Deadline     string // on requests: milliseconds left
 	Instance     string // on requests: the start of the upstream that is meant
+	IsInstance   string // on replies: the start of the upstream that replies
 	Organisation string
 	Key          string
 	Depth        string
 	NotRun       string // on replies: the request did not run
 	Load         string // on replies: the load report
 	ParseLoad    func([]byte) *route.LoadReport
-	// NotRunStatus is a status that says the same as NotRun; 0 for none.
-	NotRunStatus int
+	// ReplacedStatus is the status of an upstream that is not the one that was
+	// meant. It has not run the request. 0 for none.
+	ReplacedStatus int
 	// PassHost passes the caller's Host header on in place of the address.
 	PassHost bool
 	// PassRequestID leaves the caller's own id on the request and on the reply.
@@ -91,7 +93,7 @@
 func (d *Dialect) statusOf(resp *fasthttp.Response) route.Status {
 	status := resp.StatusCode()
 	switch {
-	case d.refused(resp), d.NotRunStatus != 0 && status == d.NotRunStatus:
+	case d.refused(resp), d.replaced(resp):
 		return route.Refused
 	case status >= fasthttp.StatusInternalServerError:
 		return route.Errored
@@ -109,6 +111,20 @@
 	return d != Siskin || resp.StatusCode() == fasthttp.StatusServiceUnavailable
 }
 
+// replaced tells whether the reply says that another upstream has the address.
+func (d *Dialect) replaced(resp *fasthttp.Response) bool {
+	return d.ReplacedStatus != 0 && resp.StatusCode() == d.ReplacedStatus
+}
+
+// isOther tells whether the reply is from another upstream than the one named.
+func (d *Dialect) isOther(resp *fasthttp.Response, instance string) bool {
+	if d.IsInstance == "" || instance == "" {
+		return false
+	}
+	got := resp.Header.Peek(d.IsInstance)
+	return len(got) > 0 && string(got) != instance
+}
+
 func (d *Dialect) load(resp *fasthttp.Response) *route.LoadReport {
 	return d.ParseLoad(resp.Header.Peek(d.Load))
 }
--- a/siskinpathd/upstream/probe.go
+++ b/siskinpathd/upstream/probe.go
@@ -10,9 +10,9 @@
 	"siskinpath/core/route"
 )
 
-// Probe asks an upstream for its load at uri. It is bounded by ctx's deadline.
-// The error says why it is not OK.
-func (p *Pool) Probe(ctx context.Context, uri string) (result route.ProbeResult, err error) {
+// Probe asks an upstream for its load at uri. instance is the start that is meant,
+// "" for any. It is bounded by ctx's deadline. The error says why it is not OK.
+func (p *Pool) Probe(ctx context.Context, uri, instance string) (result route.ProbeResult, err error) {
 	start := p.Clock.Now()
 	c, err := p.get(ctx)
 	if err != nil {
@@ -26,6 +26,11 @@
 		p.discard(c)
 		return result, err
 	}
+	if p.dialect().isOther(resp, instance) {
+		p.discard(c)
+		result.Replaced = true
+		return result, errors.New("another upstream has the address now")
+	}
 	result.Load = p.dialect().load(resp)
 	if resp.ConnectionClose() || c.r.Buffered() > 0 {
 		p.discard(c)
--- a/siskinpathd/upstream/set.go
+++ b/siskinpathd/upstream/set.go
@@ -80,7 +80,7 @@
 	if p == nil {
 		return route.ProbeResult{Upstream: name}
 	}
-	result, _ = p.Probe(ctx, probeURI)
+	result, _ = p.Probe(ctx, probeURI, "")
 	result.Upstream = name
 	return result
 }
