--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -73,6 +73,10 @@
 	notes      []Note
 }
 
+// probeBurst is how many probes of an upstream a host may save up for busy
+// seconds. It begins with them, as it knows nothing of any upstream then.
+const probeBurst = 4
+
 // Configure takes on the upstreams that discovery names.
 func (p *Placer) Configure(now clock.Millis, cfg Config) []Action {
 	p.init()
@@ -115,6 +119,7 @@
 	p.attempts = map[route.AttemptID]*attempt{}
 	p.usual = map[string]float64{}
 	p.slowdown = 1
+	p.probes = probe.Budget{Burst: probeBurst, Full: true}
 	p.spread = admit.Spread{Least: leastRetryAfter, Most: mostRetryAfter}
 }
 
--- a/core/probe/budget.go
+++ b/core/probe/budget.go
@@ -27,15 +27,22 @@
 // Budget holds a bucket for each upstream that this host may probe. The zero
 // value is empty. Not safe for concurrent use.
 type Budget struct {
+	// Burst is how many probes a bucket holds, 1 when not set. With Full, buckets
+	// begin full. Both are for hosts that share an upstream's budget for good, where
+	// nothing is handed over: the sum over a long time stays the same.
+	Burst int
+	Full  bool
+
 	buckets map[bucketKey]*bucket
 }
 
 type bucketKey struct{ service, upstream string }
 
-// bucket is a token bucket that holds at most one probe.
+// bucket is a token bucket.
 type bucket struct {
 	rate   int64 // nano-probes a millisecond
 	level  int64 // nano-probes
+	most   int64 // nano-probes that it holds
 	filled clock.Millis
 }
 
@@ -48,7 +55,10 @@
 	key := bucketKey{service, upstream}
 	k := b.buckets[key]
 	if k == nil {
-		k = &bucket{filled: now}
+		k = &bucket{filled: now, most: int64(max(1, b.Burst)) * oneProbe}
+		if b.Full {
+			k.level = k.most
+		}
 		b.buckets[key] = k
 	}
 	k.fill(now)
@@ -92,9 +102,9 @@
 	if k.rate == 0 {
 		return
 	}
-	if elapsed >= oneProbe/k.rate+1 {
-		k.level = oneProbe
+	if elapsed >= k.most/k.rate+1 {
+		k.level = k.most
 		return
 	}
-	k.level = min(oneProbe, k.level+elapsed*k.rate)
+	k.level = min(k.most, k.level+elapsed*k.rate)
 }
--- a/core/probe/budget_test.go
+++ b/core/probe/budget_test.go
@@ -37,6 +37,15 @@
 			b.SetRate(0, "booking", "b03", 1e300)
 			convey.So(b.Allow(1, "booking", "b03"), convey.ShouldBeTrue)
 		})
+		convey.Convey("begins full and holds several when told so", func() {
+			full := &Budget{Burst: 3, Full: true}
+			full.SetRate(0, "booking", "b01", 2)
+			for range 3 {
+				convey.So(full.Allow(0, "booking", "b01"), convey.ShouldBeTrue)
+			}
+			convey.So(full.Allow(499, "booking", "b01"), convey.ShouldBeFalse)
+			convey.So(full.Allow(500, "booking", "b01"), convey.ShouldBeTrue)
+		})
 		convey.Convey("is split evenly", func() {
 			convey.So(Part(10, 4), convey.ShouldEqual, 2.5)
 			convey.So(Part(10, 0), convey.ShouldEqual, 0)
