place: one budget of probes for all upstreams of a host

Cause: the part of each upstream was used up while that of others lay idle: which upstreams are asked follows the load. Change: one bucket, two seconds deep; four fifths of the fleet's budget, so that starts and hosts not yet known stay within it.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -91,7 +91,7 @@
 // measure asks u for its load on behalf of r, unless that is known or being asked.
 func (p *Placer) measure(now clock.Millis, r *request, u *upstream) {
 	r.asked = append(r.asked, u)
-	if u.probing || u.fresh(now, p.Tuning.FreshFor) || p.Tuning.NoAsk || !p.probes.Allow(now, p.Service, u.ID) {
+	if u.probing || u.fresh(now, p.Tuning.FreshFor) || p.Tuning.NoAsk || !p.probes.Allow(now, p.Service, "") {
 		return
 	}
 	u.probing = true
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -73,9 +73,9 @@
 	notes      []Note
 }
 
-// probeBurst is how many probes of an upstream a host may save up for busy
-// seconds. It begins with them, as it knows nothing of any upstream then.
-const probeBurst = 4
+// probeBurst is how many seconds' worth of probes a host may save up for busy
+// moments. It begins with them, as it knows nothing of any upstream then.
+const probeBurst = 2
 
 // Configure takes on the upstreams that discovery names.
 func (p *Placer) Configure(now clock.Millis, cfg Config) []Action {
@@ -98,19 +98,26 @@
 		k.Upstream = u
 		p.byID[u.ID] = k
 		p.upstreams = append(p.upstreams, k)
-		p.probes.SetRate(now, p.Service, u.ID, cfg.ProbesPerSecond)
 	}
 	for id, u := range known {
 		if p.byID[id] == nil {
 			u.gone = true
-			p.probes.Drop(p.Service, id)
 		}
 	}
+	p.setProbes(now)
 	slices.SortFunc(p.upstreams, func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
 	p.serveQueue(now)
 	return p.take()
 }
 
+// setProbes sets the rate of this host's probes. It is one budget for all its
+// upstreams, so that it can be spent where it tells most.
+func (p *Placer) setProbes(now clock.Millis) {
+	perSecond := p.cfg.ProbesPerSecond * float64(len(p.upstreams))
+	p.probes.Burst, p.probes.Full = int(probeBurst*perSecond), true
+	p.probes.SetRate(now, p.Service, "", perSecond)
+}
+
 func (p *Placer) init() {
 	if p.requests != nil {
 		return
@@ -119,7 +126,6 @@
 	p.attempts = map[route.AttemptID]*attempt{}
 	p.usual = map[string]float64{}
 	p.slowdown = 1
-	p.probes = probe.Budget{Burst: probeBurst, Full: true}
 	p.spread = admit.Spread{Least: leastRetryAfter, Most: mostRetryAfter}
 }
 
--- a/core/probe/budget.go
+++ b/core/probe/budget.go
@@ -55,14 +55,15 @@
 	key := bucketKey{service, upstream}
 	k := b.buckets[key]
 	if k == nil {
-		k = &bucket{filled: now, most: int64(max(1, b.Burst)) * oneProbe}
+		k = &bucket{filled: now}
 		if b.Full {
-			k.level = k.most
+			k.level = int64(max(1, b.Burst)) * oneProbe
 		}
 		b.buckets[key] = k
 	}
 	k.fill(now)
 	k.rate = toRate(perSecond)
+	k.most = int64(max(1, b.Burst)) * oneProbe
 }
 
 // toRate converts probes a second, rounding down.
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -34,7 +34,7 @@
 	// start with it, and many may start twice in the span that is counted.
 	slackKeep = 0.25
 	// probesKeep is the same as secondsKeep for probes.
-	probesKeep = 0.9
+	probesKeep = 0.8
 )
 
 // Node is the host. Set the exported fields before Run.
