place: probes are kept for requests that have just come

Cause: waiting requests asked again every 10 ms and used the probes up that new ones needed. Change: a quarter of what is saved up is for requests that have just come.

--- a/core/place/queue.go
+++ b/core/place/queue.go
@@ -12,6 +12,9 @@
 	recheckEvery = 10 * clock.Millisecond
 	// recheckers is how many of the waiting requests ask at the same time.
 	recheckers = 2
+	// probeReserve is the share of the probes saved up that is kept for requests that
+	// have just come: each tells more there than for one that waits.
+	probeReserve = 0.25
 	// leastRetryAfter is the shortest time told to a caller that is refused.
 	leastRetryAfter = 40 * clock.Millisecond
 	// mostRetryAfter is the longest.
@@ -38,11 +41,17 @@
 // recheck asks upstreams again for one of the first waiting requests.
 func (p *Placer) recheck(now clock.Millis, r *request) {
 	r.recheckAt = now + recheckEvery
-	if slices.Index(p.queue, r) < recheckers {
+	if slices.Index(p.queue, r) < recheckers && p.sparesProbes(now) {
 		p.seek(now, r)
 	}
 }
 
+// sparesProbes tells whether there are probes for more than requests that have
+// just come.
+func (p *Placer) sparesProbes(now clock.Millis) bool {
+	return p.probes.Kept(now, p.Service, "") >= probeReserve*float64(p.probes.Burst)
+}
+
 // serveQueue sends waiting requests to upstreams that are known to have room.
 func (p *Placer) serveQueue(now clock.Millis) {
 	for _, r := range slices.Clone(p.queue) {
--- a/core/place/second.go
+++ b/core/place/second.go
@@ -86,7 +86,7 @@
 // check asks the upstream that has r, and others, how slow they are now.
 func (p *Placer) check(now clock.Millis, r *request) {
 	r.hedgeAt = 0
-	if p.seconds.Kept() < 1+hedgeReserve || len(r.running) != 1 {
+	if p.seconds.Kept() < 1+hedgeReserve || len(r.running) != 1 || !p.sparesProbes(now) {
 		return
 	}
 	r.phase = checking
--- a/core/probe/budget.go
+++ b/core/probe/budget.go
@@ -89,6 +89,16 @@
 	return true
 }
 
+// Kept returns how many probes may start now.
+func (b *Budget) Kept(now clock.Millis, service, upstream string) float64 {
+	k := b.buckets[bucketKey{service, upstream}]
+	if k == nil {
+		return 0
+	}
+	k.fill(now)
+	return float64(k.level) / oneProbe
+}
+
 // Drop ends this host's right to probe an upstream.
 func (b *Budget) Drop(service, upstream string) {
 	delete(b.buckets, bucketKey{service, upstream})
