--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Front door. Every command a developer needs is here.
 GO         ?= go
-MODULES    := core siskinpathd siskinctl standin bench
+MODULES    := core siskinpathd siskinctl standin bench platform
 BIN        := $(CURDIR)/bin
 GOLANGCI   := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 SEEDS      ?= 200
@@ -15,6 +15,7 @@
 build:
 	@mkdir -p $(BIN)
 	$(GO) build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./siskinpathd ./siskinctl ./standin ./bench
+	$(GO) build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/siskinpath-entry ./platform
 
 demo: build
 	$(BIN)/standin demo --bin $(BIN)
--- a/core/discovery/registry.go
+++ b/core/discovery/registry.go
@@ -142,7 +142,7 @@
 // Service returns the upstreams of a service in the order of their ids.
 func (r *Registry) Service(name string) (list []Known) {
 	for _, e := range r.entries {
-		if e.Upstream.Service == name {
+		if e.Service == name {
 			list = append(list, Known{Upstream: e.Upstream, ColdUntil: e.coldUntil})
 		}
 	}
--- a/siskinpathd/entry/decisions.go
+++ b/siskinpathd/entry/decisions.go
@@ -26,6 +26,7 @@
 	lineAttempt  = "attempt ended"
 	lineRefused  = "refused"
 	lineAnswered = "answered by the host"
+	lineProbe    = "probe failed"
 )
 
 // statusNames are how log lines call the ends of an attempt.
@@ -53,6 +54,15 @@
 	d.log.Info(lineAttempt, "id", f.id, "service", service, "upstream", a.Upstream, "status", statusNames[res.Status], "err", err)
 }
 
+// probeFailed logs a probe that brought no load, or a status check that fails.
+func (d *decisions) probeFailed(service string, res route.ProbeResult, err error) {
+	if !d.limit.Allow(lineProbe) {
+		return
+	}
+	d.log.Info(lineProbe, "service", service, "upstream", res.Upstream, "took_ms", res.Latency, "replaced", res.Replaced,
+		"load_known", res.Load != nil, "err", err)
+}
+
 // believed logs a change of what a placer believes of an upstream.
 func (d *decisions) believed(service string, n place.Note) {
 	d.log.Info("upstream out of use", "service", service, "upstream", n.Upstream, "belief", n.Belief, "for_ms", n.For,
--- a/siskinpathd/entry/follow.go
+++ b/siskinpathd/entry/follow.go
@@ -156,8 +156,14 @@
 	return false
 }
 
-// Addresses returns the hosts for callers of an availability zone.
-func (n *Node) Addresses(zone string) []string { return n.relay.Callers(zone, mostAddresses) }
+// Addresses returns the hosts for callers of an availability zone, none before
+// this host knows any.
+func (n *Node) Addresses(zone string) []string {
+	if n.config.Load() == nil {
+		return nil
+	}
+	return n.relay.Callers(zone, mostAddresses)
+}
 
 // mostAddresses is how many addresses callers get: enough that one of them works
 // when hosts have just failed.
--- a/siskinpathd/entry/pools.go
+++ b/siskinpathd/entry/pools.go
@@ -84,14 +84,14 @@
 }
 
 // Probe asks an upstream for its load.
-func (p *Pools) Probe(ctx context.Context, id string) route.ProbeResult {
-	t := p.get(id)
-	if t == nil {
-		return route.ProbeResult{Upstream: id}
+func (p *Pools) Probe(ctx context.Context, id string) (result route.ProbeResult, err error) {
+	if t := p.get(id); t != nil {
+		result, err = t.Probe(ctx, t.health, t.id)
+	} else {
+		err = errUnknownUpstream
 	}
-	result, _ := t.Probe(ctx, t.health, t.id)
 	result.Upstream = id
-	return result
+	return result, err
 }
 
 // Sweep closes connections that have been unused for long.
--- a/siskinpathd/entry/runner.go
+++ b/siskinpathd/entry/runner.go
@@ -149,10 +149,11 @@
 func (r *Runner) probe(id string) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout.Duration())
 	defer cancel()
-	result := r.Pools.Probe(ctx, id)
+	result, err := r.Pools.Probe(ctx, id)
 	probesSent.Inc()
-	if !result.OK {
+	if err != nil {
 		probesFailed.Inc()
+		r.Logs.probeFailed(r.Service, result, err)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/siskinpathd/upstream/attempt.go
+++ b/siskinpathd/upstream/attempt.go
@@ -16,6 +16,7 @@
 
 var (
 	repliesOutOfStep = metrics.NewCounter("upstream_replies_out_of_step_total")
+	repliesEarly     = metrics.NewCounter("upstream_replies_early_total") // before the request was read whole
 	repliesCut       = metrics.NewCounter("upstream_replies_cut_total")
 )
 
@@ -57,7 +58,7 @@
 		return nil, result, nil
 	}
 	c.written.Store(0)
-	c.halfWritten = false
+	c.spent = false
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
@@ -85,7 +86,7 @@
 
 // reusable tells whether a connection is in step after a whole reply.
 func reusable(c *conn, resp *fasthttp.Response) bool {
-	return !c.halfWritten && !resp.ConnectionClose() && c.r.Buffered() == 0 && resp.Header.ContentLength() != identityLength
+	return !c.spent && !resp.ConnectionClose() && c.r.Buffered() == 0 && resp.Header.ContentLength() != identityLength
 }
 
 func notSent(ctx context.Context) route.Status {
@@ -134,13 +135,15 @@
 	select {
 	case werr := <-written:
 		if werr != nil && err == nil {
-			c.halfWritten = true
+			c.spent = true
 		}
 		return err
 	default:
-		c.halfWritten = true
+		c.spent = true
 		_ = c.Close() // ends the write
-		<-written
+		if werr := <-written; err == nil && werr != nil {
+			repliesEarly.Inc()
+		}
 		return err
 	}
 }
@@ -162,7 +165,7 @@
 		if !d.SkipLate || skipped == lateReplies || resp.ConnectionClose() {
 			return errOutOfStep
 		}
-		c.halfWritten = true // out of step once is reason enough to close it afterwards
+		c.spent = true
 		resp.Reset()
 	}
 }
@@ -187,7 +190,7 @@
 			repliesCut.Inc()
 			return errUnbounded
 		}
-		c.halfWritten = true // the reply ends with its connection
+		c.spent = true
 	}
 	if err = resp.ReadBody(c.r, a.MaxBodyBytes); err != nil {
 		repliesCut.Inc()
--- a/siskinpathd/upstream/conn.go
+++ b/siskinpathd/upstream/conn.go
@@ -25,9 +25,9 @@
 	written atomic.Int64
 	usedAt  clock.Millis
 	kept    clock.Millis // how long the upstream keeps it open unused; 0 when it does not say
-	// halfWritten says that the connection can't carry another request: its last
-	// one was not read whole, or its last reply was not alone.
-	halfWritten bool
+	// spent says that no other request may be sent on it: the last one was not read
+	// whole, or its reply was not alone or ended with the connection.
+	spent bool
 }
 
 func newConn(nc net.Conn) *conn {
