upstream: whoever waits ends an attempt at its time; siskinctl explain

Change: the connection lives half a second longer, the placer ends the attempt and answers 504 timeout. siskinctl explain tells a request's story from the hosts' logs and counts failures by cause.

--- /dev/null
+++ b/siskinctl/cmd_explain.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+var explainCommand = command{"explain", "Tell a request's story from the hosts' logs, or count failures by cause.", func() any { return &explainCmd{} }}
+
+type explainCmd struct {
+	Logs string `arg:"" type:"path" help:"Log file, or folder with one log file for each host."`
+	ID   string `arg:"" optional:"" help:"Id of the request. Without it, failures are counted by cause."`
+}
+
+// logLine is a line of a host's log.
+type logLine struct {
+	Host    string         `json:"host"`
+	Time    string         `json:"time"`
+	Message string         `json:"msg"`
+	Values  map[string]any `json:"values"`
+}
+
+// cause is how often hosts answered a request themselves for one reason.
+type cause struct {
+	Reason string `json:"reason"`
+	Status int    `json:"status"`
+	Count  int    `json:"count"`
+	First  string `json:"first_id"`
+}
+
+type explainReply struct {
+	ID     string    `json:"id,omitempty"`
+	Lines  []logLine `json:"lines,omitempty"`
+	Causes []cause   `json:"causes,omitempty"`
+}
+
+// Run reads the logs whole.
+func (c *explainCmd) Run(a *app) error {
+	lines, err := readLogs(c.Logs, func(l logLine) bool {
+		return c.ID == "" || l.Values["id"] == c.ID
+	})
+	if err != nil {
+		return err
+	}
+	reply := explainReply{ID: c.ID}
+	if c.ID == "" {
+		reply.Causes = countCauses(lines)
+	} else if reply.Lines = lines; len(lines) == 0 {
+		return errors.Errorf("no line of %s names request %q: give the logs of all hosts, of the time of the request", c.Logs, c.ID)
+	}
+	if a.JSON {
+		return a.printJSON(reply)
+	}
+	for _, l := range reply.Lines {
+		a.printf("%s %s %s%s\n", l.Time, l.Host, l.Message, l.text())
+	}
+	rows := [][]string{{"reason", "status", "count", "first_id"}}
+	for _, r := range reply.Causes {
+		rows = append(rows, []string{r.Reason, fmt.Sprint(r.Status), fmt.Sprint(r.Count), r.First})
+	}
+	if c.ID == "" {
+		a.columns(rows)
+	}
+	return nil
+}
+
+// readLogs returns the lines of a file, or of all files of a folder, that keep
+// wants, by time. Lines that are not JSON are passed over: other programs may
+// write to the same output.
+func readLogs(path string, keep func(logLine) bool) (lines []logLine, err error) {
+	defer func() { err = errors.WithMessage(err, "logs") }()
+	files := []string{path}
+	if info, err := os.Stat(path); err != nil {
+		return nil, err
+	} else if info.IsDir() {
+		if files, err = filepath.Glob(filepath.Join(path, "*")); err != nil {
+			return nil, err
+		}
+	}
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		host := strings.TrimSuffix(filepath.Base(name), filepath.Ext(name))
+		found, err := readLog(f, host, keep)
+		_ = f.Close()
+		if err != nil {
+			return nil, errors.WithMessage(err, name)
+		}
+		lines = append(lines, found...)
+	}
+	slices.SortStableFunc(lines, func(a, b logLine) int { return cmp.Compare(a.Time, b.Time) })
+	return lines, nil
+}
+
+// longestLine is the longest log line that is read, in bytes.
+const longestLine = 1 << 20
+
+func readLog(r io.Reader, host string, keep func(logLine) bool) (lines []logLine, err error) {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, longestLine)
+	for s.Scan() {
+		l := logLine{Host: host}
+		if json.Unmarshal(s.Bytes(), &l.Values) != nil {
+			continue
+		}
+		l.Time, _ = l.Values["time"].(string)
+		l.Message, _ = l.Values["msg"].(string)
+		for _, name := range []string{"time", "msg", "level"} {
+			delete(l.Values, name)
+		}
+		if keep(l) {
+			lines = append(lines, l)
+		}
+	}
+	return lines, s.Err()
+}
+
+// text returns the values of a line in the order of their names.
+func (l logLine) text() string {
+	var b strings.Builder
+	names := make([]string, 0, len(l.Values))
+	for name := range l.Values {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		v, err := json.Marshal(l.Values[name])
+		if err != nil {
+			v = []byte(err.Error())
+		}
+		fmt.Fprintf(&b, " %s=%s", name, v)
+	}
+	return b.String()
+}
+
+// countCauses counts the answers that hosts gave themselves.
+func countCauses(lines []logLine) (causes []cause) {
+	for _, l := range lines {
+		reason, ok := l.Values["reason"].(string)
+		if !ok {
+			continue
+		}
+		status, _ := l.Values["status"].(float64)
+		id, _ := l.Values["id"].(string)
+		at := slices.IndexFunc(causes, func(c cause) bool { return c.Reason == reason && c.Status == int(status) })
+		if at < 0 {
+			causes = append(causes, cause{Reason: reason, Status: int(status), Count: 1, First: id})
+			continue
+		}
+		causes[at].Count++
+	}
+	slices.SortStableFunc(causes, func(a, b cause) int { return cmp.Compare(b.Count, a.Count) })
+	return causes
+}
--- a/siskinctl/commands.go
+++ b/siskinctl/commands.go
@@ -21,5 +21,6 @@
 	versionsCommand,
 	hostsCommand,
 	stateCommand,
+	explainCommand,
 	completionCommand,
 }
--- a/siskinpathd/entry/pools.go
+++ b/siskinpathd/entry/pools.go
@@ -16,6 +16,9 @@
 	// dialTimeout is how long an upstream has to accept a connection: a first
 	// packet that was lost is sent again after a second, which is too late anyway.
 	dialTimeout = 500 * clock.Millisecond
+	// patience is how long after a request's end its connection lives on if nothing
+	// cancels it. The placer does, at the end, and says why.
+	patience = 500 * clock.Millisecond
 	// keepIdle is how long an unused connection is kept when the upstream does not
 	// say for how long it keeps its end.
 	keepIdle = 5 * clock.Second
@@ -49,7 +52,7 @@
 		t := old[k.ID]
 		if t == nil || t.Address != k.Address {
 			t = &target{id: k.ID, Pool: &upstream.Pool{
-				Address: k.Address, DialTimeout: dialTimeout, Clock: p.Clock, Dialect: p.Dialect, KeepIdle: keepIdle,
+				Address: k.Address, DialTimeout: dialTimeout, Clock: p.Clock, Dialect: p.Dialect, KeepIdle: keepIdle, Patience: patience,
 			}}
 		} else {
 			t = &target{id: k.ID, Pool: t.Pool}
--- a/siskinpathd/upstream/attempt.go
+++ b/siskinpathd/upstream/attempt.go
@@ -110,7 +110,7 @@
 // exchange writes the request and reads the reply.
 func (p *Pool) exchange(c *conn, a *Attempt, resp *fasthttp.Response) (err error) {
 	left := a.Call.Deadline - a.Clock.Now()
-	if err = c.SetDeadline(time.Now().Add(left.Duration())); err != nil {
+	if err = c.SetDeadline(time.Now().Add((left + p.Patience).Duration())); err != nil {
 		return err
 	}
 	if len(a.Call.Body) <= writtenAtOnce {
--- a/siskinpathd/upstream/pool.go
+++ b/siskinpathd/upstream/pool.go
@@ -34,6 +34,9 @@
 	Clock          clock.Clock
 	Dialect        *Dialect     // nil means Siskin
 	KeepIdle       clock.Millis // how long an unused connection is kept; 0 means IdleAfter
+	// Patience is how long after a request's deadline its connection waits for the
+	// reply, when whoever asked ends it by its context.
+	Patience clock.Millis
 
 	mu     sync.Mutex
 	idle   []*conn // most recently used last
