--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -26,7 +26,7 @@
 	AvailabilityZone string
 	CallerAddress    string
 	PeerAddress      string
-	Capacity         int  // thousandths of a core that it may use
+	Capacity         int  // what it can do for others, in thousandths of a core
 	Ready            bool // takes callers
 }
 
@@ -145,11 +145,12 @@
 	return all
 }
 
-// rank places a host in an order in which those of more capacity tend to come
-// first.
+// rank places a host in an order in which those of more capacity come first as a
+// rule: one with a slow link can hold up all that listen to it.
 func rank(key string, h Host) float64 {
 	uniform := (float64(member.Rendezvous(key, h.ID)>>11) + 0.5) / (1 << 53)
-	return -math.Log(uniform) / float64(max(1, h.Capacity))
+	c := float64(max(1, h.Capacity))
+	return -math.Log(uniform) / (c * c)
 }
 
 // reached returns the order without the hosts that this one could not reach.
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -48,6 +48,20 @@
 			}
 		}
 	})
+	Convey("hosts that can do little are not listened to while there are enough others", t, func() {
+		hosts := fleet(218)
+		for i := range hosts {
+			hosts[i].Capacity = 800
+			if i%2 == 0 {
+				hosts[i].Capacity = 20
+			}
+		}
+		for _, h := range hosts {
+			for _, target := range rosterOf(h, hosts).Targets(1000) {
+				So(target.Capacity, ShouldEqual, 800)
+			}
+		}
+	})
 	Convey("in a large fleet nobody is listened to by many", t, func() {
 		hosts := fleet(218)
 		listeners := map[string]int{}
--- a/siskinpathd/entry/follow.go
+++ b/siskinpathd/entry/follow.go
@@ -34,8 +34,22 @@
 	hostsEvery = clock.Minute
 )
 
-// thousandths of a core are the unit of a host's capacity.
-const thousandths = 1000
+const (
+	// thousandths of a core are the unit of a host's capacity.
+	thousandths = 1000
+	// enoughMbps is the link from which a host's processor bounds what it can pass
+	// on: a change of 400 rows is 100 KB for each of some 50 listeners.
+	enoughMbps = 200
+)
+
+// capacity is what this host can do for others.
+func capacity(cfg *Settings) int {
+	c := cfg.Cores * thousandths
+	if cfg.LinkMbps > 0 {
+		c *= min(1, cfg.LinkMbps/enoughMbps)
+	}
+	return int(c)
+}
 
 // Names of the tables that hosts pass on to each other.
 const (
@@ -62,7 +76,7 @@
 		Self: roster.Host{
 			ID: cfg.ID, Incarnation: rand.Uint64() | 1, AvailabilityZone: cfg.AvailabilityZone,
 			CallerAddress: cfg.Listen.Caller, PeerAddress: cfg.Listen.Peer,
-			Capacity: int(cfg.Cores * thousandths),
+			Capacity: capacity(cfg),
 		},
 		Listen: cfg.Listen.Peer, Clock: n.Clock, Log: n.Log,
 		Patience: n.patience(),
--- a/siskinpathd/entry/settings.go
+++ b/siskinpathd/entry/settings.go
@@ -12,6 +12,7 @@
 type Settings struct {
 	ID               string   `toml:"id"`
 	AvailabilityZone string   `toml:"availability_zone"`
+	LinkMbps         float64  `toml:"link_mbps"`   // of the host's own link
 	FirstStart       bool     `toml:"first_start"` // the whole fleet starts for the first time
 	Listen           Listen   `toml:"listen"`
 	Platform         Platform `toml:"platform"`
