entry: a refusal's line says why there was no room

Cause: writing docs/OPERATIONS.md: 'overloaded' named no inputs. Change: upstreams asked, usable and with room, and requests that wait.

--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -306,7 +306,24 @@
 		return
 	}
 	after := p.spread.Refuse(now, clock.Millis(p.usualTime(r.Route, r.Target)/4), p.Rand)
-	p.do(route.Action{Kind: route.Refuse, Request: r.ID, Reason: reason, RetryAfter: after})
+	p.actions = append(p.actions, Action{
+		Action: route.Action{Kind: route.Refuse, Request: r.ID, Reason: reason, RetryAfter: after},
+		Refuse: p.crowd(now, r),
+	})
+}
+
+func (p *Placer) crowd(now clock.Millis, r *request) Crowd {
+	c := Crowd{Waited: now - r.Arrived, Asked: len(r.asked), Upstreams: len(p.upstreams), Queued: len(p.queue)}
+	for _, u := range p.upstreams {
+		if !p.usable(now, r, u) {
+			continue
+		}
+		c.Usable++
+		if p.room(r, u) {
+			c.Room++
+		}
+	}
+	return c
 }
 
 // giveUp ends a request whose time is over.
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -93,7 +93,18 @@
 // Action is something the driver of a Placer must do.
 type Action struct {
 	route.Action
-	Basis Basis // with route.Send: what the choice rests on
+	Basis  Basis // with route.Send: what the choice rests on
+	Refuse Crowd // with route.Refuse: why there was no room
+}
+
+// Crowd is what was known when a request was refused.
+type Crowd struct {
+	Waited    clock.Millis // since the request arrived
+	Asked     int          // upstreams asked for their load last
+	Upstreams int          // that this host uses
+	Usable    int          // of them those that may get the request
+	Room      int          // of these those with room, by what was last known
+	Queued    int          // requests that wait on this host
 }
 
 // Basis is what was known of an upstream when a request was sent to it.
--- a/siskinpathd/entry/decisions.go
+++ b/siskinpathd/entry/decisions.go
@@ -83,6 +83,12 @@
 	if a.Reason == "" || !d.limit.Allow(lineAnswered) {
 		return a
 	}
+	if c := end.action.Refuse; end.action.Kind == route.Refuse {
+		d.log.Info(lineAnswered, "id", r.id, "route", r.route.Name, "service", r.service, "reason", a.Reason, "status", a.Status,
+			"after_ms", c.Waited, "asked", c.Asked, "upstreams", c.Upstreams, "usable", c.Usable, "room", c.Room, "queued", c.Queued,
+			"trail", end.trail, "retry_after_ms", a.RetryAfter)
+		return a
+	}
 	d.log.Info(lineAnswered, "id", r.id, "route", r.route.Name, "service", r.service, "reason", a.Reason, "status", a.Status,
 		"after_ms", d.clock.Now()-r.arrived, "trail", end.trail, "retry_after_ms", a.RetryAfter)
 	return a
