--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -63,7 +63,7 @@
 	requests   map[route.RequestID]*request
 	attempts   map[route.AttemptID]*attempt
 	queue      []*request // by priority, then by arrival
-	seconds    admit.Budget
+	repeats    admit.Budget
 	spread     admit.Spread
 	probes     probe.Budget
 	usual      map[string]float64 // usual time of a route's answers at slowdown 1, in ms
@@ -80,11 +80,11 @@
 // Configure takes on the upstreams that discovery names.
 func (p *Placer) Configure(now clock.Millis, cfg Config) []Action {
 	p.init()
-	p.seconds.Ratio = cfg.SecondsRatio
-	p.seconds.Burst = max(1, cfg.SecondsBurst)
+	p.repeats.Ratio = cfg.RepeatRatio
+	p.repeats.Burst = max(1, cfg.RepeatBurst)
 	if !p.configured {
 		p.configured = true
-		p.seconds.Fill()
+		p.repeats.Fill()
 	}
 	p.cfg = cfg
 	known := p.byID
@@ -143,7 +143,7 @@
 	p.init()
 	r := &request{Request: in}
 	p.requests[in.ID] = r
-	p.seconds.Earn()
+	p.repeats.Earn()
 	p.spread.Offered(now)
 	share := p.Tuning.WaitShare
 	if in.Priority < p.Tuning.Ordinary {
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -29,11 +29,11 @@
 	Upstreams        []Upstream
 	// ProbesPerSecond is what this host may spend on each upstream.
 	ProbesPerSecond float64
-	// SecondsRatio is how many sends beyond the first of each request are
+	// RepeatRatio is how many sends beyond the first of each request are
 	// allowed, as a share of the requests.
-	SecondsRatio float64
-	// SecondsBurst is how many of them this host may save up.
-	SecondsBurst float64
+	RepeatRatio float64
+	// RepeatBurst is how many of them this host may save up.
+	RepeatBurst float64
 }
 
 // Request is a request that wants an upstream.
--- a/core/place/world_test.go
+++ b/core/place/world_test.go
@@ -138,7 +138,7 @@
 		p := &Placer{Service: "s", Tuning: tuning, Rand: rand.New(rand.NewPCG(seed, uint64(h)))}
 		w.hosts = append(w.hosts, &worldHost{placer: p})
 		w.carryOut(h, p.Configure(w.now, Config{
-			AvailabilityZone: "a", Upstreams: list, ProbesPerSecond: 50 / float64(hosts), SecondsRatio: 0.18, SecondsBurst: 3,
+			AvailabilityZone: "a", Upstreams: list, ProbesPerSecond: 50 / float64(hosts), RepeatRatio: 0.18, RepeatBurst: 3,
 		}))
 	}
 	return w
--- a/siskinpathd/entry/counters.go
+++ b/siskinpathd/entry/counters.go
@@ -11,7 +11,7 @@
 )
 
 var (
-	secondSends   = metrics.NewCounter("second_sends_total")
+	repeatsSent   = metrics.NewCounter("repeats_total")
 	probesSent    = metrics.NewCounter("probes_total")
 	probesFailed  = metrics.NewCounter("probes_failed_total")
 	loadAge       = metrics.NewHistogram("load_age_seconds")
@@ -38,7 +38,7 @@
 // countSend counts an attempt and how old the knowledge behind it was.
 func countSend(b place.Basis) {
 	if b.Attempt > 1 {
-		secondSends.Inc()
+		repeatsSent.Inc()
 	} else {
 		waitedForRoom.Update(seconds(b.Waited))
 	}
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -27,13 +27,13 @@
 const (
 	// sweepEvery is how often unused connections are looked over.
 	sweepEvery = 2 * clock.Second
-	// secondsKeep is the share of the budget of second sends that is used; the rest
+	// repeatsKeep is the share of the budget of second sends that is used; the rest
 	// covers requests that were counted and then refused.
-	secondsKeep = 0.9
+	repeatsKeep = 0.9
 	// slackKeep is the share of the slack that hosts may save up together. They
 	// start with it, and many may start twice in the span that is counted.
 	slackKeep = 0.25
-	// probesKeep is the same as secondsKeep for probes.
+	// probesKeep is the same as repeatsKeep for probes.
 	probesKeep = 0.8
 )
 
@@ -44,14 +44,14 @@
 	Lines    *logs.Limiter // of Log
 	// Path is where Settings were read from, and Changed says that they may have
 	// changed there.
-	Path      string
-	Changed   <-chan os.Signal
-	Clock     clock.Clock
-	Upstreams *upstream.Dialect
-	Callers   CallerDialect
-	Config    Followed[*config.Config]
-	Discovery Followed[*discovery.Upstream]
-	Hosts     HostTable
+	Path            string
+	Changed         <-chan os.Signal
+	Clock           clock.Clock
+	UpstreamDialect *upstream.Dialect
+	CallerDialect   CallerDialect
+	Config          Followed[*config.Config]
+	Discovery       Followed[*discovery.Upstream]
+	Hosts           HostTable
 
 	settings      atomic.Pointer[Settings] // in force
 	config        atomic.Pointer[config.Config]
@@ -104,11 +104,11 @@
 
 func (n *Node) start() {
 	n.settings.Store(n.Settings)
-	n.pools = &Pools{Clock: n.Clock, Dialect: n.Upstreams}
+	n.pools = &Pools{Clock: n.Clock, Dialect: n.UpstreamDialect}
 	n.decisions = &decisions{log: n.Log, clock: n.Clock, limit: n.Lines}
 	n.runners = map[string]*Runner{}
 	n.splitter.Rand = newRand()
-	n.ours = map[string]bool{n.Upstreams.Instance: true}
+	n.ours = map[string]bool{n.UpstreamDialect.Instance: true}
 	n.startRelay()
 	n.server = &Server{Listen: n.cfg().Listen.Caller, Log: n.Log, Limits: n.limits, Handle: n.handle}
 }
@@ -240,8 +240,8 @@
 	b := n.cfg().Budgets
 	cfg := place.Config{
 		AvailabilityZone: n.cfg().AvailabilityZone,
-		SecondsRatio:     secondsKeep * b.SecondsRatio,
-		SecondsBurst:     1 + slackKeep*b.SecondsSlack/float64(n.shared),
+		RepeatRatio:      repeatsKeep * b.RepeatRatio,
+		RepeatBurst:      1 + slackKeep*b.RepeatSlack/float64(n.shared),
 	}
 	for _, k := range list {
 		cfg.Upstreams = append(cfg.Upstreams, place.Upstream{
--- a/siskinpathd/entry/reload.go
+++ b/siskinpathd/entry/reload.go
@@ -61,5 +61,5 @@
 	n.configure()
 	n.mu.Unlock()
 	n.Log.Info("settings in force", "path", n.Path, "probes_per_second", next.Budgets.ProbesPerSecond,
-		"seconds_ratio", next.Budgets.SecondsRatio, "grace_ms", next.Shutdown.GraceMs)
+		"repeat_ratio", next.Budgets.RepeatRatio, "grace_ms", next.Shutdown.GraceMs)
 }
--- a/siskinpathd/entry/settings.go
+++ b/siskinpathd/entry/settings.go
@@ -40,8 +40,8 @@
 // Budgets bound what all hosts together may do.
 type Budgets struct {
 	ProbesPerSecond float64      `toml:"probes_per_second"` // at each upstream
-	SecondsRatio    float64      `toml:"seconds_ratio"`     // sends beyond each request's first, as a share of the requests
-	SecondsSlack    float64      `toml:"seconds_slack"`     // and this many besides
+	RepeatRatio     float64      `toml:"repeat_ratio"`      // sends beyond each request's first, as a share of the requests
+	RepeatSlack     float64      `toml:"repeat_slack"`      // and this many besides
 	AddressTTLMs    clock.Millis `toml:"address_ttl_ms"`    // the longest time for which callers keep addresses
 }
 
@@ -84,8 +84,8 @@
 	switch {
 	case s.Budgets.ProbesPerSecond < 0:
 		return errors.Errorf("budgets.probes_per_second is %v: give 0 or more", s.Budgets.ProbesPerSecond)
-	case s.Budgets.SecondsRatio < 0 || s.Budgets.SecondsRatio > 1:
-		return errors.Errorf("budgets.seconds_ratio is %v: give 0 to 1", s.Budgets.SecondsRatio)
+	case s.Budgets.RepeatRatio < 0 || s.Budgets.RepeatRatio > 1:
+		return errors.Errorf("budgets.repeat_ratio is %v: give 0 to 1", s.Budgets.RepeatRatio)
 	case s.Budgets.AddressTTLMs <= 0:
 		return errors.Errorf("budgets.address_ttl_ms is %d: give more than 0", s.Budgets.AddressTTLMs)
 	case s.Shutdown.GraceMs <= 0:
