Soak of real processes behind links that can be harmed

Hosts run as processes; a loopback link before each of their addresses, before the store and before each upstream delays, resets, holds back one way or both, or goes silent for good. Signals kill, stop, pause and reload them in series that overlap; the store is busy, resets, falls silent, loses answers, forgets its history or its entries; upstreams misbehave, leave and come back under their id; configurations come in quick succession, older ones and ones without routes among them. Callers keep connections open. 16 promises are checked from what callers and upstreams saw.

Each promise has a mechanism that an overlay takes out of the build, so that the product has no hooks (soak-mutants).

listen.peer_advertised is new: a host's peer address may lie behind another one.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 export GOFLAGS := -buildvcs=false
 
-.PHONY: build demo test unit lint format generate tools prove prove-processes bench bench-processes known-red clean
+.PHONY: build demo test unit lint format generate tools prove prove-processes soak soak-mutants bench bench-processes known-red clean
 
 build:
 	@mkdir -p $(BIN)
@@ -68,6 +68,17 @@
 prove-processes: build
 	$(BIN)/standin prove --bin $(BIN)
 
+# soak plays faults on real processes, SEEDS of them from FIRST on, with HOSTS hosts each.
+FIRST ?= 1
+HOSTS ?= 5
+soak:
+	SISKINPATH_SOAK_FIRST=$(FIRST) SISKINPATH_SOAK_SEEDS=$(SEEDS) SISKINPATH_SOAK_HOSTS=$(HOSTS) \
+		$(GO) test -race -count=1 -timeout 120m -run 'TestSoak$$' -v ./platform
+
+# soak-mutants takes one mechanism out at a time and looks whether the soak sees it.
+soak-mutants:
+	SISKINPATH_SOAK_MUTANTS=all $(GO) test -race -count=1 -timeout 30m -run TestMutantsBuild -v ./platform
+
 bench: build
 	$(BIN)/bench policies --out $(CURDIR)/out
 
--- a/siskinpathd/entry/follow.go
+++ b/siskinpathd/entry/follow.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -75,7 +76,7 @@
 	n.relay = &relay.Relay{
 		Self: roster.Host{
 			ID: cfg.ID, Incarnation: rand.Uint64() | 1, AvailabilityZone: cfg.AvailabilityZone,
-			CallerAddress: cfg.Listen.Caller, PeerAddress: cfg.Listen.Peer,
+			CallerAddress: cfg.Listen.Caller, PeerAddress: cmp.Or(cfg.Listen.PeerAdvertised, cfg.Listen.Peer),
 			Capacity: capacity(cfg),
 		},
 		Listen: cfg.Listen.Peer, Clock: n.Clock, Log: n.Log,
--- a/siskinpathd/entry/settings.go
+++ b/siskinpathd/entry/settings.go
@@ -29,7 +29,9 @@
 	Ready     string `toml:"ready"`
 	Directory string `toml:"directory"`
 	Metrics   string `toml:"metrics"`
-	Peer      string `toml:"peer"` // UDP and TCP
+	Peer      string `toml:"peer"`
+	// PeerAdvertised is where other hosts reach Peer, when that is another address.
+	PeerAdvertised string `toml:"peer_advertised"`
 }
 
 // Platform says where the platform's store is.
