--- a/siskinpathd/entry/decisions.go
+++ b/siskinpathd/entry/decisions.go
@@ -25,6 +25,7 @@
 	lineSent     = "sent"
 	lineAttempt  = "attempt ended"
 	lineRefused  = "refused"
+	lineLate     = "answered late"
 	lineAnswered = "answered by the host"
 	lineProbe    = "probe failed"
 )
@@ -78,9 +79,14 @@
 	return a
 }
 
-// ended logs the end of a request that a host's own answer gives.
+// ended logs the end of a request that a host's own answer gives, or an upstream's
+// that comes after the route's target.
 func (d *decisions) ended(r *request, end outcome, a *Answer) *Answer {
-	if a.Reason == "" || !d.limit.Allow(lineAnswered) {
+	if a.Reason == "" {
+		d.late(r, end, a)
+		return a
+	}
+	if !d.limit.Allow(lineAnswered) {
 		return a
 	}
 	if c := end.action.Refuse; end.action.Kind == route.Refuse {
@@ -94,6 +100,16 @@
 	return a
 }
 
+// late logs an answer that came after its target.
+func (d *decisions) late(r *request, end outcome, a *Answer) {
+	took := d.clock.Now() - r.arrived
+	if took <= r.route.Target || !d.limit.Allow(lineLate) {
+		return
+	}
+	d.log.Info(lineLate, "id", r.id, "route", r.route.Name, "service", r.service, "status", a.Status, "after_ms", took,
+		"target_ms", r.route.Target, "trail", end.trail)
+}
+
 // discovered logs an entry of discovery.
 func (d *decisions) discovered(row watch.Decoded[*discovery.Upstream]) {
 	if row.Removed || row.Fault != nil || row.Value == nil {
