Hedges work on fleets that may save up few second sends

Cause: a hedge asked for two second sends in hand, and a host may save up 1 + a quarter of the slack / hosts of them: 1.94 and 1.86 on the two sites, 1.4 on the grown ones. Half of what is beyond the first is kept back instead. Ruled out: the budget itself, which was hardly used (again: 4% of the arrivals).

--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -74,6 +74,18 @@
 	})
 }
 
+func TestHedges(t *testing.T) {
+	Convey("on a calm day, second sends help out requests at upstreams that turned slow, on a fleet that may save up few", t, func() {
+		with, _ := heavy(DefaultTuning(), 1, nil)
+		none := DefaultTuning()
+		none.NoHedge = true
+		without, _ := heavy(none, 1, nil)
+		Printf("\n  with    %v\n  without %v\n", with, without)
+		So(with.sends, ShouldBeGreaterThan, without.sends+without.sends/200)
+		So(with.late[2], ShouldBeLessThan, without.late[2])
+	})
+}
+
 func TestUpstreamFaults(t *testing.T) {
 	Convey("while two upstreams of 26 take no connection, hardly anything fails", t, func() {
 		got, _ := heavy(DefaultTuning(), 1, func(w *world) { w.upstreams[0].down, w.upstreams[1].down = true, true })
--- a/core/place/repeat.go
+++ b/core/place/repeat.go
@@ -11,8 +11,9 @@
 const (
 	// mostTries is how many upstreams a request that reaches none is offered to.
 	mostTries = 4
-	// hedgeReserve is how many second sends are kept back for requests that failed.
-	hedgeReserve = 1.0
+	// hedgeReserve is the share of the second sends that may be saved up beyond one
+	// which is kept back for requests that failed.
+	hedgeReserve = 0.5
 	// slowHedge is the slowdown from which an upstream is helped out.
 	slowHedge = 1.6
 	// fastHedge is the slowdown up to which an upstream gets second sends, and
@@ -86,7 +87,7 @@
 // check asks the upstream that has r, and others, how slow they are now.
 func (p *Placer) check(now clock.Millis, r *request) {
 	r.hedgeAt = 0
-	if p.repeats.Kept() < 1+hedgeReserve || len(r.running) != 1 || !p.sparesProbes(now) {
+	if p.repeats.Kept() < 1+hedgeReserve*(p.repeats.Burst-1) || len(r.running) != 1 || !p.sparesProbes(now) {
 		return
 	}
 	r.phase = checking
--- a/core/place/world_test.go
+++ b/core/place/world_test.go
@@ -117,6 +117,7 @@
 	worldLink    = 1 * clock.Millisecond // one way between host and upstream
 	worldQueue   = 8                     // requests that wait at an upstream before it refuses
 	worldSpell   = 300 * clock.Millisecond
+	worldSlack   = 19 // second sends that all hosts together may save up beyond one each
 	worldSlow    = 4.0
 	worldSlowOne = 0.25 // share of the time that an upstream is slow
 	worldKnee    = 0.8
@@ -138,7 +139,8 @@
 		p := &Placer{Service: "s", Tuning: tuning, Rand: rand.New(rand.NewPCG(seed, uint64(h)))}
 		w.hosts = append(w.hosts, &worldHost{placer: p})
 		w.carryOut(h, p.Configure(w.now, Config{
-			AvailabilityZone: "a", Upstreams: list, ProbesPerSecond: 50 / float64(hosts), RepeatRatio: 0.18, RepeatBurst: 3,
+			AvailabilityZone: "a", Upstreams: list, ProbesPerSecond: 50 / float64(hosts), RepeatRatio: 0.18,
+			RepeatBurst: 1 + worldSlack/float64(hosts),
 		}))
 	}
 	return w
