While the store is away, only few hosts of a large fleet try it

It refuses all calls for 8 s; half a second after the three hosts that follow it had said so, all 232 hosts tried it, each of two tables once a second (466 log lines 'store lost'). Now those whom others listen to try it after half a second as before, 22 of 232, and twice as many each 4 s. A small fleet is as before, as its hosts listen only to the first three.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -58,6 +58,10 @@
 	// lostPatience is how long a host waits while all whom it hears have lost the
 	// store, before it tries the store itself.
 	lostPatience = 500 * clock.Millisecond
+	// lostStep is how much longer those wait in a large fleet whom nobody listens
+	// to, for each time that the number of hosts that try the store has doubled: what
+	// twenty hosts can't read, the others can't as a rule.
+	lostStep = 4 * clock.Second
 )
 
 // Roster is what one host knows of the others. Set the exported fields before
@@ -167,10 +171,7 @@
 func (r *Roster) Targets(now clock.Millis) (targets []Host) {
 	r.init()
 	hosts := r.reached(now)
-	relays := 0
-	if n := r.Size(); n > directly {
-		relays = n / relayServes
-	}
+	relays := r.relays()
 	first := hosts[:min(len(hosts), Listened)]
 	next := hosts[len(first):min(len(hosts), Listened+relays)]
 	if relays > 0 && !contains(first, r.Self.ID) && !contains(next, r.Self.ID) {
@@ -184,6 +185,14 @@
 	return targets
 }
 
+// relays returns how many hosts pass on what those tell that follow the store.
+func (r *Roster) relays() int {
+	if n := r.Size(); n > directly {
+		return n / relayServes
+	}
+	return 0
+}
+
 // nearest returns the hosts of list that this one listens to: those of its
 // availability zone first, and within these its own choice, so that the load is
 // spread.
@@ -283,7 +292,23 @@
 	if r.aloneAt == 0 {
 		r.aloneAt = now
 	}
-	return now-r.aloneAt >= r.patience && (!heard || now-r.aloneAt >= lostPatience)
+	alone := now - r.aloneAt
+	return alone >= r.patience && (!heard || alone >= r.lostWait(hosts))
+}
+
+// lostWait returns how long this host waits while all whom it hears have lost the
+// store. hosts are those that it can reach, in their order.
+func (r *Roster) lostWait(hosts []Host) clock.Millis {
+	relays := r.relays()
+	if relays == 0 {
+		return lostPatience // the others listen to the first only
+	}
+	wait := lostPatience
+	own := slices.IndexFunc(hosts, func(h Host) bool { return h.ID == r.Self.ID })
+	for trying := Listened + relays; trying <= own; trying *= 2 {
+		wait += lostStep
+	}
+	return wait
 }
 
 // Start begins the time for which a host that has heard nobody yet waits.
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -99,6 +99,34 @@
 	})
 }
 
+func TestStoreAway(t *testing.T) {
+	Convey("while the store is away, few hosts of a large fleet try it, and in the end each", t, func() {
+		hosts := fleet(218)
+		tries := func(after clock.Millis) (n int) {
+			for _, h := range hosts {
+				r := rosterOf(h, hosts)
+				for _, target := range r.Targets(1000) {
+					r.Opened(target.ID)
+				}
+				for at := clock.Millis(1000); at <= 1000+after; at += HeartbeatEvery {
+					for id := range r.sessions {
+						r.Heard(at, id, true, len(hosts), nil, nil)
+					}
+					r.Follows(at)
+				}
+				if r.Follows(1000 + after) {
+					n++
+				}
+			}
+			return n
+		}
+		So(tries(400), ShouldEqual, Listened)
+		So(tries(2000), ShouldBeBetweenOrEqual, Listened+1, len(hosts)/8)
+		So(tries(8000), ShouldBeLessThan, len(hosts)/2)
+		So(tries(30000), ShouldEqual, len(hosts))
+	})
+}
+
 func TestFollows(t *testing.T) {
 	Convey("a host that listens to three", t, func() {
 		hosts := fleet(20)
