--- /dev/null
+++ b/bench/cmd_heavy.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"siskinpath/bench/report"
+	"siskinpath/core/clock"
+)
+
+// heavyCommand plays heavy days of the booking service.
+type heavyCommand struct {
+	Out     string    `required:"" help:"Folder for heavy.csv, heavy.md and the plots."`
+	Seeds   int       `default:"4" help:"Seeds for each setting."`
+	Seconds int       `default:"10" help:"Virtual seconds of each run."`
+	Workers int       `default:"4" help:"Runs at once."`
+	Loads   []float64 `default:"0.7,1,1.3,1.6,2,2.5" help:"Loads, as multiples of the usual one."`
+}
+
+// Run runs the command.
+func (c *heavyCommand) Run() (err error) {
+	defer func() { err = errors.WithMessage(err, "bench heavy") }()
+	rows := c.play()
+	if err := report.WriteHeavy(c.Out, rows); err != nil {
+		return err
+	}
+	fmt.Println("wrote", c.Out)
+	return nil
+}
+
+func (c *heavyCommand) play() []report.HeavyRow {
+	var plays []func() report.HeavyRow
+	for _, condition := range heavyConditions() {
+		for _, p := range heavyPolicies() {
+			for _, load := range c.Loads {
+				plays = append(plays, func() report.HeavyRow {
+					return playHeavy(p, condition, load, c.Seeds, clock.Millis(c.Seconds)*clock.Second)
+				})
+			}
+		}
+	}
+	rows := make([]report.HeavyRow, len(plays))
+	next := make(chan int)
+	var running sync.WaitGroup
+	for range c.Workers {
+		running.Go(func() {
+			for i := range next {
+				rows[i] = plays[i]()
+			}
+		})
+	}
+	for i := range plays {
+		next <- i
+	}
+	close(next)
+	running.Wait()
+	return rows
+}
--- /dev/null
+++ b/bench/heavy.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"math/rand/v2"
+
+	"siskinpath/bench/report"
+	"siskinpath/core/clock"
+	"siskinpath/core/heavy"
+	"siskinpath/core/place"
+)
+
+// The users' booking service on a heavy day.
+const (
+	heavyHosts     = 20
+	heavyUpstreams = 26
+	heavySlots     = 4
+)
+
+// heavyKinds are its requests, at a multiple of the usual load.
+func heavyKinds(load float64) []heavy.Kind {
+	return []heavy.Kind{
+		{PerSecond: 34 * load, Priority: 0, Target: 300, Deadline: 800, Work: 110},
+		{PerSecond: 36 * load, Priority: 1, Target: 500, Deadline: 1500, Work: 210},
+		{PerSecond: 96 * load, Priority: 2, Target: 400, Deadline: 1200, Work: 160, Idempotent: true},
+	}
+}
+
+// heavyCondition is what happens besides slow spells and the knee, which are
+// always there.
+type heavyCondition struct {
+	name  string
+	begin func(w *heavy.World, load float64)
+}
+
+const (
+	// troubleAt is when a condition begins, and burstFor how long a burst lasts.
+	troubleAt = 3 * clock.Second
+	burstFor  = 3 * clock.Second
+	// burstMore is by how much the load rises in it, as a share of the usual.
+	burstMore = 0.6
+	// Upstreams that a condition concerns.
+	coldCount, greyCount, lostCount = 8, 4, 4
+	// greyShare is the part of the requests that a grey upstream sheds.
+	greyShare = 0.5
+)
+
+func heavyConditions() []heavyCondition {
+	return []heavyCondition{
+		{"spells", func(*heavy.World, float64) {}},
+		{"burst", func(w *heavy.World, load float64) {
+			w.After(troubleAt, func() {
+				for _, k := range heavyKinds(burstMore * load) {
+					stop := w.Load(k)
+					w.After(burstFor, stop)
+				}
+			})
+		}},
+		{"cold", func(w *heavy.World, _ float64) {
+			w.After(troubleAt, func() {
+				for _, u := range w.Upstreams[:coldCount] {
+					w.Restart(u)
+				}
+			})
+		}},
+		{"grey", func(w *heavy.World, _ float64) {
+			for _, u := range w.Upstreams[:greyCount] {
+				u.Grey = greyShare
+			}
+		}},
+		{"lost", func(w *heavy.World, _ float64) {
+			w.After(troubleAt, func() {
+				for _, u := range w.Upstreams[:lostCount] {
+					u.Down = true
+				}
+			})
+		}},
+	}
+}
+
+// heavyPolicy is a policy by name.
+type heavyPolicy struct {
+	name string
+	make func(rnd *rand.Rand) heavy.Policy
+}
+
+// heavyPolicies are the plain ones, the users' trial, earlier versions of the
+// project's own, and that.
+func heavyPolicies() []heavyPolicy {
+	plain := func(choose func(*heavy.Plain) *heavy.PlainUpstream) func(*rand.Rand) heavy.Policy {
+		return func(rnd *rand.Rand) heavy.Policy { return &heavy.Plain{Choose: choose, Rand: rnd} }
+	}
+	tuned := func(change func(*place.Tuning)) func(*rand.Rand) heavy.Policy {
+		t := place.DefaultTuning()
+		change(&t)
+		return func(rnd *rand.Rand) heavy.Policy { return &place.Placer{Service: "booking", Tuning: t, Rand: rnd} }
+	}
+	return []heavyPolicy{
+		{"random", plain(heavy.Random)},
+		{"power_of_two", plain(heavy.PowerOfTwo)},
+		{"least_load", plain(heavy.LeastLoad)},
+		{"trial", tuned(func(t *place.Tuning) {
+			t.Asked, t.UrgentFill, t.Ordinary, t.WaitShare, t.NoHedge, t.TakeSlow = 2, t.Fill, 0, 0.125, true, true
+		})},
+		{"no_asking", tuned(func(t *place.Tuning) { t.NoAsk = true })},
+		{"no_hedges", tuned(func(t *place.Tuning) { t.NoHedge = true })},
+		{"takes_slow", tuned(func(t *place.Tuning) { t.TakeSlow, t.WaitShare, t.UrgentWaitShare = true, 0.125, 0.2 })},
+		{"ours", tuned(func(*place.Tuning) {})},
+	}
+}
+
+// playHeavy plays one policy under one condition at one load.
+func playHeavy(p heavyPolicy, c heavyCondition, load float64, seeds int, span clock.Millis) report.HeavyRow {
+	row := report.HeavyRow{Condition: c.name, Policy: p.name, Load: load}
+	probes := 0
+	for seed := range seeds {
+		w := heavy.New(heavy.Setup{
+			Seed: uint64(seed + 1), Hosts: heavyHosts, Upstreams: heavyUpstreams, Slots: heavySlots, Policy: p.make,
+		})
+		for _, k := range heavyKinds(load) {
+			w.Load(k)
+		}
+		c.begin(w, load)
+		w.Run(span)
+		row.Got.Add(&w.Got)
+		probes += w.Probes
+	}
+	row.ProbesPerSecond = float64(probes) / float64(seeds*heavyUpstreams) / (float64(span) / float64(clock.Second))
+	return row
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -8,6 +8,7 @@
 // commands are all commands, in the order in which the help shows them.
 type commands struct {
 	Policies policiesCommand `cmd:"" help:"Run policies side by side on the same seeds."`
+	Heavy    heavyCommand    `cmd:"" help:"Play heavy days of a service whose hosts choose by themselves."`
 	Failures failuresCommand `cmd:"" help:"Run failures against the project's own policy and power of two choices."`
 }
 
--- /dev/null
+++ b/bench/report/heavy.go
@@ -0,0 +1,132 @@
+package report
+
+import (
+	"encoding/csv"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+
+	"siskinpath/core/heavy"
+)
+
+// HeavyRow is what callers got from one policy under one condition.
+type HeavyRow struct {
+	Condition       string
+	Policy          string
+	Load            float64 // as a multiple of the usual one
+	Got             heavy.Outcomes
+	ProbesPerSecond float64 // at each upstream
+}
+
+// WriteHeavy writes rows to heavy.csv and heavy.md in folder, and draws the part
+// answered in time against load, a PNG for each condition.
+func WriteHeavy(folder string, rows []HeavyRow) (err error) {
+	defer func() { err = errors.WithMessage(err, "heavy days in "+folder) }()
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return err
+	}
+	if err := writeHeavyCSV(filepath.Join(folder, "heavy.csv"), rows); err != nil {
+		return err
+	}
+	var b strings.Builder
+	for _, g := range heavyGroups(rows) {
+		g.write(&b)
+		if err := g.plot(folder); err != nil {
+			return err
+		}
+	}
+	return os.WriteFile(filepath.Join(folder, "heavy.md"), []byte(b.String()), 0o644)
+}
+
+func writeHeavyCSV(path string, rows []HeavyRow) error {
+	lines := [][]string{{
+		"condition", "policy", "load", "asked", "in_time", "late", "refused",
+		"in_time_0", "in_time_1", "in_time_2", "sends_per_request", "probes_per_second",
+	}}
+	for _, r := range rows {
+		lines = append(lines, []string{
+			r.Condition, r.Policy, number(r.Load), fmt.Sprint(r.Got.TotalAsked()),
+			number(r.Got.Total()), number(r.Got.TotalLate()), number(r.Got.TotalRefused()),
+			number(r.Got.Share(0)), number(r.Got.Share(1)), number(r.Got.Share(2)),
+			number(float64(r.Got.Sends) / float64(max(1, r.Got.TotalAsked()))), number(r.ProbesPerSecond),
+		})
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := csv.NewWriter(f).WriteAll(lines); err != nil {
+		return err
+	}
+	return f.Close()
+}
+
+// heavyGroup is the rows of one condition.
+type heavyGroup struct {
+	condition string
+	loads     []string
+	policies  []string
+	cells     map[[2]string]HeavyRow
+}
+
+func heavyGroups(rows []HeavyRow) (list []*heavyGroup) {
+	byName := map[string]*heavyGroup{}
+	for _, r := range rows {
+		g := byName[r.Condition]
+		if g == nil {
+			g = &heavyGroup{condition: r.Condition, cells: map[[2]string]HeavyRow{}}
+			byName[r.Condition] = g
+			list = append(list, g)
+		}
+		g.loads = addNew(g.loads, number(r.Load))
+		g.policies = addNew(g.policies, r.Policy)
+		g.cells[[2]string{number(r.Load), r.Policy}] = r
+	}
+	return list
+}
+
+// write writes a table: in each cell the percentages answered in time, late and
+// refused.
+func (g *heavyGroup) write(b *strings.Builder) {
+	fmt.Fprintf(b, "\n**%s**\n\n| policy |", g.condition)
+	for _, load := range g.loads {
+		fmt.Fprintf(b, " load %s |", load)
+	}
+	b.WriteString("\n|---|" + strings.Repeat("---|", len(g.loads)) + "\n")
+	for _, name := range g.policies {
+		fmt.Fprintf(b, "| %s |", name)
+		for _, load := range g.loads {
+			r := g.cells[[2]string{load, name}]
+			fmt.Fprintf(b, " %.1f l%.1f r%.1f |", 100*r.Got.Total(), 100*r.Got.TotalLate(), 100*r.Got.TotalRefused())
+		}
+		b.WriteString("\n")
+	}
+}
+
+func (g *heavyGroup) plot(folder string) error {
+	p := plot.New()
+	p.Title.Text = g.condition
+	p.X.Label.Text = "load, as a multiple of the usual one"
+	p.Y.Label.Text = "answered in time"
+	p.Y.Min, p.Y.Max = 0, 1
+	p.Legend.Left = true
+	var lines []any // names and points in turn, as plotutil takes them
+	for _, name := range g.policies {
+		var points plotter.XYs
+		for _, load := range g.loads {
+			r := g.cells[[2]string{load, name}]
+			points = append(points, plotter.XY{X: r.Load, Y: r.Got.Total()})
+		}
+		lines = append(lines, name, points)
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return err
+	}
+	return p.Save(plotWidth, plotHeight, filepath.Join(folder, "heavy_"+g.condition+".png"))
+}
--- /dev/null
+++ b/core/heavy/plain.go
@@ -0,0 +1,132 @@
+package heavy
+
+import (
+	"math/rand/v2"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/place"
+	"siskinpath/core/route"
+)
+
+// plainRetryAfter is when a plain policy tells refused callers to come back.
+const plainRetryAfter = 100 * clock.Millisecond
+
+// Plain is a policy that sends each request at once, as simple balancers do. It
+// sends once and passes on what comes of it.
+type Plain struct {
+	// Choose returns the upstream for a request.
+	Choose func(p *Plain) *PlainUpstream
+	Rand   *rand.Rand
+
+	Upstreams []*PlainUpstream
+
+	last     route.AttemptID
+	attempts map[route.AttemptID]plainAttempt
+	giveUps  map[route.RequestID]clock.Millis
+}
+
+// PlainUpstream is what a plain policy knows of an upstream.
+type PlainUpstream struct {
+	ID       string
+	InFlight int // own requests
+	Reported int // load that it said last
+}
+
+type plainAttempt struct {
+	request  route.RequestID
+	upstream *PlainUpstream
+}
+
+// Random chooses any upstream.
+func Random(p *Plain) *PlainUpstream { return p.Upstreams[p.Rand.IntN(len(p.Upstreams))] }
+
+// LeastLoad chooses the upstream with the least own requests and reported load.
+func LeastLoad(p *Plain) *PlainUpstream {
+	best := Random(p)
+	for _, u := range p.Upstreams {
+		if u.load() < best.load() {
+			best = u
+		}
+	}
+	return best
+}
+
+// PowerOfTwo chooses the better one of two.
+func PowerOfTwo(p *Plain) *PlainUpstream {
+	a, b := Random(p), Random(p)
+	if b.load() < a.load() {
+		return b
+	}
+	return a
+}
+
+func (u *PlainUpstream) load() int { return u.InFlight + u.Reported }
+
+// Configure takes on the upstreams.
+func (p *Plain) Configure(_ clock.Millis, cfg place.Config) []place.Action {
+	p.attempts, p.giveUps = map[route.AttemptID]plainAttempt{}, map[route.RequestID]clock.Millis{}
+	for _, u := range cfg.Upstreams {
+		p.Upstreams = append(p.Upstreams, &PlainUpstream{ID: u.ID})
+	}
+	return nil
+}
+
+// Offer sends a request.
+func (p *Plain) Offer(_ clock.Millis, in place.Request) []place.Action {
+	u := p.Choose(p)
+	u.InFlight++
+	p.last++
+	p.attempts[p.last] = plainAttempt{request: in.ID, upstream: u}
+	p.giveUps[in.ID] = in.GiveUp
+	return []place.Action{{Action: route.Action{Kind: route.Send, Request: in.ID, Attempt: p.last, Upstream: u.ID}}}
+}
+
+// Measured is not used: a plain policy asks nothing.
+func (p *Plain) Measured(clock.Millis, route.ProbeResult) []place.Action { return nil }
+
+// Ended passes the end of an attempt on.
+func (p *Plain) Ended(_ clock.Millis, res route.Result) []place.Action {
+	a, ok := p.attempts[res.Attempt]
+	if !ok {
+		return nil
+	}
+	delete(p.attempts, res.Attempt)
+	a.upstream.InFlight--
+	if res.Load != nil {
+		a.upstream.Reported = res.Load.InFlight + res.Load.Queued
+	}
+	if _, waits := p.giveUps[a.request]; !waits {
+		return nil
+	}
+	delete(p.giveUps, a.request)
+	end := route.Action{Kind: route.Finish, Request: a.request, Attempt: res.Attempt}
+	switch res.Status {
+	case route.Succeeded:
+	case route.Refused, route.NotSent:
+		end.Kind, end.RetryAfter = route.Refuse, plainRetryAfter
+	default:
+		end.Kind = route.Unknown
+	}
+	return []place.Action{{Action: end}}
+}
+
+// Tick gives up what is out of time.
+func (p *Plain) Tick(now clock.Millis) (actions []place.Action) {
+	for id, at := range p.giveUps {
+		if at <= now {
+			delete(p.giveUps, id)
+			actions = append(actions, place.Action{Action: route.Action{Kind: route.Unknown, Request: id}})
+		}
+	}
+	return actions
+}
+
+// Next returns when the first request is out of time, 0 for none.
+func (p *Plain) Next() (next clock.Millis) {
+	for _, at := range p.giveUps {
+		if next == 0 || at < next {
+			next = at
+		}
+	}
+	return next
+}
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -1,11 +1,14 @@
-package place
+package place_test
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"siskinpath/core/clock"
+	"siskinpath/core/heavy"
+	"siskinpath/core/place"
 	"siskinpath/core/route"
 )
 
@@ -14,61 +17,68 @@
 	playSeeds = 3
 )
 
-// heavy plays the users' heavy day: 26 upstreams of 4 slots, of which a quarter
-// is slow at any moment, and three kinds of requests.
-func heavy(tuning Tuning, times float64, fault func(w *world)) (got outcomes, probesPerSecond float64) {
+func newWorld(seed uint64, hosts, upstreams, slots int, tuning place.Tuning) *heavy.World {
+	return heavy.New(heavy.Setup{Seed: seed, Hosts: hosts, Upstreams: upstreams, Slots: slots, Policy: func(rnd *rand.Rand) heavy.Policy {
+		return &place.Placer{Service: "s", Tuning: tuning, Rand: rnd}
+	}})
+}
+
+// kinds are those of the users' booking service.
+func kinds(times float64) []heavy.Kind {
+	return []heavy.Kind{
+		{PerSecond: 34 * times, Priority: 0, Target: 300, Deadline: 800, Work: 110},
+		{PerSecond: 36 * times, Priority: 1, Target: 500, Deadline: 1500, Work: 210},
+		{PerSecond: 96 * times, Priority: 2, Target: 400, Deadline: 1200, Work: 160, Idempotent: true},
+	}
+}
+
+// play plays the users' heavy day: 26 upstreams of 4 slots, of which a quarter is
+// slow at any moment, and three kinds of requests.
+func play(tuning place.Tuning, times float64, fault func(w *heavy.World)) (got heavy.Outcomes, probesPerSecond float64) {
 	var probes int
 	for seed := range uint64(playSeeds) {
 		w := newWorld(seed+1, 20, 26, 4, tuning)
-		w.load(34*times, 0, 300, 800, 110, false)
-		w.load(36*times, 1, 500, 1500, 210, false)
-		w.load(96*times, 2, 400, 1200, 160, true)
+		for _, k := range kinds(times) {
+			w.Load(k)
+		}
 		if fault != nil {
 			fault(w)
 		}
-		w.run(playFor)
-		for p := range got.asked {
-			got.asked[p] += w.got.asked[p]
-			got.inTime[p] += w.got.inTime[p]
-			got.late[p] += w.got.late[p]
-			got.refused[p] += w.got.refused[p]
-			got.failed[p] += w.got.failed[p]
-		}
-		got.sends += w.got.sends
-		probes += w.probes
-		delete(worldRuns, w)
+		w.Run(playFor)
+		got.Add(&w.Got)
+		probes += w.Probes
 	}
 	return got, float64(probes) / (playSeeds * float64(playFor) / float64(clock.Second)) / 26
 }
 
 func TestFreshLoad(t *testing.T) {
 	Convey("on a calm day, asking for load before a send answers more in time than old reports do", t, func() {
-		fresh, probes := heavy(DefaultTuning(), 1, nil)
-		old := DefaultTuning()
+		fresh, probes := play(place.DefaultTuning(), 1, nil)
+		old := place.DefaultTuning()
 		old.NoAsk = true
-		without, _ := heavy(old, 1, nil)
-		Printf("\n  fresh %v (%.1f probes a second and upstream)\n  old   %v\n", fresh, probes, without)
-		So(fresh.total(), ShouldBeGreaterThan, 0.9)
-		So(fresh.total(), ShouldBeGreaterThan, without.total()+0.02)
+		without, _ := play(old, 1, nil)
+		Printf("\n  fresh %v (%.1f probes a second and upstream)\n  old   %v\n", &fresh, probes, &without)
+		So(fresh.Total(), ShouldBeGreaterThan, 0.9)
+		So(fresh.Total(), ShouldBeGreaterThan, without.Total()+0.02)
 		So(probes, ShouldBeLessThan, 60)
 	})
 }
 
 func TestOverload(t *testing.T) {
 	Convey("with twice the load of a calm day", t, func() {
-		got, probes := heavy(DefaultTuning(), 2.2, nil)
-		Printf("\n  %v (%.1f probes a second and upstream)\n", got, probes)
+		got, probes := play(place.DefaultTuning(), 2.2, nil)
+		Printf("\n  %v (%.1f probes a second and upstream)\n", &got, probes)
 		Convey("the more urgent is served no worse than the less urgent", func() {
-			So(got.share(0), ShouldBeGreaterThanOrEqualTo, got.share(2))
-			So(got.share(1), ShouldBeGreaterThanOrEqualTo, got.share(2))
+			So(got.Share(0), ShouldBeGreaterThanOrEqualTo, got.Share(2))
+			So(got.Share(1), ShouldBeGreaterThanOrEqualTo, got.Share(2))
 		})
 		Convey("no kind starves, and most of what is answered is in time", func() {
-			So(got.share(2), ShouldBeGreaterThan, 0.25)
-			So(got.total(), ShouldBeGreaterThan, 0.5)
+			So(got.Share(2), ShouldBeGreaterThan, 0.25)
+			So(got.Total(), ShouldBeGreaterThan, 0.5)
 		})
 		Convey("sends beyond the first stay within the budget", func() {
-			asked := got.asked[0] + got.asked[1] + got.asked[2]
-			So(got.sends, ShouldBeLessThan, int(1.2*float64(asked))+75)
+			asked := got.Asked[0] + got.Asked[1] + got.Asked[2]
+			So(got.Sends, ShouldBeLessThan, int(1.2*float64(asked))+75)
 		})
 		Convey("probes stay within the budget", func() { So(probes, ShouldBeLessThan, 60) })
 	})
@@ -76,40 +86,40 @@
 
 func TestHedges(t *testing.T) {
 	Convey("on a calm day, second sends help out requests at upstreams that turned slow, on a fleet that may save up few", t, func() {
-		with, _ := heavy(DefaultTuning(), 1, nil)
-		none := DefaultTuning()
+		with, _ := play(place.DefaultTuning(), 1, nil)
+		none := place.DefaultTuning()
 		none.NoHedge = true
-		without, _ := heavy(none, 1, nil)
-		Printf("\n  with    %v\n  without %v\n", with, without)
-		So(with.sends, ShouldBeGreaterThan, without.sends+without.sends/200)
-		So(with.late[2], ShouldBeLessThan, without.late[2])
+		without, _ := play(none, 1, nil)
+		Printf("\n  with    %v\n  without %v\n", &with, &without)
+		So(with.Sends, ShouldBeGreaterThan, without.Sends+without.Sends/200)
+		So(with.Late[2], ShouldBeLessThan, without.Late[2])
 	})
 }
 
 func TestWaitsForFaster(t *testing.T) {
 	Convey("with half more load than on a calm day, waiting for a faster upstream answers more in time than taking a slow one", t, func() {
-		with, _ := heavy(DefaultTuning(), 1.5, nil)
-		none := DefaultTuning()
+		with, _ := play(place.DefaultTuning(), 1.5, nil)
+		none := place.DefaultTuning()
 		none.TakeSlow = true
-		without, _ := heavy(none, 1.5, nil)
-		Printf("\n  waits      %v\n  takes slow %v\n", with, without)
-		So(with.total(), ShouldBeGreaterThan, without.total())
+		without, _ := play(none, 1.5, nil)
+		Printf("\n  waits      %v\n  takes slow %v\n", &with, &without)
+		So(with.Total(), ShouldBeGreaterThan, without.Total())
 	})
 }
 
 func TestUpstreamFaults(t *testing.T) {
 	Convey("while two upstreams of 26 take no connection, hardly anything fails", t, func() {
-		got, _ := heavy(DefaultTuning(), 1, func(w *world) { w.upstreams[0].down, w.upstreams[1].down = true, true })
-		So(got.total(), ShouldBeGreaterThan, 0.93)
-		So(got.failed[0]+got.failed[1]+got.failed[2], ShouldEqual, 0)
+		got, _ := play(place.DefaultTuning(), 1, func(w *heavy.World) { w.Upstreams[0].Down, w.Upstreams[1].Down = true, true })
+		So(got.Total(), ShouldBeGreaterThan, 0.93)
+		So(got.Failed[0]+got.Failed[1]+got.Failed[2], ShouldEqual, 0)
 	})
 	Convey("upstreams that fall silent are found by the probes before a send", t, func() {
-		got, _ := heavy(DefaultTuning(), 1, func(w *world) { w.upstreams[0].silent, w.upstreams[1].silent = true, true })
-		So(got.total(), ShouldBeGreaterThan, 0.9)
+		got, _ := play(place.DefaultTuning(), 1, func(w *heavy.World) { w.Upstreams[0].Silent, w.Upstreams[1].Silent = true, true })
+		So(got.Total(), ShouldBeGreaterThan, 0.9)
 	})
 	Convey("an upstream that fails fast does not draw the requests", t, func() {
-		got, _ := heavy(DefaultTuning(), 1, func(w *world) { w.upstreams[0].failing = 1 })
-		So(got.total(), ShouldBeGreaterThan, 0.92)
+		got, _ := play(place.DefaultTuning(), 1, func(w *heavy.World) { w.Upstreams[0].Failing = 1 })
+		So(got.Total(), ShouldBeGreaterThan, 0.92)
 	})
 }
 
@@ -117,39 +127,38 @@
 // was refused as not run did not run, and nothing runs twice that may run once.
 func TestNotRun(t *testing.T) {
 	for seed := range uint64(12) {
-		w := newWorld(seed+100, 6, 8, 4, DefaultTuning())
-		w.load(30, 0, 300, 800, 110, false)
-		w.load(60, 2, 400, 1200, 160, true)
+		w := newWorld(seed+100, 6, 8, 4, place.DefaultTuning())
+		w.Load(heavy.Kind{PerSecond: 30, Priority: 0, Target: 300, Deadline: 800, Work: 110})
+		w.Load(heavy.Kind{PerSecond: 60, Priority: 2, Target: 400, Deadline: 1200, Work: 160, Idempotent: true})
 		for range 40 {
-			u := w.upstreams[w.rnd.IntN(len(w.upstreams))]
-			at := clock.Millis(w.rnd.IntN(int(playFor)))
-			switch w.rnd.IntN(3) {
+			u := w.Upstreams[w.Rand.IntN(len(w.Upstreams))]
+			at := clock.Millis(w.Rand.IntN(int(playFor)))
+			switch w.Rand.IntN(3) {
 			case 0:
-				w.after(at, func() { u.down = !u.down })
+				w.After(at, func() { u.Down = !u.Down })
 			case 1:
-				w.after(at, func() { u.silent = !u.silent })
+				w.After(at, func() { u.Silent = !u.Silent })
 			default:
-				w.after(at, func() { u.failing = 0.5 - u.failing })
+				w.After(at, func() { u.Failing = 0.5 - u.Failing })
 			}
 		}
-		w.run(playFor)
-		for _, r := range w.requests {
-			if r.broken != "" {
-				t.Fatalf("seed %d: request %d %s", seed, r.id, r.broken)
+		w.Run(playFor)
+		for id, r := range w.Requests {
+			if r.Broken != "" {
+				t.Fatalf("seed %d: request %d %s", seed, id+1, r.Broken)
 			}
-			if !r.settled && w.now > r.in.GiveUp+10 {
-				t.Fatalf("seed %d: request %d has no final answer %d ms after its end", seed, r.id, w.now-r.in.GiveUp)
+			if !r.Settled && w.Now() > r.GiveUp+10 {
+				t.Fatalf("seed %d: request %d has no final answer %d ms after its end", seed, id+1, w.Now()-r.GiveUp)
 			}
 		}
-		delete(worldRuns, w)
 	}
 }
 
 func TestHopeless(t *testing.T) {
 	Convey("a request that nobody can serve is refused at once", t, func() {
-		p := &Placer{Service: "s", Tuning: DefaultTuning(), Rand: newWorld(1, 1, 1, 1, DefaultTuning()).rnd}
-		p.Configure(1000, Config{})
-		actions := p.Offer(1000, Request{ID: 1, Arrived: 1000, Target: 400, GiveUp: 2200, MaxAttempts: 2})
+		p := &place.Placer{Service: "s", Tuning: place.DefaultTuning(), Rand: rand.New(rand.NewPCG(1, 1))}
+		p.Configure(1000, place.Config{})
+		actions := p.Offer(1000, place.Request{ID: 1, Arrived: 1000, Target: 400, GiveUp: 2200, MaxAttempts: 2})
 		So(actions, ShouldHaveLength, 1)
 		So(actions[0].Kind, ShouldEqual, route.Refuse)
 		So(actions[0].Reason, ShouldEqual, route.ReasonNoUpstream)
