--- a/core/place/types.go
+++ b/core/place/types.go
@@ -63,7 +63,8 @@
 	UrgentFill float64
 	// Ordinary is the first priority that counts as less urgent.
 	Ordinary int
-	// WaitShare is the share of its target for which a request waits for room.
+	// WaitShare is the share of its target for which a request waits for room, or
+	// for an upstream that is not too slow for it.
 	WaitShare float64
 	// UrgentWaitShare is the same for the priorities below Ordinary.
 	UrgentWaitShare float64
