--- a/bench/report/heavy.go
+++ b/bench/report/heavy.go
@@ -36,7 +36,7 @@
 	}
 	var b strings.Builder
 	for _, g := range heavyGroups(rows) {
-		g.write(&b)
+		writeTable(&b, g.condition, g.loads, g.policies, g.cell)
 		if err := g.plot(folder); err != nil {
 			return err
 		}
@@ -91,22 +91,10 @@
 	return list
 }
 
-// write writes a table: in each cell the percentages answered in time, late and
-// refused.
-func (g *heavyGroup) write(b *strings.Builder) {
-	fmt.Fprintf(b, "\n**%s**\n\n| policy |", g.condition)
-	for _, load := range g.loads {
-		fmt.Fprintf(b, " load %s |", load)
-	}
-	b.WriteString("\n|---|" + strings.Repeat("---|", len(g.loads)) + "\n")
-	for _, name := range g.policies {
-		fmt.Fprintf(b, "| %s |", name)
-		for _, load := range g.loads {
-			r := g.cells[[2]string{load, name}]
-			fmt.Fprintf(b, " %.1f l%.1f r%.1f |", 100*r.Got.Total(), 100*r.Got.TotalLate(), 100*r.Got.TotalRefused())
-		}
-		b.WriteString("\n")
-	}
+// cell is the percentages answered in time, late and refused.
+func (g *heavyGroup) cell(load, name string) string {
+	got := g.cells[[2]string{load, name}].Got
+	return fmt.Sprintf("%.1f l%.1f r%.1f", 100*got.Total(), 100*got.TotalLate(), 100*got.TotalRefused())
 }
 
 func (g *heavyGroup) plot(folder string) error {
--- /dev/null
+++ b/bench/report/heavy_test.go
@@ -0,0 +1,34 @@
+package report
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"siskinpath/core/heavy"
+)
+
+func TestWriteHeavy(t *testing.T) {
+	Convey("heavy days are written as a table, a CSV and a plot for each condition", t, func() {
+		got := heavy.Outcomes{Asked: [heavy.Priorities]int{10, 10, 20}, InTime: [heavy.Priorities]int{10, 10, 10}, Late: [heavy.Priorities]int{0, 0, 6}}
+		rows := []HeavyRow{
+			{Condition: "burst", Policy: "random", Load: 1, Got: got},
+			{Condition: "burst", Policy: "ours", Load: 1, Got: got},
+			{Condition: "burst", Policy: "ours", Load: 2, Got: got},
+			{Condition: "burst", Policy: "random", Load: 2, Got: got},
+		}
+		folder := t.TempDir()
+		So(WriteHeavy(folder, rows), ShouldBeNil)
+		table, err := os.ReadFile(filepath.Join(folder, "heavy.md"))
+		So(err, ShouldBeNil)
+		So(string(table), ShouldEqual, "\n**burst**\n\n| policy | load 1 | load 2 |\n|---|---|---|\n"+
+			"| random | 75.0 l15.0 r0.0 | 75.0 l15.0 r0.0 |\n| ours | 75.0 l15.0 r0.0 | 75.0 l15.0 r0.0 |\n")
+		lines, err := os.ReadFile(filepath.Join(folder, "heavy.csv"))
+		So(err, ShouldBeNil)
+		So(string(lines), ShouldContainSubstring, "burst,ours,2,40,0.75,0.15,0,1,1,0.5,0,0\n")
+		_, err = os.Stat(filepath.Join(folder, "heavy_burst.png"))
+		So(err, ShouldBeNil)
+	})
+}
--- a/bench/report/table.go
+++ b/bench/report/table.go
@@ -65,16 +65,19 @@
 	return append(list, s)
 }
 
-func (g *group) write(b *strings.Builder) {
-	fmt.Fprintf(b, "\n**%s**\n\n| policy |", g.title)
-	for _, load := range g.loads {
+func (g *group) write(b *strings.Builder) { writeTable(b, g.title, g.loads, g.policies, g.cell) }
+
+// writeTable writes a line for each policy and a column for each load.
+func writeTable(b *strings.Builder, title string, loads, policies []string, cell func(load, policy string) string) {
+	fmt.Fprintf(b, "\n**%s**\n\n| policy |", title)
+	for _, load := range loads {
 		fmt.Fprintf(b, " load %s |", load)
 	}
-	b.WriteString("\n|---|" + strings.Repeat("---|", len(g.loads)) + "\n")
-	for _, name := range g.policies {
+	b.WriteString("\n|---|" + strings.Repeat("---|", len(loads)) + "\n")
+	for _, name := range policies {
 		fmt.Fprintf(b, "| %s |", name)
-		for _, load := range g.loads {
-			fmt.Fprintf(b, " %s |", g.cell(load, name))
+		for _, load := range loads {
+			fmt.Fprintf(b, " %s |", cell(load, name))
 		}
 		b.WriteString("\n")
 	}
