--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -107,6 +107,27 @@
 	})
 }
 
+func TestEndOfWait(t *testing.T) {
+	Convey("a request that waited for a faster upstream, and could ask no more, takes the slow one", t, func() {
+		p := &place.Placer{Service: "s", Tuning: place.DefaultTuning(), Rand: rand.New(rand.NewPCG(1, 1))}
+		p.Configure(1000, place.Config{Upstreams: []place.Upstream{{ID: "u", Slots: 4}}, ProbesPerSecond: 0.5})
+		actions := p.Offer(1000, place.Request{ID: 1, Route: "r", Arrived: 1000, Target: 300, GiveUp: 1800, MaxAttempts: 2})
+		So(actions, ShouldHaveLength, 1)
+		So(actions[0].Kind, ShouldEqual, route.Probe)
+		So(p.Measured(1004, route.ProbeResult{Upstream: "u", OK: true, Load: &route.LoadReport{Slots: 4, Slowdown: 4}}), ShouldBeEmpty)
+		for now := clock.Millis(1005); now < 1400 && len(actions) > 0 && actions[0].Kind != route.Send; now++ {
+			if p.Next() == 0 || p.Next() > now {
+				continue
+			}
+			if next := p.Tick(now); len(next) > 0 {
+				actions = next
+			}
+			So(actions[0].Kind, ShouldNotEqual, route.Refuse)
+		}
+		So(actions[0].Kind, ShouldEqual, route.Send)
+	})
+}
+
 func TestUpstreamFaults(t *testing.T) {
 	Convey("while two upstreams of 26 take no connection, hardly anything fails", t, func() {
 		got, _ := play(place.DefaultTuning(), 1, func(w *heavy.World) { w.Upstreams[0].Down, w.Upstreams[1].Down = true, true })
