core/place: a request that waited is sent to the slow upstream it had when no probe is left

Cause of TestEndOfWait (KNOWN-RED): a request that had room at a slow upstream and waited for a faster one was refused at the end of its wait, since the report was older than 40 ms and no probe could be spent on a new one. Change: the request remembers that upstream, and gets it at the end of its wait if the probe budget is empty.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -147,8 +147,12 @@
 	if best == nil {
 		best = p.cheapestKnown(now, r)
 	}
+	if best == nil && now >= r.waitUntil {
+		best = p.lastResort(now, r)
+	}
 	switch {
 	case best != nil && now < r.waitUntil && p.wouldMissTarget(now, r, best):
+		r.slow = best
 		p.enqueue(now, r)
 	case best != nil:
 		p.send(now, r, best)
@@ -216,6 +220,20 @@
 	return best
 }
 
+// lastResort returns the upstream that gets r when its wait ends: the cheapest known
+// to have room, or, without probes left to ask again, the slow one that r had when it
+// chose to wait for a faster one. It returns nil for none.
+func (p *Placer) lastResort(now clock.Millis, r *request) *upstream {
+	if u := p.cheapestKnown(now, r); u != nil {
+		return u
+	}
+	u := r.slow
+	if u == nil || u.probing || p.probes.Available(now, p.Service, "") >= 1 || !p.usable(now, r, u) || !p.hasRoom(r, u) {
+		return nil
+	}
+	return u
+}
+
 // maxSendLoadAge is the oldest load report on which a request may be sent without
 // another probe.
 const maxSendLoadAge = 40 * clock.Millisecond
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -31,6 +31,7 @@
 	hedgeAt    clock.Millis // in sent: when to consider a hedge; 0 for never
 	probed     []*upstream
 	tried      []*upstream
+	slow       *upstream // had room when r chose to wait for a faster one; nil for none
 	running    []*attempt
 	arrivals   int             // attempts that an upstream received or may have received
 	mayHaveRun bool            // an attempt ended without telling whether the request ran
@@ -265,7 +266,7 @@
 	case r.phase == hedgeProbing:
 		p.hedge(now, r)
 	case r.phase == queued && now >= r.waitUntil:
-		if u := p.cheapestKnown(now, r); u != nil {
+		if u := p.lastResort(now, r); u != nil {
 			p.send(now, r, u)
 			return
 		}
--- a/core/place/queue.go
+++ b/core/place/queue.go
@@ -65,6 +65,7 @@
 			return
 		}
 		if now < r.waitUntil && p.wouldMissTarget(now, r, u) {
+			r.slow = u
 			continue
 		}
 		p.send(now, r, u)
