--- a/core/config/config.go
+++ b/core/config/config.go
@@ -17,6 +17,8 @@
 	Routes   []Route
 	Services map[string]Service // by name
 	Limits   Limits
+	// Warnings tells operators about entries that were skipped or read in a cautious way.
+	Warnings []string
 
 	byHost map[string][]*Route // longest prefix first
 }
--- a/core/discovery/registry.go
+++ b/core/discovery/registry.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"siskinpath/core/clock"
+	"siskinpath/core/revision"
 )
 
 // Upstream describes one instance of an upstream, from a start to its end.
@@ -27,7 +28,7 @@
 type Entry struct {
 	ID       string
 	Upstream *Upstream
-	Version  int64
+	Revision revision.Revision
 	// Missing means that a full read no longer contained the entry, without an explicit
 	// removal.
 	Missing bool
@@ -40,20 +41,36 @@
 	missingGrace = 1700 * clock.Millisecond
 	// outageEffect is how long after an outage a missing entry is attributed to it.
 	outageEffect = 4 * clock.Second
+	// restoredQuarantine is how long an upstream that has left stays unused when a
+	// store that comes back from an older copy lists it again. By then the store has
+	// removed the entries of upstreams that no longer send heartbeats.
+	restoredQuarantine = 7 * clock.Second
+	// departureMemory is how long departed upstreams are remembered. A copy of the
+	// store is at most some seconds old.
+	departureMemory = clock.Minute
 )
 
 // Registry holds the entries of service discovery. The zero value is empty.
 type Registry struct {
 	entries  map[string]*entry
-	outageAt clock.Millis // when the store was last unavailable
-	outage   bool         // the store has been unavailable at least once
+	departed map[string]departure // upstreams that left, by ID
+	outageAt clock.Millis         // when the store was last unavailable
+	outage   bool                 // the store has been unavailable at least once
 }
 
 type entry struct {
 	Upstream
-	version      int64
-	coldUntil    clock.Millis
-	missingSince clock.Millis // since when it is missing after an outage; 0 if it is not
+	revision         revision.Revision
+	coldUntil        clock.Millis
+	missingSince     clock.Millis // since when it is missing after an outage; 0 if it is not
+	quarantinedUntil clock.Millis // until when it is unused, as it has left before; 0 if it has not
+}
+
+// departure records that an upstream was leaving, or that its entry was removed.
+type departure struct {
+	started  int64 // see Upstream.Started
+	revision revision.Revision
+	at       clock.Millis
 }
 
 // ActiveUpstream is an upstream that may be used, with the time until which it is slow
@@ -83,54 +100,106 @@
 
 func (r *Registry) applyOne(e Entry, now clock.Millis) (changed bool) {
 	known := r.entries[e.ID]
-	if known != nil && e.Version < known.version {
+	if known != nil && e.Revision.Before(known.revision) {
 		return false
 	}
 	if known != nil && e.Missing {
-		return r.missing(now, e.ID)
+		return r.missing(now, e.ID, e.Revision)
 	}
 	if e.Upstream == nil {
-		delete(r.entries, e.ID)
+		r.drop(now, e.ID, e.Revision)
 		return known != nil
 	}
 	if known != nil && known.Upstream == *e.Upstream && known.missingSince == 0 {
-		known.version = e.Version
+		known.revision = e.Revision
 		return false
 	}
-	next := &entry{Upstream: *e.Upstream, version: e.Version}
+	next := &entry{Upstream: *e.Upstream, revision: e.Revision}
 	if e.Upstream.ColdFor > 0 {
 		next.coldUntil = now + e.Upstream.ColdFor
 	}
+	if e.Upstream.Leaving {
+		r.recordDeparture(now, e.ID, e.Upstream.Started, e.Revision)
+	} else if r.restoredAfterDeparture(e) && !writtenSinceRestore(known, e) {
+		next.quarantinedUntil = now + restoredQuarantine
+	}
 	r.entries[e.ID] = next
 	return true
 }
 
-// missing handles an entry that a full read no longer contained. If an outage may have
+// writtenSinceRestore reports whether e is a change in the era in which its upstream is
+// in quarantine, so that the upstream itself wrote it.
+func writtenSinceRestore(known *entry, e Entry) bool {
+	return known != nil && known.quarantinedUntil > 0 && known.revision.Era == e.Revision.Era
+}
+
+// drop deletes an entry and remembers that its upstream has left.
+func (r *Registry) drop(now clock.Millis, id string, at revision.Revision) {
+	if known := r.entries[id]; known != nil {
+		r.recordDeparture(now, id, known.Started, at)
+		delete(r.entries, id)
+	}
+}
+
+func (r *Registry) recordDeparture(now clock.Millis, id string, started int64, at revision.Revision) {
+	if r.departed == nil {
+		r.departed = map[string]departure{}
+	}
+	for other, d := range r.departed {
+		if now-d.at > departureMemory {
+			delete(r.departed, other)
+		}
+	}
+	r.departed[id] = departure{started: started, revision: at, at: now}
+}
+
+// restoredAfterDeparture reports whether e lists an upstream that left in an earlier
+// era of the store: the copy from which the store has come back may be older than its
+// departure. A departure that the same era takes back is not remembered.
+func (r *Registry) restoredAfterDeparture(e Entry) bool {
+	d, ok := r.departed[e.ID]
+	if !ok || d.started != e.Upstream.Started {
+		return false
+	}
+	if d.revision.Era == e.Revision.Era {
+		delete(r.departed, e.ID)
+		return false
+	}
+	return true
+}
+
+// missing handles an entry that a full read at revision at no longer contained. If an outage may have
 // caused it to expire, the entry stays for missingGrace, unless its upstream was
 // leaving. Otherwise it is dropped. Explicit removals don't get here: Apply drops those
 // at once.
-func (r *Registry) missing(now clock.Millis, id string) (changed bool) {
+func (r *Registry) missing(now clock.Millis, id string, at revision.Revision) (changed bool) {
 	e := r.entries[id]
 	if e.Leaving || !r.outage || now-r.outageAt > outageEffect {
-		delete(r.entries, id)
+		r.drop(now, id, at)
 		return true
 	}
 	if e.missingSince == 0 {
 		e.missingSince = now
 	}
+	e.revision = at
 	return false
 }
 
-// Tick drops entries that are missing after an outage for longer than missingGrace. It
-// reports whether there were any.
-func (r *Registry) Tick(now clock.Millis) (changed bool) {
+// Tick drops entries that are missing after an outage for longer than missingGrace, and
+// ends quarantines. It returns the numbers of both.
+func (r *Registry) Tick(now clock.Millis) (dropped, released int) {
 	for id, e := range r.entries {
-		if e.missingSince > 0 && now-e.missingSince >= missingGrace {
-			delete(r.entries, id)
-			changed = true
+		switch {
+		case e.missingSince > 0 && now-e.missingSince >= missingGrace:
+			r.drop(now, id, e.revision)
+			dropped++
+		case e.quarantinedUntil > 0 && now >= e.quarantinedUntil:
+			e.quarantinedUntil = 0
+			delete(r.departed, id)
+			released++
 		}
 	}
-	return changed
+	return dropped, released
 }
 
 // Next returns when Tick is due, 0 for never.
@@ -139,14 +208,18 @@
 		if e.missingSince > 0 && (at == 0 || e.missingSince+missingGrace < at) {
 			at = e.missingSince + missingGrace
 		}
+		if e.quarantinedUntil > 0 && (at == 0 || e.quarantinedUntil < at) {
+			at = e.quarantinedUntil
+		}
 	}
 	return at
 }
 
-// Service returns the active upstreams of a service, ordered by ID.
+// Service returns the active upstreams of a service, ordered by ID. Those in quarantine
+// are left out.
 func (r *Registry) Service(name string) (list []ActiveUpstream) {
 	for _, e := range r.entries {
-		if e.Service == name {
+		if e.Service == name && e.quarantinedUntil == 0 {
 			list = append(list, ActiveUpstream{Upstream: e.Upstream, ColdUntil: e.coldUntil})
 		}
 	}
--- a/core/discovery/registry_test.go
+++ b/core/discovery/registry_test.go
@@ -6,10 +6,26 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"siskinpath/core/clock"
+	"siskinpath/core/revision"
 )
 
+// at returns a revision of the first era.
+func at(version int64) revision.Revision { return revision.Revision{Version: version} }
+
+// restored returns an entry as a store lists it that has come back from a copy.
+func restored(e Entry) Entry {
+	e.Revision.Era++
+	return e
+}
+
+// tick drops and releases what is due, and reports whether there was any.
+func tick(r *Registry, now clock.Millis) bool {
+	dropped, released := r.Tick(now)
+	return dropped+released > 0
+}
+
 func entryOf(id string, version int64) Entry {
-	return Entry{ID: id, Version: version, Upstream: &Upstream{ID: id, Service: "booking", Address: id + ":1"}}
+	return Entry{ID: id, Revision: at(version), Upstream: &Upstream{ID: id, Service: "booking", Address: id + ":1"}}
 }
 
 func ids(r *Registry) (out []string) {
@@ -26,11 +42,11 @@
 		So(ids(r), ShouldResemble, []string{"a", "b"})
 
 		Convey("drops a removed entry at once when there was no outage", func() {
-			So(r.Apply(1100, []Entry{{ID: "a", Version: 3}}), ShouldBeTrue)
+			So(r.Apply(1100, []Entry{{ID: "a", Revision: at(3)}}), ShouldBeTrue)
 			So(ids(r), ShouldResemble, []string{"b"})
 		})
 		Convey("drops an entry that can no longer be read", func() {
-			r.Apply(1100, []Entry{{ID: "b", Version: 5}})
+			r.Apply(1100, []Entry{{ID: "b", Revision: at(5)}})
 			So(ids(r), ShouldResemble, []string{"a"})
 		})
 		Convey("ignores an entry older than the one it holds", func() {
@@ -41,11 +57,11 @@
 		})
 		Convey("keeps entries that expired in an outage until the grace period ends", func() {
 			r.RecordOutage(5000)
-			r.Apply(5500, []Entry{{ID: "a", Version: 8, Missing: true}, {ID: "b", Version: 8, Missing: true}})
+			r.Apply(5500, []Entry{{ID: "a", Revision: at(8), Missing: true}, {ID: "b", Revision: at(8), Missing: true}})
 			So(ids(r), ShouldResemble, []string{"a", "b"})
 			r.Apply(6000, []Entry{entryOf("a", 9)})
 			So(r.Next(), ShouldEqual, 5500+missingGrace)
-			So(r.Tick(5500+missingGrace), ShouldBeTrue)
+			So(tick(r, 5500+missingGrace), ShouldBeTrue)
 			So(ids(r), ShouldResemble, []string{"a"})
 		})
 		Convey("drops an entry whose upstream was leaving", func() {
@@ -53,21 +69,71 @@
 			leaving.Upstream.Leaving = true
 			r.Apply(1200, []Entry{leaving})
 			r.RecordOutage(5000)
-			r.Apply(5500, []Entry{{ID: "a", Version: 8, Missing: true}})
+			r.Apply(5500, []Entry{{ID: "a", Revision: at(8), Missing: true}})
 			So(ids(r), ShouldResemble, []string{"b"})
 		})
 		Convey("drops an explicitly removed entry also soon after an outage", func() {
 			r.RecordOutage(5000)
-			So(r.Apply(5500, []Entry{{ID: "a", Version: 9}}), ShouldBeTrue)
+			So(r.Apply(5500, []Entry{{ID: "a", Revision: at(9)}}), ShouldBeTrue)
 			So(ids(r), ShouldResemble, []string{"b"})
 		})
 		Convey("drops a missing entry when there was no outage", func() {
-			So(r.Apply(5500, []Entry{{ID: "a", Version: 9, Missing: true}}), ShouldBeTrue)
+			So(r.Apply(5500, []Entry{{ID: "a", Revision: at(9), Missing: true}}), ShouldBeTrue)
 			So(ids(r), ShouldResemble, []string{"b"})
 		})
 		Convey("drops a removed entry long after an outage", func() {
 			r.RecordOutage(5000)
-			So(r.Apply(5000+outageEffect+1, []Entry{{ID: "a", Version: 7}}), ShouldBeTrue)
+			So(r.Apply(5000+outageEffect+1, []Entry{{ID: "a", Revision: at(7)}}), ShouldBeTrue)
+		})
+		Convey("does not use an upstream again that left and that a restored store still lists", func() {
+			for name, leave := range map[string]func(){
+				"draining": func() {
+					leaving := entryOf("a", 4)
+					leaving.Upstream.Leaving = true
+					r.Apply(1200, []Entry{leaving})
+				},
+				"removed": func() { r.Apply(1200, []Entry{{ID: "a", Revision: at(4)}}) },
+			} {
+				Convey(name, func() {
+					leave()
+					So(r.Apply(2000, []Entry{restored(entryOf("a", 3)), restored(entryOf("b", 2))}), ShouldBeTrue)
+					So(ids(r), ShouldResemble, []string{"b"})
+					Convey("until the store would have removed an entry without heartbeats", func() {
+						So(r.Next(), ShouldEqual, 2000+restoredQuarantine)
+						So(tick(r, 2000+restoredQuarantine-1), ShouldBeFalse)
+						So(tick(r, 2000+restoredQuarantine), ShouldBeTrue)
+						So(ids(r), ShouldResemble, []string{"a", "b"})
+					})
+					Convey("until it writes again", func() {
+						again := entryOf("a", 5)
+						again.Upstream.Slots = 9
+						r.Apply(2500, []Entry{restored(again)})
+						So(ids(r), ShouldResemble, []string{"a", "b"})
+					})
+					Convey("but uses a later start under its ID", func() {
+						later := entryOf("a", 5)
+						later.Upstream.Started = 7
+						r.Apply(2500, []Entry{restored(later)})
+						So(ids(r), ShouldResemble, []string{"a", "b"})
+					})
+				})
+			}
+		})
+		Convey("uses an upstream again that took its leaving back in the same era", func() {
+			leaving := entryOf("a", 4)
+			leaving.Upstream.Leaving = true
+			r.Apply(1200, []Entry{leaving})
+			r.Apply(1300, []Entry{entryOf("a", 5)})
+			So(ids(r), ShouldResemble, []string{"a", "b"})
+			So(r.Apply(2000, []Entry{restored(entryOf("a", 3))}), ShouldBeFalse)
+			So(ids(r), ShouldResemble, []string{"a", "b"})
+		})
+		Convey("uses an upstream at once that registers again after it was missing from a restored store", func() {
+			r.RecordOutage(5000)
+			r.Apply(5500, []Entry{{ID: "a", Revision: revision.Revision{Era: 1, Version: 8}, Missing: true}})
+			So(tick(r, 5500+missingGrace), ShouldBeTrue)
+			r.Apply(8000, []Entry{restored(entryOf("a", 9))})
+			So(ids(r), ShouldResemble, []string{"a", "b"})
 		})
 		Convey("counts the warm-up time from when it learns of the upstream", func() {
 			cold := entryOf("c", 8)
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -67,7 +67,7 @@
 
 // usable reports whether r may be sent to u, regardless of load.
 func (p *Placer) usable(now clock.Millis, r *request, u *upstream) bool {
-	return !u.Leaving && !u.gone && now >= u.suspendedUntil && !slices.Contains(r.tried, u) && !u.silent(now)
+	return !u.Leaving && !u.gone && !u.notice.forbids(now) && now >= u.suspendedUntil && !slices.Contains(r.tried, u) && !u.silent(now)
 }
 
 // startProbing probes the most promising upstreams for r. It chooses at once when
@@ -244,7 +244,7 @@
 	p.lastAttempt++
 	a := &attempt{
 		id: p.lastAttempt, request: r, upstream: u, started: now,
-		slowdown: u.slowdownAt(now, p.meanSlowdown), target: r.Target, route: r.Route,
+		slowdown: u.slowdownAt(now, p.meanSlowdown), target: r.Target, route: r.Route, callerID: r.CallerID,
 	}
 	p.attempts[a.id] = a
 	basis := SendDetail{
--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -46,7 +46,8 @@
 // upstream is this host's state of one upstream.
 type upstream struct {
 	Upstream
-	gone bool // no longer listed by service discovery
+	gone   bool    // no longer listed by service discovery
+	notice *notice // what it has said about itself; nil for nothing
 
 	report          route.LoadReport
 	reporting       bool // has reported its load at least once
@@ -135,6 +136,7 @@
 
 func (p *Placer) recordProbe(now clock.Millis, u *upstream, res route.ProbeResult) {
 	u.probing = false
+	p.recordNotice(now, u, res.Notice, "")
 	if res.AddressReassigned {
 		p.suspend(now, u, "replaced", replacedPeriod)
 		return
@@ -158,6 +160,7 @@
 		u.report.InFlight--
 	}
 	p.recordLoad(now, u, res.Load, 0)
+	p.recordNotice(now, u, res.Notice, a.callerID)
 	switch res.Status {
 	case route.Succeeded:
 		p.updateTypicalTime(a, now-a.started)
@@ -167,7 +170,9 @@
 			p.suspend(now, u, "replaced", replacedPeriod)
 			return
 		}
-		p.recordRefusal(now, u, res)
+		if res.Notice.RetryAfter == 0 {
+			p.recordRefusal(now, u, res)
+		}
 	case route.NotSent:
 		if res.BlockedLocally {
 			return
--- /dev/null
+++ b/core/place/notice.go
@@ -0,0 +1,86 @@
+package place
+
+import (
+	"siskinpath/core/clock"
+	"siskinpath/core/route"
+)
+
+// noticeMemory is how long a notice is kept for an upstream that service discovery does
+// not list, in case it is listed again.
+const noticeMemory = 10 * clock.Minute
+
+// notice is what one start of an upstream has told this host about itself in replies.
+// It binds this host until that start ends, whatever service discovery says.
+type notice struct {
+	started     int64 // see Upstream.Started
+	leaving     bool
+	noneUntil   clock.Millis // it wants no request until then
+	lastHeardAt clock.Millis
+}
+
+// forbids reports whether nothing may be sent to the upstream. A nil notice forbids
+// nothing.
+func (n *notice) forbids(now clock.Millis) bool {
+	return n != nil && (n.leaving || now < n.noneUntil)
+}
+
+// noticeOf returns the notice of a start of an upstream, nil for none.
+func (p *Placer) noticeOf(u Upstream) *notice {
+	n := p.notices[u.ID]
+	if n == nil || n.started != u.Started {
+		return nil
+	}
+	return n
+}
+
+// recordNotice records what u has said in a reply to the request with this caller's id,
+// or to a probe.
+func (p *Placer) recordNotice(now clock.Millis, u *upstream, said route.Notice, callerID string) {
+	if !said.Leaving && said.RetryAfter == 0 {
+		return
+	}
+	if u.notice == nil {
+		p.dropOldNotices(now)
+		u.notice = &notice{started: u.Started}
+		p.notices[u.ID] = u.notice
+	}
+	n := u.notice
+	n.lastHeardAt = now
+	if said.Leaving && !n.leaving {
+		n.leaving = true
+		p.stateChanges = append(p.stateChanges, StateChange{Upstream: u.ID, State: "leaving", CallerID: callerID})
+	}
+	if until := now + said.RetryAfter; said.RetryAfter > 0 && until > n.noneUntil {
+		if now >= n.noneUntil {
+			p.stateChanges = append(p.stateChanges, StateChange{Upstream: u.ID, State: "back_pressure", For: said.RetryAfter, CallerID: callerID})
+		}
+		n.noneUntil = until
+	}
+}
+
+// dropOldNotices forgets upstreams that are not listed and were last heard from long
+// ago.
+func (p *Placer) dropOldNotices(now clock.Millis) {
+	for id, n := range p.notices {
+		if p.byID[id] == nil && now-n.lastHeardAt > noticeMemory && now >= n.noneUntil {
+			delete(p.notices, id)
+		}
+	}
+}
+
+// backPressureLeft returns how long no upstream wants r although at least one would be
+// usable otherwise, 0 if that is not so. Until then a caller need not come back.
+func (p *Placer) backPressureLeft(now clock.Millis, r *request) (left clock.Millis) {
+	for _, u := range p.upstreams {
+		if p.usable(now, r, u) {
+			return 0
+		}
+		if u.Leaving || u.gone || u.notice == nil || u.notice.leaving || now >= u.notice.noneUntil {
+			continue
+		}
+		if l := u.notice.noneUntil - now; left == 0 || l < left {
+			left = l
+		}
+	}
+	return left
+}
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -48,6 +48,7 @@
 	slowdown float64 // estimated slowdown when it was sent
 	target   clock.Millis
 	route    string
+	callerID string
 }
 
 // Placer dispatches the requests of one service on one host. Set the exported fields
@@ -72,6 +73,7 @@
 	lastAttempt  route.AttemptID
 	actions      []Action
 	stateChanges []StateChange
+	notices      map[string]*notice // by upstream; kept while service discovery does not list it
 }
 
 // probeBurst is the capacity of the probe budget, in seconds of its rate, for bursts
@@ -94,10 +96,14 @@
 	p.upstreams = p.upstreams[:0]
 	for _, u := range cfg.Upstreams {
 		k := known[u.ID]
+		if k != nil && k.Started != u.Started {
+			k.gone, k = true, nil
+		}
 		if k == nil {
 			k = &upstream{success: 1}
 		}
 		k.Upstream = u
+		k.notice = p.noticeOf(u)
 		p.byID[u.ID] = k
 		p.upstreams = append(p.upstreams, k)
 	}
@@ -127,6 +133,7 @@
 	p.requests = map[route.RequestID]*request{}
 	p.attempts = map[route.AttemptID]*attempt{}
 	p.typicalTimes = map[string]float64{}
+	p.notices = map[string]*notice{}
 	p.meanSlowdown = 1
 	p.retryDelay = admit.RetryDelay{Min: minRetryAfter, Max: maxRetryAfter}
 }
@@ -159,8 +166,8 @@
 // ProbeDone handles the result of a probe.
 func (p *Placer) ProbeDone(now clock.Millis, res route.ProbeResult) []Action {
 	u := p.byID[res.Upstream]
-	if u == nil {
-		return nil
+	if u == nil || !u.probing {
+		return nil // it is no longer used, or the probe went to an earlier start
 	}
 	p.recordProbe(now, u, res)
 	for _, r := range p.doneProbing(u) {
@@ -313,6 +320,9 @@
 		return
 	}
 	after := p.retryDelay.RecordRefusal(now, clock.Millis(p.typicalTime(r.Route, r.Target)/4), p.Rand)
+	if left := p.backPressureLeft(now, r); left > 0 {
+		after += left
+	}
 	p.actions = append(p.actions, Action{
 		Action:  route.Action{Kind: route.Refuse, Request: r.ID, Reason: reason, RetryAfter: after},
 		Refusal: p.refusalDetail(now, r),
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -18,6 +18,7 @@
 type Upstream struct {
 	ID               string
 	AvailabilityZone string
+	Started          int64        // tells two starts under one ID apart
 	Slots            int          // requests it runs concurrently
 	ColdUntil        clock.Millis // until when it is slow after its start
 	Leaving          bool         // takes no new work
@@ -39,6 +40,7 @@
 // Request is a request to dispatch to an upstream.
 type Request struct {
 	ID          route.RequestID
+	CallerID    string       // the caller's own id of the request, for logs
 	Route       string       // requests of one route take about the same service time
 	Priority    int          // 0 is the most urgent
 	Arrived     clock.Millis // when the caller's request was read
@@ -126,8 +128,9 @@
 // StateChange records that a Placer has taken an upstream out of use.
 type StateChange struct {
 	Upstream string
-	State    string // "ejected", "unreachable", "replaced" or "draining"
-	For      clock.Millis
-	Failures int     // consecutive
-	Success  float64 // success rate, 0 to 1
+	State    string       // "ejected", "unreachable", "replaced", "draining", "leaving" or "back_pressure"
+	For      clock.Millis // 0 for the rest of the upstream's life
+	Failures int          // consecutive
+	Success  float64      // success rate, 0 to 1
+	CallerID string       // of the request whose reply caused the change; "" for a probe, and for other changes
 }
--- a/core/route/types.go
+++ b/core/route/types.go
@@ -74,6 +74,13 @@
 	BlockedLocally bool        // with NotSent: this host chose not to send it, which says nothing about the upstream
 	// AddressReassigned is set with Refused when another upstream has the address now.
 	AddressReassigned bool
+	Notice            Notice
+}
+
+// Notice is what an upstream says about itself in a reply, besides its load.
+type Notice struct {
+	Leaving    bool         // it is about to end
+	RetryAfter clock.Millis // it wants no request from this host for so long; 0 if it does not say so
 }
 
 // Digest is the load of one owner, as it reports it to the other owners of the
@@ -145,4 +152,5 @@
 	AddressReassigned bool // another upstream has the address now
 	Latency           clock.Millis
 	Load              *LoadReport
+	Notice            Notice
 }
--- a/siskinpathd/entry/decision_log.go
+++ b/siskinpathd/entry/decision_log.go
@@ -67,7 +67,7 @@
 // logStateChange logs a change of an upstream's state in a placer.
 func (d *decisionLog) logStateChange(service string, c place.StateChange) {
 	d.log.Info("upstream out of use", "service", service, "upstream", c.Upstream, "belief", c.State, "for_ms", c.For,
-		"failures", c.Failures, "success", c.Success)
+		"failures", c.Failures, "success", c.Success, "id", c.CallerID)
 }
 
 // logRefusal logs a request that the host refused before it reached a placer. It
@@ -114,10 +114,10 @@
 // logDiscovery logs a change of an upstream's discovery entry.
 func (d *decisionLog) logDiscovery(row watch.DecodedRow[*discovery.Upstream]) {
 	if row.Removed || row.DecodeErr != nil || row.Value == nil {
-		d.log.Info("upstream gone", "upstream", row.Key, "row_version", row.Version, "missing", row.Missing)
+		d.log.Info("upstream gone", "upstream", row.Key, "row_version", row.Revision.Version, "row_era", row.Revision.Era, "missing", row.Missing)
 		return
 	}
 	u := row.Value
-	d.log.Info("upstream", "upstream", row.Key, "row_version", row.Version, "service", u.Service, "address", u.Address,
+	d.log.Info("upstream", "upstream", row.Key, "row_version", row.Revision.Version, "row_era", row.Revision.Era, "service", u.Service, "address", u.Address,
 		"availability_zone", u.AvailabilityZone, "leaving", u.Leaving, "cold_ms", u.ColdFor)
 }
--- a/siskinpathd/entry/follow.go
+++ b/siskinpathd/entry/follow.go
@@ -8,6 +8,7 @@
 
 	"siskinpath/core/clock"
 	"siskinpath/core/overlay"
+	"siskinpath/core/revision"
 	"siskinpath/siskinpathd/relay"
 	"siskinpath/siskinpathd/watch"
 )
@@ -20,6 +21,10 @@
 	// longPollTimeout is how long the store may hold a read while nothing changes. A
 	// store that stops responding is detected only after this time.
 	longPollTimeout = 4 * clock.Second
+	// configLongPollTimeout replaces longPollTimeout for the configuration. Its responses
+	// show within this time that the store has come back from an older copy, also if the
+	// host has made no call while the store was away.
+	configLongPollTimeout = 1200 * clock.Millisecond
 	// storeRetryDelay is the pause after a failed call to the store. It doubles with
 	// each further failure up to storeMaxRetryDelay.
 	storeRetryDelay    = 100 * clock.Millisecond
@@ -99,20 +104,24 @@
 func newTable[T any](n *Node, name string, source WatchedTable[T], apply func([]watch.DecodedRow[T])) *watch.Table[T] {
 	return &watch.Table[T]{
 		Name: name, Log: n.Log, Decode: source.Decode, Apply: apply,
-		OnChange: func(version int64) { n.relay.AnnounceVersion(name, version) },
+		OnChange: func(at revision.Revision) {
+			storeEra.Store(at.Era)
+			n.relay.AnnounceChange(name, at)
+		},
+		OnNewEra: func(from, to revision.Revision) { n.handleNewEra(name, from, to) },
 	}
 }
 
-func (n *Node) watchers() []*watch.Watcher {
-	return []*watch.Watcher{
-		n.watcher(tableConfig, n.Config.Source, n.configTable.Version, n.configTable.Merge),
-		n.watcher(tableUpstreams, n.Discovery.Source, n.upstreamTable.Version, n.upstreamTable.Merge),
-	}
+func (n *Node) initWatchers() {
+	config := n.watcher(tableConfig, n.Config.Source, n.configTable.Revision, n.configTable.Merge)
+	config.LongPollTimeout = configLongPollTimeout
+	upstreams := n.watcher(tableUpstreams, n.Discovery.Source, n.upstreamTable.Revision, n.upstreamTable.Merge)
+	n.watchers = []*watch.Watcher{config, upstreams}
 }
 
-func (n *Node) watcher(name string, s watch.Source, version func() (int64, bool), merge func(watch.Update) bool) *watch.Watcher {
+func (n *Node) watcher(name string, s watch.Source, known func() (revision.Revision, bool), merge func(watch.Update) bool) *watch.Watcher {
 	return &watch.Watcher{
-		Name: name, Source: s, Log: n.Log, Version: version, Merge: merge, Enabled: n.relay.ShouldFollowStore,
+		Name: name, Source: s, Log: n.Log, Revision: known, Merge: merge, Enabled: n.relay.ShouldFollowStore,
 		BatchInterval: batchInterval, LongPollTimeout: longPollTimeout, RetryDelay: storeRetryDelay, MaxRetryDelay: storeMaxRetryDelay,
 		OnFailure: func(error) {
 			n.failedStoreCalls.Add(1)
@@ -137,6 +146,29 @@
 	n.mu.Unlock()
 }
 
+// handleNewEra is called when the store has come back from an older copy, once for each
+// table. Rows may be missing although their writers still run, as after an outage, and
+// this host's own row may be gone.
+func (n *Node) handleNewEra(table string, from, to revision.Revision) {
+	n.Log.Warn("store came back from an older copy", "table", table, "from_era", from.Era, "from_version", from.Version,
+		"to_era", to.Era, "to_version", to.Version)
+	n.recordStoreLoss()
+	n.relay.HandleNewEra()
+	for _, w := range n.watchers {
+		if at, known := w.Revision(); w.Name != table && known && at.Era < to.Era {
+			go w.ReadWhole(context.Background())
+		}
+	}
+	select {
+	case n.registerAgain <- struct{}{}:
+	default: // a signal is already pending
+	}
+}
+
+// reregistrationSpread is the time over which hosts write their rows again after the
+// store has come back from an older copy, so that not all of them write at once.
+const reregistrationSpread = clock.Second
+
 // maintainRegistration registers this host and reads the other registered hosts, until
 // ctx ends.
 func (n *Node) maintainRegistration(ctx context.Context) {
@@ -164,6 +196,13 @@
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause.Duration()):
+		case <-n.registerAgain:
+			write, pause = true, storeRetryDelay
+			time.Sleep(clock.Millis(rand.Int64N(int64(reregistrationSpread))).Duration())
+			select {
+			case <-n.registerAgain: // of another table
+			default:
+			}
 		}
 	}
 }
--- a/siskinpathd/entry/metrics.go
+++ b/siskinpathd/entry/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -16,8 +17,14 @@
 	probesFailed  = metrics.NewCounter("probes_failed_total")
 	loadAge       = metrics.NewHistogram("load_age_seconds")
 	queueWait     = metrics.NewHistogram("wait_seconds")
+
+	storeEra atomic.Int64 // of the platform's store, as far as this host knows
 )
 
+func init() {
+	metrics.NewGauge("store_era", func() float64 { return float64(storeEra.Load()) })
+}
+
 // reasonUpstream is the reason label of a response from an upstream.
 const reasonUpstream = "upstream"
 
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -59,14 +59,16 @@
 
 	settings         atomic.Pointer[Settings] // settings in force; see cfg
 	config           atomic.Pointer[config.Config]
-	discoveryRead    atomic.Bool  // discovery has been read
-	drainStart       atomic.Int64 // time at which the drain started; 0 before
+	discoveryRead    atomic.Bool   // discovery has been read
+	registerAgain    chan struct{} // signals that this host's row in the store may be lost
+	drainStart       atomic.Int64  // time at which the drain started; 0 before
 	server           *Server
 	relay            *relay.Relay
 	failedStoreCalls atomic.Int64 // failed calls to the store since the last successful one
 	pools            *UpstreamPools
 	configTable      *watch.Table[*config.Config]
 	upstreamTable    *watch.Table[*discovery.Upstream]
+	watchers         []*watch.Watcher
 	decisions        *decisionLog
 	hostHeaders      map[string]bool // headers that only hosts set; removed from callers' requests
 
@@ -93,7 +95,7 @@
 	defer stop()
 	go n.server.Run()
 	go n.relay.Run(work)
-	for _, w := range n.watchers() {
+	for _, w := range n.watchers {
 		go w.Run(work)
 	}
 	go n.maintainRegistration(work)
@@ -111,9 +113,11 @@
 	n.pools = &UpstreamPools{Clock: n.Clock, Dialect: n.UpstreamDialect}
 	n.decisions = &decisionLog{log: n.Log, clock: n.Clock, limit: n.LogLimiter}
 	n.dispatchers = map[string]*Dispatcher{}
+	n.registerAgain = make(chan struct{}, 1)
 	n.splitter.Rand = newRand()
 	n.hostHeaders = map[string]bool{n.UpstreamDialect.Instance: true}
 	n.initRelay()
+	n.initWatchers()
 	n.server = &Server{ListenAddress: n.cfg().Listen.Caller, Log: n.Log, Limits: n.limits, Handle: n.handle}
 }
 
@@ -170,6 +174,9 @@
 		}
 		old := n.config.Load()
 		if old != nil && row.Value.Version <= old.Version {
+			if row.Value.Version < old.Version {
+				n.Log.Warn("older configuration ignored", "version", row.Value.Version, "in_force", old.Version, "row_revision", row.Revision)
+			}
 			continue
 		}
 		n.config.Store(row.Value)
@@ -177,8 +184,11 @@
 		n.splitter.Prune(row.Value)
 		n.reconfigure()
 		n.mu.Unlock()
-		n.Log.Info("configuration in force", "version", row.Value.Version, "row_version", row.Version,
+		n.Log.Info("configuration in force", "version", row.Value.Version, "row_version", row.Revision.Version, "row_era", row.Revision.Era,
 			"routes", len(row.Value.Routes), "services", len(row.Value.Services))
+		for _, text := range row.Value.Warnings {
+			n.Log.Warn("configuration warning", "version", row.Value.Version, "warning", text)
+		}
 	}
 	n.relay.SetReady(n.Ready() == nil)
 }
@@ -187,7 +197,7 @@
 func (n *Node) applyDiscovery(rows []watch.DecodedRow[*discovery.Upstream]) {
 	entries := make([]discovery.Entry, 0, len(rows))
 	for _, row := range rows {
-		e := discovery.Entry{ID: row.Key, Version: row.Version, Missing: row.Missing}
+		e := discovery.Entry{ID: row.Key, Revision: row.Revision, Missing: row.Missing}
 		if !row.Removed && row.DecodeErr == nil {
 			e.Upstream = row.Value
 		}
@@ -249,7 +259,7 @@
 	}
 	for _, k := range list {
 		cfg.Upstreams = append(cfg.Upstreams, place.Upstream{
-			ID: k.ID, AvailabilityZone: k.AvailabilityZone, Slots: k.Slots, ColdUntil: k.ColdUntil, Leaving: k.Leaving,
+			ID: k.ID, Started: k.Started, AvailabilityZone: k.AvailabilityZone, Slots: k.Slots, ColdUntil: k.ColdUntil, Leaving: k.Leaving,
 		})
 	}
 	all := len(cfg.Upstreams)
@@ -303,9 +313,16 @@
 	time.AfterFunc(max(0, at-n.Clock.Now()).Duration(), func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		if n.registry.Tick(n.Clock.Now()) {
-			n.Log.Info("upstreams dropped that did not come back", "entries", n.registry.Len())
+		dropped, released := n.registry.Tick(n.Clock.Now())
+		if dropped > 0 {
+			n.Log.Info("upstreams dropped that did not come back", "dropped", dropped, "entries", n.registry.Len())
+		}
+		if released > 0 {
+			n.Log.Info("restored upstreams in use again", "released", released, "entries", n.registry.Len())
+		}
+		if dropped+released > 0 {
 			n.reconfigure()
 		}
+		n.scheduleExpiry()
 	})
 }
--- a/siskinpathd/entry/request.go
+++ b/siskinpathd/entry/request.go
@@ -73,6 +73,7 @@
 		return n.decisions.logRefusal(r, reasonStopping, notRunResponse(reasonStopping, stoppingRetryAfter))
 	}
 	end := dispatcher.Dispatch(ctx, n.buildCall(req, r), r.id, cfg.Limits.MaxBodyBytes, place.Request{
+		CallerID:    r.id,
 		Route:       r.route.Name,
 		Priority:    r.route.Priority,
 		Arrived:     r.arrived,
--- a/siskinpathd/relay/relay.go
+++ b/siskinpathd/relay/relay.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -67,6 +68,7 @@
 	selfChanged chan struct{}   // closed when this host's own entry changes
 	hostsAdded  chan struct{}   // signals that hosts were added, which may be better sources
 	ln          net.Listener
+	restored    atomic.Bool // the store has come back from an older copy
 }
 
 // Bind opens the listener.
--- a/siskinpathd/relay/relay_test.go
+++ b/siskinpathd/relay/relay_test.go
@@ -13,9 +13,13 @@
 
 	"siskinpath/core/clock"
 	"siskinpath/core/overlay"
+	"siskinpath/core/revision"
 	"siskinpath/siskinpathd/watch"
 )
 
+// at returns a revision of the first era.
+func at(version int64) revision.Revision { return revision.Revision{Version: version} }
+
 // host is a host that replicates one table, "t".
 type host struct {
 	relay  *Relay
@@ -47,7 +51,8 @@
 		Name: "t", Log: log,
 		Decode:   func(_ string, b []byte) (string, error) { return string(b), nil },
 		Apply:    h.apply,
-		OnChange: func(v int64) { h.relay.AnnounceVersion("t", v) },
+		OnChange: func(at revision.Revision) { h.relay.AnnounceChange("t", at) },
+		OnNewEra: func(_, _ revision.Revision) { h.relay.HandleNewEra() },
 	}
 	h.relay.Tables = map[string]watch.Replica{"t": h.table}
 	So(h.relay.Bind(), ShouldBeNil)
@@ -115,13 +120,29 @@
 			return len(following) == overlay.SourceCount
 		})
 		for _, h := range following {
-			h.table.Merge(watch.Update{Version: 7, Full: true, Rows: []watch.Row{{Key: "k", Value: []byte("1"), Version: 7}}})
+			h.table.Merge(watch.Update{Revision: at(7), Full: true, Rows: []watch.Row{{Key: "k", Value: []byte("1"), Revision: at(7)}}})
 		}
 		for _, h := range others {
 			shouldBecome(func() bool { return h.value("k") == "1" })
 		}
 		Convey("distribute a change that one of them reads to all", func() {
-			following[0].table.Merge(watch.Update{Version: 9, Base: 7, Rows: []watch.Row{{Key: "k", Value: []byte("2"), Version: 9}}})
+			following[0].table.Merge(watch.Update{Revision: at(9), Base: at(7), Rows: []watch.Row{{Key: "k", Value: []byte("2"), Revision: at(9)}}})
+			for _, h := range hosts {
+				shouldBecome(func() bool { return h.value("k") == "2" })
+			}
+		})
+		Convey("follow a store that comes back from an older copy, with lower versions, and its next changes", func() {
+			following[0].table.Merge(watch.Update{Revision: at(20), Base: at(7), Rows: []watch.Row{{Key: "lost", Value: []byte("1"), Revision: at(20)}}})
+			for _, h := range hosts {
+				shouldBecome(func() bool { return h.value("lost") == "1" })
+			}
+			restored := revision.Revision{Era: 1, Version: 8}
+			following[0].table.Merge(watch.Update{Revision: restored, Full: true, Rows: []watch.Row{{Key: "k", Value: []byte("1"), Revision: restored}}})
+			for _, h := range hosts {
+				shouldBecome(func() bool { return h.value("lost") == "" && h.value("k") == "1" })
+			}
+			next := revision.Revision{Era: 1, Version: 9}
+			following[1].table.Merge(watch.Update{Revision: next, Base: restored, Rows: []watch.Row{{Key: "k", Value: []byte("2"), Revision: next}}})
 			for _, h := range hosts {
 				shouldBecome(func() bool { return h.value("k") == "2" })
 			}
@@ -157,7 +178,7 @@
 			_, err = nc.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
 			So(err, ShouldBeNil)
 			_ = nc.Close()
-			following[0].table.Merge(watch.Update{Version: 11, Base: 7, Rows: []watch.Row{{Key: "k", Value: []byte("3"), Version: 11}}})
+			following[0].table.Merge(watch.Update{Revision: at(11), Base: at(7), Rows: []watch.Row{{Key: "k", Value: []byte("3"), Revision: at(11)}}})
 			shouldBecome(func() bool { return others[0].value("k") == "3" })
 		})
 	})
--- a/siskinpathd/relay/source.go
+++ b/siskinpathd/relay/source.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"siskinpath/core/clock"
 	"siskinpath/core/overlay"
+	"siskinpath/core/revision"
 	"siskinpath/siskinpathd/relay/relaypb"
 	"siskinpath/siskinpathd/watch"
 )
@@ -28,6 +30,9 @@
 	cancel context.CancelFunc
 	open   bool
 	out    chan *relaypb.Fetch
+	// sendsEras is set once the source has sent an era, which older releases do not.
+	// Only the goroutine that receives its messages uses it.
+	sendsEras bool
 }
 
 // fetchQueueSize is the number of fetches that may wait to be sent: two for each
@@ -101,7 +106,11 @@
 		if err = in.read(m); err != nil {
 			return err
 		}
+		s.sendsEras = s.sendsEras || slices.ContainsFunc(m.GetKnown(), func(k *relaypb.Known) bool { return k.Era != nil })
 		r.handleHosts(s, m)
+		if !r.comparable(s) {
+			continue
+		}
 		r.handleVersions(s, m)
 		if err = r.handleUpdates(m); err != nil {
 			return err
@@ -154,61 +163,74 @@
 			hosts = append(hosts, hostFromWire(h))
 		}
 	}
+	lost := m.GetStoreLost() || !r.comparable(s)
 	r.mu.Lock()
-	r.overlay.HandleUpdate(r.Clock.Now(), s.host.ID, m.GetStoreLost(), int(m.GetHostCount()), hosts, gone)
-	lost := r.overlay.StoreLost()
+	r.overlay.HandleUpdate(r.Clock.Now(), s.host.ID, lost, int(m.GetHostCount()), hosts, gone)
+	allLost := r.overlay.StoreLost()
 	r.mu.Unlock()
-	if lost {
+	if allLost {
 		r.OnStoreLost()
 	}
 }
 
+// comparable reports whether what a source sends can be compared with the tables. A
+// source of an older release sends no eras; once the store has come back from an older
+// copy, its versions may be of any era.
+func (r *Relay) comparable(s *session) bool { return s.sendsEras || !r.restored.Load() }
+
+// HandleNewEra records that the store has come back from an older copy.
+func (r *Relay) HandleNewEra() { r.restored.Store(true) }
+
 // handleVersions fetches the changes that a source has and this host lacks.
 // Sources in this host's availability zone are preferred.
 func (r *Relay) handleVersions(s *session, m *relaypb.FromWatcher) {
 	for _, k := range m.GetKnown() {
 		t := r.Tables[k.GetTable()]
-		if t == nil || !behind(t, k.GetVersion()) {
+		if t == nil {
+			continue
+		}
+		at := revisionFromWire(t, k.Era, k.GetVersion())
+		if !behind(t, at) {
 			continue
 		}
 		if r.inSameZone(s) || !r.hasSameZoneSource() {
-			r.fetch(s, t, k)
+			r.fetch(s, t, k.GetTable(), at)
 			continue
 		}
 		time.AfterFunc(sameZoneWait.Duration(), func() {
-			if behind(t, k.GetVersion()) {
-				r.fetch(s, t, k)
+			if behind(t, at) {
+				r.fetch(s, t, k.GetTable(), at)
 			}
 		})
 	}
 }
 
-// behind reports whether a table is known only up to an older version.
-func behind(t watch.Replica, version int64) bool {
-	known, ok := t.Version()
-	return !ok || known < version
+// behind reports whether a table is known only up to an older revision.
+func behind(t watch.Replica, at revision.Revision) bool {
+	known, ok := t.Revision()
+	return !ok || known.Before(at)
 }
 
-// fetch requests the missing changes from a source. If they have not arrived after
-// fetchTimeout, it requests them from another one.
-func (r *Relay) fetch(s *session, t watch.Replica, k *relaypb.Known) {
-	after, ok := t.Version()
+// fetch requests the changes of a table up to a revision from a source. If they have
+// not arrived after fetchTimeout, it requests them from another one.
+func (r *Relay) fetch(s *session, t watch.Replica, name string, at revision.Revision) {
+	after, ok := t.Revision()
 	if !ok {
-		after = -1
+		after.Version = -1
 	}
 	select {
-	case s.out <- &relaypb.Fetch{Table: k.GetTable(), After: after}:
+	case s.out <- &relaypb.Fetch{Table: name, After: after.Version, Era: &after.Era}:
 	default:
 		return // earlier fetches are still waiting to be sent
 	}
 	time.AfterFunc(fetchTimeout.Duration(), func() {
-		if behind(t, k.GetVersion()) {
-			r.fetchElsewhere(s, t, k)
+		if behind(t, at) {
+			r.fetchElsewhere(s, t, name, at)
 		}
 	})
 }
 
-func (r *Relay) fetchElsewhere(tried *session, t watch.Replica, k *relaypb.Known) {
+func (r *Relay) fetchElsewhere(tried *session, t watch.Replica, name string, at revision.Revision) {
 	r.mu.Lock()
 	var other *session
 	for _, s := range r.sessions {
@@ -218,7 +240,7 @@
 	}
 	r.mu.Unlock()
 	if other != nil {
-		r.fetch(other, t, k)
+		r.fetch(other, t, name, at)
 	}
 }
 
@@ -245,7 +267,7 @@
 			return errors.Errorf("source sent an update of unknown table %q", w.GetTable())
 		}
 		updatesReceived.Inc()
-		t.Merge(updateFromWire(w)) // an update that leaves a gap is fetched again when the next version is announced
+		t.Merge(updateFromWire(t, w)) // an update that leaves a gap is fetched again when the next version is announced
 	}
 	return nil
 }
--- a/siskinpathd/relay/subscriber.go
+++ b/siskinpathd/relay/subscriber.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"siskinpath/core/overlay"
+	"siskinpath/core/revision"
 	"siskinpath/siskinpathd/relay/relaypb"
 )
 
@@ -69,17 +70,17 @@
 		if t == nil {
 			continue
 		}
-		if u, ok := t.ChangesSince(f.GetAfter()); ok {
+		if u, ok := t.ChangesSince(revisionFromWire(t, f.Era, f.GetAfter())); ok {
 			updatesSent.Inc()
 			s.enqueue(encode(&relaypb.FromWatcher{Updates: []*relaypb.Update{updateToWire(u)}, StoreLost: r.storeLost()}))
 		}
 	}
 }
 
-// addSubscriber adds a subscriber, and sends it the known table versions and the
+// addSubscriber adds a subscriber, and sends it the last changes of the tables and the
 // hosts of its availability zone.
 func (r *Relay) addSubscriber(s *subscriber) {
-	m := r.tableVersions()
+	m := r.lastChanges()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.overlay.AddSubscriber(s.host)
@@ -111,20 +112,21 @@
 	r.announceHost(&relaypb.Host{Id: s.host.ID, AvailabilityZone: s.host.AvailabilityZone, Gone: true})
 }
 
-// tableVersions returns a message with the version of each table's last change.
-func (r *Relay) tableVersions() *relaypb.FromWatcher {
+// lastChanges returns a message with the revision of each table's last change.
+func (r *Relay) lastChanges() *relaypb.FromWatcher {
 	m := &relaypb.FromWatcher{StoreLost: r.storeLost()}
 	for name, t := range r.Tables {
-		if v, known := t.LastChange(); known {
-			m.Known = append(m.Known, &relaypb.Known{Table: name, Version: v})
+		if at, known := t.LastChange(); known {
+			m.Known = append(m.Known, knownToWire(name, at))
 		}
 	}
 	return m
 }
 
-// sendHeartbeat sends a heartbeat with the known table versions to all subscribers.
+// sendHeartbeat sends a heartbeat with the last changes of the tables to all
+// subscribers.
 func (r *Relay) sendHeartbeat() {
-	m := r.tableVersions()
+	m := r.lastChanges()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m.HostCount = uint32(r.overlay.Size())
@@ -134,10 +136,10 @@
 	}
 }
 
-// AnnounceVersion tells all subscribers that a table has changed. It is called with
-// the table locked.
-func (r *Relay) AnnounceVersion(table string, version int64) {
-	b := encode(&relaypb.FromWatcher{Known: []*relaypb.Known{{Table: table, Version: version}}, StoreLost: r.storeLost()})
+// AnnounceChange tells all subscribers that a table has changed. It is called with the
+// table locked.
+func (r *Relay) AnnounceChange(table string, at revision.Revision) {
+	b := encode(&relaypb.FromWatcher{Known: []*relaypb.Known{knownToWire(table, at)}, StoreLost: r.storeLost()})
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for s := range r.subscribers {
--- a/siskinpathd/relay/wire.go
+++ b/siskinpathd/relay/wire.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"siskinpath/core/overlay"
+	"siskinpath/core/revision"
 	"siskinpath/siskinpathd/relay/relaypb"
 	"siskinpath/siskinpathd/watch"
 )
@@ -77,18 +78,35 @@
 	}
 }
 
+func knownToWire(table string, at revision.Revision) *relaypb.Known {
+	return &relaypb.Known{Table: table, Version: at.Version, Era: &at.Era}
+}
+
+// revisionFromWire returns a revision that a peer has sent about t. Peers of older
+// releases send no era, which means the era of t.
+func revisionFromWire(t watch.Replica, era *int64, version int64) revision.Revision {
+	if era != nil {
+		return revision.Revision{Era: *era, Version: version}
+	}
+	own, _ := t.Revision()
+	return revision.Revision{Era: own.Era, Version: version}
+}
+
 func updateToWire(u watch.Update) *relaypb.Update {
-	w := &relaypb.Update{Table: u.Table, Version: u.Version, Base: u.Base, Whole: u.Full}
+	w := &relaypb.Update{Table: u.Table, Version: u.Revision.Version, Base: u.Base.Version, Whole: u.Full, Era: &u.Revision.Era}
 	for _, r := range u.Rows {
-		w.Rows = append(w.Rows, &relaypb.Row{Key: r.Key, Value: r.Value, Removed: r.Removed, Missing: r.Missing, Version: r.Version})
+		w.Rows = append(w.Rows, &relaypb.Row{Key: r.Key, Value: r.Value, Removed: r.Removed, Missing: r.Missing, Version: r.Revision.Version})
 	}
 	return w
 }
 
-func updateFromWire(w *relaypb.Update) watch.Update {
-	u := watch.Update{Table: w.GetTable(), Version: w.GetVersion(), Base: w.GetBase(), Full: w.GetWhole()}
+// updateFromWire returns an update of t that a peer has sent. All its rows are of one
+// era.
+func updateFromWire(t watch.Replica, w *relaypb.Update) watch.Update {
+	at := func(version int64) revision.Revision { return revisionFromWire(t, w.Era, version) }
+	u := watch.Update{Table: w.GetTable(), Revision: at(w.GetVersion()), Base: at(w.GetBase()), Full: w.GetWhole()}
 	for _, r := range w.GetRows() {
-		u.Rows = append(u.Rows, watch.Row{Key: r.GetKey(), Value: r.GetValue(), Removed: r.GetRemoved(), Missing: r.GetMissing(), Version: r.GetVersion()})
+		u.Rows = append(u.Rows, watch.Row{Key: r.GetKey(), Value: r.GetValue(), Removed: r.GetRemoved(), Missing: r.GetMissing(), Revision: at(r.GetVersion())})
 	}
 	return u
 }
--- a/siskinpathd/upstream/attempt.go
+++ b/siskinpathd/upstream/attempt.go
@@ -81,7 +81,8 @@
 	reply = d.copyReply(resp)
 	result.Status = d.statusOf(resp)
 	if result.AddressReassigned = d.addressReassigned(resp); !result.AddressReassigned {
-		result.Load = d.load(resp) // a reassigned address would report another upstream's load
+		// A reassigned address would report on another upstream.
+		result.Load, result.Notice = d.load(resp), d.notice(resp)
 	}
 	return reply, result, nil
 }
--- a/siskinpathd/upstream/dialect.go
+++ b/siskinpathd/upstream/dialect.go
@@ -1,7 +1,9 @@
 package upstream
 
 import (
+	"math"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -22,6 +24,9 @@
 	NotExecuted    string // on replies: set if the request did not run
 	Load           string // on replies: load report, parsed by ParseLoad
 	ParseLoad      func([]byte) *route.LoadReport
+	Leaving        string // on replies: set if the upstream is about to end
+	// RetryAfter reads the Retry-After header of replies with status 503.
+	RetryAfter bool
 	// ReassignedStatus is the HTTP status of a reply from an upstream other than the
 	// expected one, which has not run the request. 0 means there is no such status.
 	ReassignedStatus int
@@ -135,6 +140,35 @@
 	return d.ParseLoad(resp.Header.Peek(d.Load))
 }
 
+// notice returns what an upstream says about itself in a reply.
+func (d *Dialect) notice(resp *fasthttp.Response) (n route.Notice) {
+	n.Leaving = d.Leaving != "" && len(resp.Header.Peek(d.Leaving)) > 0 && string(resp.Header.Peek(d.Leaving)) != "0"
+	if d.RetryAfter && resp.StatusCode() == fasthttp.StatusServiceUnavailable {
+		n.RetryAfter = parseRetryAfter(string(resp.Header.Peek(fasthttp.HeaderRetryAfter)), time.Now())
+	}
+	return n
+}
+
+// maxRetryAfter bounds the time for which an upstream may turn this host away with one
+// reply. Operators see such an upstream in the state dump long before.
+const maxRetryAfter = clock.Hour
+
+// parseRetryAfter returns the delay of a Retry-After header: seconds, also fractions,
+// or a date. It returns 0 for a missing or malformed header, and for a time in the past.
+func parseRetryAfter(value string, now time.Time) clock.Millis {
+	if seconds, err := strconv.ParseFloat(value, 64); err == nil {
+		if !(seconds > 0) {
+			return 0
+		}
+		return clock.Millis(math.Ceil(min(seconds, float64(maxRetryAfter/clock.Second)) * float64(clock.Second)))
+	}
+	date, err := fasthttp.ParseHTTPDate([]byte(value))
+	if err != nil {
+		return 0
+	}
+	return max(0, min(maxRetryAfter, clock.Millis(date.Sub(now).Milliseconds())))
+}
+
 // hopByHop lists the headers that belong to one connection and are not forwarded
 // with the reply.
 var hopByHop = map[string]bool{
@@ -156,5 +190,5 @@
 // isInternalHeader reports whether a reply header is meant for the host and is not
 // forwarded to the caller.
 func (d *Dialect) isInternalHeader(name string) bool {
-	return name == d.Load || name == d.NotExecuted || name == d.RequestID && !d.PreserveRequestID
+	return name == d.Load || name == d.NotExecuted || name == d.Leaving || name == d.RequestID && !d.PreserveRequestID
 }
--- a/siskinpathd/upstream/probe.go
+++ b/siskinpathd/upstream/probe.go
@@ -32,7 +32,7 @@
 		result.AddressReassigned = true
 		return result, errors.New("address now belongs to another upstream")
 	}
-	result.Load = p.dialect().load(resp)
+	result.Load, result.Notice = p.dialect().load(resp), p.dialect().notice(resp)
 	if resp.ConnectionClose() || c.r.Buffered() > 0 {
 		p.discard(c)
 	} else {
--- a/siskinpathd/watch/table.go
+++ b/siskinpathd/watch/table.go
@@ -1,8 +1,11 @@
 package watch
 
 import (
+	"bytes"
 	"log/slog"
 	"sync"
+
+	"siskinpath/core/revision"
 )
 
 // Row is a row of a table as stored.
@@ -12,17 +15,17 @@
 	Removed bool
 	// Missing is set, together with Removed, when the removal was inferred because
 	// a full read no longer contained the row.
-	Missing bool
-	Version int64
+	Missing  bool
+	Revision revision.Revision
 }
 
 // Update is a set of changes to a table, or its full content.
 type Update struct {
-	Table   string
-	Version int64 // of the store, after the update
-	Base    int64 // version of the store that the changes start from; not used with Full
-	Full    bool  // Rows is the full content of the table
-	Rows    []Row
+	Table    string
+	Revision revision.Revision // of the store, after the update
+	Base     revision.Revision // revision of the store that the changes start from; not used with Full
+	Full     bool              // Rows is the full content of the table
+	Rows     []Row
 }
 
 // DecodedRow is a Row with its decoded value.
@@ -34,7 +37,7 @@
 	// DecodeErr is the reason why the value could not be decoded. Value is then not
 	// set.
 	DecodeErr error
-	Version   int64
+	Revision  revision.Revision
 }
 
 // Table is this host's replica of a table of the store. Updates may come from the
@@ -47,17 +50,20 @@
 	// Apply is called with the rows that have changed, while the table is locked.
 	// The first call may have none.
 	Apply func(rows []DecodedRow[T])
-	// OnChange is called before Apply, while the table is locked, with the version
+	// OnChange is called before Apply, while the table is locked, with the revision
 	// of each change. It may be nil.
-	OnChange func(version int64)
-
-	mu      sync.Mutex
-	version int64
-	known   bool
-	rows    map[string]Row
-	removed map[string]Row // removed rows, with the versions of their removal
-	changed int64          // version of the newest change
-	since   int64          // oldest version after which removed is complete
+	OnChange func(at revision.Revision)
+	// OnNewEra is called before OnChange, while the table is locked, when the store
+	// has come back from an older copy. It may be nil.
+	OnNewEra func(from, to revision.Revision)
+
+	mu       sync.Mutex
+	revision revision.Revision
+	known    bool
+	rows     map[string]Row
+	removed  map[string]Row    // removed rows, with the revisions of their removal
+	changed  revision.Revision // revision of the newest change
+	since    revision.Revision // oldest revision after which removed is complete
 }
 
 // maxRemoved is the number of removed rows that are kept, so that a host that is
@@ -67,45 +73,45 @@
 // Replica is a Table of any row type.
 type Replica interface {
 	// Merge adds an update from the store or from another host. An update that is
-	// no newer than the known version is ignored. Merge returns false when the
+	// no newer than the known revision is ignored. Merge returns false when the
 	// update leaves a gap: changes before it are missing.
 	Merge(u Update) bool
-	// ChangesSince returns the changes after a version, or the full table when
+	// ChangesSince returns the changes after a revision, or the full table when
 	// those are no longer known. ok is false before the first update.
-	ChangesSince(after int64) (u Update, ok bool)
-	// Version returns the version of the store up to which the table is known.
-	Version() (version int64, known bool)
-	// LastChange returns the version of the newest known change of this table.
+	ChangesSince(after revision.Revision) (u Update, ok bool)
+	// Revision returns the revision of the store up to which the table is known.
+	Revision() (at revision.Revision, known bool)
+	// LastChange returns the revision of the newest known change of this table.
 	// The version of the store also rises with changes of other tables.
-	LastChange() (version int64, known bool)
+	LastChange() (at revision.Revision, known bool)
 }
 
-// Version returns the version of the store up to which the table is known.
-func (t *Table[T]) Version() (version int64, known bool) {
+// Revision returns the revision of the store up to which the table is known.
+func (t *Table[T]) Revision() (at revision.Revision, known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.version, t.known
+	return t.revision, t.known
 }
 
-// LastChange returns the version of the newest known change.
-func (t *Table[T]) LastChange() (version int64, known bool) {
+// LastChange returns the revision of the newest known change.
+func (t *Table[T]) LastChange() (at revision.Revision, known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.changed, t.known
 }
 
-// ChangesSince returns the changes after a version, or the full table.
-func (t *Table[T]) ChangesSince(after int64) (u Update, ok bool) {
+// ChangesSince returns the changes after a revision, or the full table.
+func (t *Table[T]) ChangesSince(after revision.Revision) (u Update, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	u = Update{Table: t.Name, Version: t.version, Base: after, Full: after < t.since}
+	u = Update{Table: t.Name, Revision: t.revision, Base: after, Full: after.Before(t.since)}
 	for _, r := range t.rows {
-		if u.Full || r.Version > after {
+		if u.Full || after.Before(r.Revision) {
 			u.Rows = append(u.Rows, r)
 		}
 	}
 	for _, r := range t.removed {
-		if !u.Full && r.Version > after {
+		if !u.Full && after.Before(r.Revision) {
 			u.Rows = append(u.Rows, r)
 		}
 	}
@@ -117,25 +123,28 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
-	case t.known && u.Version <= t.version:
+	case t.known && !t.revision.Before(u.Revision):
 		return true
-	case !u.Full && (!t.known || t.version < u.Base):
+	case !u.Full && (!t.known || t.revision.Before(u.Base) || t.revision.Era != u.Revision.Era):
 		return false
 	}
-	first := !t.known
+	first, newEra := !t.known, t.known && t.revision.Era != u.Revision.Era
 	if first {
 		t.rows, t.removed = map[string]Row{}, map[string]Row{}
-		t.since = u.Version
+		t.since = u.Revision
+	}
+	if newEra && t.OnNewEra != nil {
+		t.OnNewEra(t.revision, u.Revision)
 	}
 	changed := t.storeRows(u)
-	t.version, t.known = u.Version, true
-	if len(t.removed) > maxRemoved {
-		t.removed, t.since = map[string]Row{}, t.version
+	t.revision, t.known = u.Revision, true
+	if newEra || len(t.removed) > maxRemoved {
+		t.removed, t.since = map[string]Row{}, t.revision
 	}
-	if len(changed) == 0 && !first {
+	if len(changed) == 0 && !first && !newEra {
 		return true
 	}
-	t.changed = t.version
+	t.changed = t.revision
 	if t.OnChange != nil {
 		t.OnChange(t.changed)
 	}
@@ -149,18 +158,22 @@
 	present := map[string]bool{}
 	for _, r := range u.Rows {
 		present[r.Key] = true
-		if old, ok := t.rows[r.Key]; ok && r.Version <= old.Version || !u.Full && r.Version <= t.version {
+		old, ok := t.rows[r.Key]
+		if ok && !old.Revision.Before(r.Revision) || !u.Full && !t.revision.Before(r.Revision) {
 			continue // already received from another host, or not changed
 		}
-		changed = append(changed, r)
 		t.storeRow(r)
+		if ok && !r.Removed && bytes.Equal(old.Value, r.Value) {
+			continue // same in a new era, or written again
+		}
+		changed = append(changed, r)
 	}
 	if !u.Full {
 		return changed
 	}
 	for key := range t.rows {
 		if !present[key] {
-			r := Row{Key: key, Removed: true, Missing: true, Version: u.Version}
+			r := Row{Key: key, Removed: true, Missing: true, Revision: u.Revision}
 			changed = append(changed, r)
 			t.storeRow(r)
 		}
@@ -181,12 +194,12 @@
 func (t *Table[T]) decode(rows []Row) []DecodedRow[T] {
 	out := make([]DecodedRow[T], 0, len(rows))
 	for _, r := range rows {
-		d := DecodedRow[T]{Key: r.Key, Removed: r.Removed, Missing: r.Missing, Version: r.Version}
+		d := DecodedRow[T]{Key: r.Key, Removed: r.Removed, Missing: r.Missing, Revision: r.Revision}
 		if !r.Removed {
 			d.Value, d.DecodeErr = t.Decode(r.Key, r.Value)
 		}
 		if d.DecodeErr != nil {
-			t.Log.Warn("row can't be read", "table", t.Name, "key", r.Key, "version", r.Version, "err", d.DecodeErr)
+			t.Log.Warn("row can't be read", "table", t.Name, "key", r.Key, "version", r.Revision.Version, "era", r.Revision.Era, "err", d.DecodeErr)
 		}
 		out = append(out, d)
 	}
--- a/siskinpathd/watch/watch.go
+++ b/siskinpathd/watch/watch.go
@@ -12,20 +12,22 @@
 	"github.com/pkg/errors"
 
 	"siskinpath/core/clock"
+	"siskinpath/core/revision"
 )
 
-// ErrHistoryGone reports that the store no longer keeps the requested changes.
+// ErrHistoryGone reports that the store no longer keeps the requested changes, or has
+// come back from a copy that lacks them.
 // The table must be read in full.
 var ErrHistoryGone = errors.New("the store no longer keeps the requested changes")
 
 // Source reads a table of the store.
 type Source interface {
-	// Snapshot returns all rows as of one version.
-	Snapshot(ctx context.Context) (rows []Row, version int64, err error)
-	// Changes returns the rows that changed after a version. It blocks until
+	// Snapshot returns all rows as of one revision.
+	Snapshot(ctx context.Context) (rows []Row, at revision.Revision, err error)
+	// Changes returns the rows that changed after a revision. It blocks until
 	// there is one, and returns none when wait has passed. It fails with
 	// ErrHistoryGone when the store no longer keeps the changes since then.
-	Changes(ctx context.Context, after int64, wait clock.Millis) (rows []Row, version int64, err error)
+	Changes(ctx context.Context, after revision.Revision, wait clock.Millis) (rows []Row, at revision.Revision, err error)
 }
 
 // Watcher follows one table while it is enabled. Set the exported fields before
@@ -34,8 +36,8 @@
 	Name   string // table name in log lines and updates
 	Source Source
 	Log    *slog.Logger
-	// Version returns the version up to which the table is known.
-	Version func() (version int64, known bool)
+	// Revision returns the revision up to which the table is known.
+	Revision func() (at revision.Revision, known bool)
 	// Merge adds an update to the table; see Replica.Merge.
 	Merge func(u Update) bool
 	// Enabled reports whether this host must follow the store itself. Nil means
@@ -59,6 +61,18 @@
 	failures int // consecutive failed calls
 }
 
+// ReadWhole reads the table in full at once, beside Run. It serves hosts that learn
+// from another table that the store has come back from an older copy, while the call
+// of Run is held by the store.
+func (w *Watcher) ReadWhole(ctx context.Context) {
+	if w.Enabled != nil && !w.Enabled() {
+		return
+	}
+	if _, err := w.poll(ctx, true); err != nil {
+		w.Log.Warn("table can't be read whole", "table", w.Name, "err", err)
+	}
+}
+
 const (
 	// enabledPollInterval is how often a disabled watcher checks whether it has
 	// been enabled.
@@ -73,7 +87,7 @@
 	for ctx.Err() == nil {
 		if w.Enabled != nil && !w.Enabled() {
 			poll := enabledPollInterval
-			if _, known := w.Version(); !known {
+			if _, known := w.Revision(); !known {
 				poll = initialPollInterval
 			}
 			pause(ctx, poll)
@@ -105,19 +119,19 @@
 // of rows received.
 func (w *Watcher) poll(ctx context.Context, full bool) (n int, err error) {
 	u := Update{Table: w.Name, Full: full}
-	after, known := w.Version()
+	after, known := w.Revision()
 	if full || !known {
 		u.Full = true
-		u.Rows, u.Version, err = w.Source.Snapshot(ctx)
+		u.Rows, u.Revision, err = w.Source.Snapshot(ctx)
 	} else {
-		u.Rows, u.Version, err = w.Source.Changes(ctx, after, w.LongPollTimeout)
+		u.Rows, u.Revision, err = w.Source.Changes(ctx, after, w.LongPollTimeout)
 	}
 	if err != nil {
 		return 0, err
 	}
 	u.Base = after
 	if !w.Merge(u) {
-		return 0, errors.Errorf("changes after version %d leave a gap to the known rows", after)
+		return 0, errors.Errorf("changes after revision %v leave a gap to the known rows", after)
 	}
 	return len(u.Rows), nil
 }
--- a/siskinpathd/watch/watch_test.go
+++ b/siskinpathd/watch/watch_test.go
@@ -11,12 +11,22 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"siskinpath/core/clock"
+	"siskinpath/core/revision"
 )
 
+// at returns a revision of the first era.
+func at(version int64) revision.Revision { return revision.Revision{Version: version} }
+
+// atEra returns a revision of a later era.
+func atEra(era, version int64) revision.Revision {
+	return revision.Revision{Era: era, Version: version}
+}
+
 // fakeSource is an in-memory Source.
 type fakeSource struct {
 	mu       sync.Mutex
 	rows     map[string]Row
+	era      int64
 	version  int64
 	history  int64 // version up to which changes are discarded
 	down     bool
@@ -29,14 +39,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version++
-	f.rows[key] = Row{Key: key, Value: []byte(value), Version: f.version}
+	f.rows[key] = Row{Key: key, Value: []byte(value), Revision: atEra(f.era, f.version)}
 }
 
 func (f *fakeSource) remove(key string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version++
-	f.rows[key] = Row{Key: key, Removed: true, Version: f.version}
+	f.rows[key] = Row{Key: key, Removed: true, Revision: atEra(f.era, f.version)}
 }
 
 func (f *fakeSource) locked(do func()) {
@@ -47,41 +57,41 @@
 
 var errDown = errors.New("down")
 
-func (f *fakeSource) Snapshot(context.Context) (rows []Row, version int64, err error) {
+func (f *fakeSource) Snapshot(context.Context) (rows []Row, at revision.Revision, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reads++
 	if f.down {
-		return nil, 0, errDown
+		return nil, at, errDown
 	}
 	for _, r := range f.rows {
 		if !r.Removed {
 			rows = append(rows, r)
 		}
 	}
-	return rows, f.version, nil
+	return rows, atEra(f.era, f.version), nil
 }
 
-func (f *fakeSource) Changes(_ context.Context, after int64, wait clock.Millis) (rows []Row, version int64, err error) {
+func (f *fakeSource) Changes(_ context.Context, after revision.Revision, wait clock.Millis) (rows []Row, at revision.Revision, err error) {
 	end := time.Now().Add(wait.Duration())
 	for {
 		f.mu.Lock()
 		switch {
 		case f.down:
 			err = errDown
-		case after < f.history:
+		case after.Version < f.history || after.Era != f.era:
 			err = ErrHistoryGone
 		}
 		for _, r := range f.rows {
-			if r.Version > after {
+			if after.Before(r.Revision) {
 				rows = append(rows, r)
 			}
 		}
-		version = f.version
+		at = atEra(f.era, f.version)
 		f.mu.Unlock()
 		if err != nil || len(rows) > 0 || time.Now().After(end) {
 			f.locked(func() { f.changes++ })
-			return rows, version, err
+			return rows, at, err
 		}
 		time.Sleep(time.Millisecond)
 	}
@@ -98,7 +108,7 @@
 	rep := &replica{rows: map[string]string{}}
 	rep.table = &Table[string]{Name: "t", Log: slog.New(slog.DiscardHandler), Decode: decodeText, Apply: rep.apply}
 	w := &Watcher{
-		Name: "t", Source: f, Log: rep.table.Log, Version: rep.table.Version, Merge: rep.table.Merge,
+		Name: "t", Source: f, Log: rep.table.Log, Revision: rep.table.Revision, Merge: rep.table.Merge,
 		Enabled:       func() bool { f.mu.Lock(); defer f.mu.Unlock(); return !f.disabled },
 		BatchInterval: 1, LongPollTimeout: 20, RetryDelay: 1, MaxRetryDelay: 5,
 	}
@@ -174,6 +184,21 @@
 			f.locked(func() { f.down = false })
 			shouldHaveRows(rep, map[string]string{"a": "1"})
 		})
+		Convey("follows a store that comes back from an older copy, with lower versions", func() {
+			f.put("c", "3")
+			shouldHaveRows(rep, map[string]string{"a": "1", "b": "2", "c": "3"})
+			f.locked(func() {
+				f.era, f.version = 1, 2
+				delete(f.rows, "c")
+				for key, r := range f.rows {
+					r.Revision.Era = 1
+					f.rows[key] = r
+				}
+			})
+			shouldHaveRows(rep, map[string]string{"a": "1", "b": "2"})
+			f.put("d", "4")
+			shouldHaveRows(rep, map[string]string{"a": "1", "b": "2", "d": "4"})
+		})
 		Convey("makes no call while it is disabled", func() {
 			f.locked(func() { f.disabled = true })
 			time.Sleep(60 * time.Millisecond)
@@ -190,37 +215,69 @@
 	Convey("a table known up to version 10", t, func() {
 		rep := &replica{rows: map[string]string{}}
 		tb := &Table[string]{Name: "t", Log: slog.New(slog.DiscardHandler), Decode: decodeText, Apply: rep.apply}
-		So(tb.Merge(Update{Version: 10, Full: true, Rows: []Row{{Key: "a", Value: []byte("1"), Version: 3}, {Key: "b", Value: []byte("2"), Version: 9}}}), ShouldBeTrue)
+		So(tb.Merge(Update{Revision: at(10), Full: true, Rows: []Row{{Key: "a", Value: []byte("1"), Revision: at(3)}, {Key: "b", Value: []byte("2"), Revision: at(9)}}}), ShouldBeTrue)
 		Convey("ignores updates that are not newer", func() {
-			So(tb.Merge(Update{Version: 9, Full: true}), ShouldBeTrue)
-			So(tb.Merge(Update{Version: 10, Base: 5, Rows: []Row{{Key: "a", Removed: true, Version: 8}}}), ShouldBeTrue)
+			So(tb.Merge(Update{Revision: at(9), Full: true}), ShouldBeTrue)
+			So(tb.Merge(Update{Revision: at(10), Base: at(5), Rows: []Row{{Key: "a", Removed: true, Revision: at(8)}}}), ShouldBeTrue)
 			So(rep.rows, ShouldHaveLength, 2)
 		})
 		Convey("rejects an update that leaves a gap", func() {
-			So(tb.Merge(Update{Version: 14, Base: 12, Rows: []Row{{Key: "a", Removed: true, Version: 13}}}), ShouldBeFalse)
+			So(tb.Merge(Update{Revision: at(14), Base: at(12), Rows: []Row{{Key: "a", Removed: true, Revision: at(13)}}}), ShouldBeFalse)
 			So(rep.rows, ShouldHaveLength, 2)
 		})
 		Convey("applies an update once that other hosts send twice", func() {
-			u := Update{Version: 12, Base: 10, Rows: []Row{{Key: "b", Removed: true, Version: 11}}}
+			u := Update{Revision: at(12), Base: at(10), Rows: []Row{{Key: "b", Removed: true, Revision: at(11)}}}
 			So(tb.Merge(u), ShouldBeTrue)
 			So(tb.Merge(u), ShouldBeTrue)
 			So(rep.rows, ShouldHaveLength, 1)
 		})
 		Convey("returns only the changes that another host lacks", func() {
-			tb.Merge(Update{Version: 12, Base: 10, Rows: []Row{{Key: "b", Removed: true, Version: 11}, {Key: "c", Value: []byte("3"), Version: 12}}})
-			u, ok := tb.ChangesSince(10)
+			tb.Merge(Update{Revision: at(12), Base: at(10), Rows: []Row{{Key: "b", Removed: true, Revision: at(11)}, {Key: "c", Value: []byte("3"), Revision: at(12)}}})
+			u, ok := tb.ChangesSince(at(10))
 			So(ok, ShouldBeTrue)
 			So(u.Full, ShouldBeFalse)
 			So(u.Rows, ShouldHaveLength, 2)
-			u, _ = tb.ChangesSince(9)
+			u, _ = tb.ChangesSince(at(9))
 			So(u.Full, ShouldBeTrue)
 			So(u.Rows, ShouldHaveLength, 2)
 		})
+		Convey("in a new era", func() {
+			var from, to revision.Revision
+			announced := revision.Revision{}
+			tb.OnNewEra = func(before, after revision.Revision) { from, to = before, after }
+			tb.OnChange = func(at revision.Revision) { announced = at }
+			So(tb.Merge(Update{Revision: atEra(1, 6), Full: true, Rows: []Row{{Key: "a", Value: []byte("1"), Revision: atEra(1, 3)}}}), ShouldBeTrue)
+			Convey("takes the content of lower versions and records what it lacks as missing", func() {
+				So(rep.rows, ShouldResemble, map[string]string{"a": "1"})
+				So(from, ShouldResemble, at(10))
+				So(to, ShouldResemble, atEra(1, 6))
+			})
+			Convey("announces the era also if no row differs", func() {
+				So(tb.Merge(Update{Revision: atEra(2, 4), Full: true, Rows: []Row{{Key: "a", Value: []byte("1"), Revision: atEra(2, 3)}}}), ShouldBeTrue)
+				So(announced, ShouldResemble, atEra(2, 4))
+			})
+			Convey("ignores what comes late of the old era", func() {
+				So(tb.Merge(Update{Revision: at(12), Base: at(10), Rows: []Row{{Key: "b", Value: []byte("5"), Revision: at(12)}}}), ShouldBeTrue)
+				So(rep.rows, ShouldResemble, map[string]string{"a": "1"})
+			})
+			Convey("sends the full content to a host of the old era, and changes to one of the new", func() {
+				tb.Merge(Update{Revision: atEra(1, 8), Base: atEra(1, 6), Rows: []Row{{Key: "c", Value: []byte("3"), Revision: atEra(1, 8)}}})
+				u, _ := tb.ChangesSince(at(11))
+				So(u.Full, ShouldBeTrue)
+				So(u.Rows, ShouldHaveLength, 2)
+				u, _ = tb.ChangesSince(atEra(1, 6))
+				So(u.Full, ShouldBeFalse)
+				So(u.Rows, ShouldHaveLength, 1)
+			})
+		})
+		Convey("rejects changes that start in another era", func() {
+			So(tb.Merge(Update{Revision: atEra(1, 12), Base: at(10), Rows: []Row{{Key: "c", Value: []byte("3"), Revision: atEra(1, 12)}}}), ShouldBeFalse)
+		})
 		Convey("records rows missing from a full read as removed", func() {
-			So(tb.Merge(Update{Version: 20, Full: true, Rows: []Row{{Key: "a", Value: []byte("1"), Version: 3}}}), ShouldBeTrue)
-			u, _ := tb.ChangesSince(10)
+			So(tb.Merge(Update{Revision: at(20), Full: true, Rows: []Row{{Key: "a", Value: []byte("1"), Revision: at(3)}}}), ShouldBeTrue)
+			u, _ := tb.ChangesSince(at(10))
 			So(u.Full, ShouldBeFalse)
-			So(u.Rows, ShouldResemble, []Row{{Key: "b", Removed: true, Missing: true, Version: 20}})
+			So(u.Rows, ShouldResemble, []Row{{Key: "b", Removed: true, Missing: true, Revision: at(20)}})
 		})
 	})
 }
