entry: a host that reads a new era in one table reads the other outside of its lock

Change: Watcher.ReadWhole compares eras itself, in its own goroutine. After: TestStoreRestored passes.

--- a/siskinpathd/entry/follow.go
+++ b/siskinpathd/entry/follow.go
@@ -147,7 +147,7 @@
 }
 
 // handleNewEra is called when the store has come back from an older copy, once for each
-// table. Rows may be missing although their writers still run, as after an outage, and
+// table and with the table locked. Rows may be missing although their writers still run, as after an outage, and
 // this host's own row may be gone.
 func (n *Node) handleNewEra(table string, from, to revision.Revision) {
 	n.Log.Warn("store came back from an older copy", "table", table, "from_era", from.Era, "from_version", from.Version,
@@ -155,8 +155,8 @@
 	n.recordStoreLoss()
 	n.relay.HandleNewEra()
 	for _, w := range n.watchers {
-		if at, known := w.Revision(); w.Name != table && known && at.Era < to.Era {
-			go w.ReadWhole(context.Background())
+		if w.Name != table {
+			go w.ReadWhole(context.Background(), to.Era)
 		}
 	}
 	select {
--- a/siskinpathd/watch/watch.go
+++ b/siskinpathd/watch/watch.go
@@ -61,11 +61,11 @@
 	failures int // consecutive failed calls
 }
 
-// ReadWhole reads the table in full at once, beside Run. It serves hosts that learn
-// from another table that the store has come back from an older copy, while the call
-// of Run is held by the store.
-func (w *Watcher) ReadWhole(ctx context.Context) {
-	if w.Enabled != nil && !w.Enabled() {
+// ReadWhole reads the table in full at once, beside Run, if it is of an older era. It
+// serves hosts that learn from another table that the store has come back from an older
+// copy, while the call of Run is held by the store.
+func (w *Watcher) ReadWhole(ctx context.Context, era int64) {
+	if at, known := w.Revision(); !known || at.Era >= era || w.Enabled != nil && !w.Enabled() {
 		return
 	}
 	if _, err := w.poll(ctx, true); err != nil {
