entry, overlay: a start of the whole fleet costs the store two calls a host

After all hosts had lost power each read the list and both tables (4 calls), since the list of 473 hosts takes longer over a slow link than the 60 ms that it waits. Change: first registrations spread over 3 s, and the list is read after that; at other starts the wait for a source counts from when the list is known, 300 ms in a fleet with relays, unchanged (60 ms after the start) in one without.

--- a/core/overlay/overlay.go
+++ b/core/overlay/overlay.go
@@ -61,6 +61,13 @@
 	// relied on, although its session is still open: a little over two heartbeat
 	// intervals.
 	staleAfter = 900 * clock.Millisecond
+	// flatStartWait is how long after its start a host of a fleet without relays waits
+	// for a source before it follows the store itself.
+	flatStartWait = 60 * clock.Millisecond
+	// tieredStartWait is how long a host of a fleet with relays waits for a source
+	// after it has learned of the other hosts: the relays may have just started too,
+	// and receive the tables from the hosts that follow the store.
+	tieredStartWait = 300 * clock.Millisecond
 	// noSourceWait is how long a host waits for a source before it follows the
 	// store itself.
 	noSourceWait = 100 * clock.Millisecond
@@ -336,6 +343,20 @@
 	o.noSourceSince, o.sourceWait = now, sourceWait
 }
 
+// HandleHostList sets how long this host waits for a first source, now that it has read
+// the registered hosts from the store. It is called once after Start.
+func (o *Overlay) HandleHostList(now clock.Millis) {
+	if o.noSourceSince == 0 {
+		return // a source has been found already
+	}
+	waited := now - o.noSourceSince
+	if o.relayCount() > 0 {
+		o.sourceWait = waited + tieredStartWait
+	} else {
+		o.sourceWait = max(waited, flatStartWait)
+	}
+}
+
 // StoreLost reports whether this host has sources that have sent a message, and
 // all of them have lost the store.
 func (o *Overlay) StoreLost() bool {
--- a/core/overlay/overlay_test.go
+++ b/core/overlay/overlay_test.go
@@ -178,6 +178,53 @@
 	})
 }
 
+func TestStart(t *testing.T) {
+	const readTime = 100 // of the registered hosts, in ms
+	for _, c := range []struct {
+		name  string
+		hosts int
+		wait  clock.Millis
+	}{{"without relays", 20, readTime}, {"with relays", 218, readTime + tieredStartWait}} {
+		Convey("a starting host of a fleet "+c.name+" that is not one of the first", t, func() {
+			hosts := testHosts(c.hosts)
+			var o *Overlay
+			for _, h := range hosts {
+				o = &Overlay{Self: h}
+				o.Start(1000, 250)
+				o.AddHosts(hosts)
+				if !containsHost(o.reachable(1000)[:SourceCount], h.ID) {
+					break
+				}
+			}
+			o.HandleHostList(1000 + readTime)
+			Convey("waits for a source before it reads the store", func() {
+				So(o.ShouldFollowStore(1000+c.wait-1), ShouldBeFalse)
+				So(o.ShouldFollowStore(1000+c.wait), ShouldBeTrue)
+			})
+			Convey("reads nothing from the store when a source answers in time", func() {
+				target := o.Sources(1000 + readTime)[0]
+				o.SessionOpened(target.ID)
+				o.HandleUpdate(1000+c.wait-1, target.ID, false, c.hosts, nil, nil)
+				So(o.ShouldFollowStore(1000+c.wait), ShouldBeFalse)
+			})
+		})
+	}
+	Convey("the first hosts read the store at once, so that the others need not", t, func() {
+		hosts := testHosts(218)
+		readers := 0
+		for _, h := range hosts {
+			o := &Overlay{Self: h}
+			o.Start(1000, 250)
+			o.AddHosts(hosts)
+			o.HandleHostList(1000)
+			if o.ShouldFollowStore(1001) {
+				readers++
+			}
+		}
+		So(readers, ShouldEqual, SourceCount)
+	})
+}
+
 func TestCallers(t *testing.T) {
 	Convey("addresses for callers", t, func() {
 		hosts := testHosts(9)
--- a/siskinpathd/entry/follow.go
+++ b/siskinpathd/entry/follow.go
@@ -32,12 +32,16 @@
 	// hostsRereadDelay is the pause after a host has registered itself before it
 	// reads the registered hosts again.
 	hostsRereadDelay = 700 * clock.Millisecond
-	// firstStartupWait is how long a host waits for a source when the whole fleet
-	// starts for the first time: hosts find each other only after hostsRereadDelay.
-	firstStartupWait = 2 * clock.Second
-	// startupWait replaces firstStartupWait at any other start. It is short because
-	// callers are waiting.
-	startupWait = 60 * clock.Millisecond
+	// firstRegistrationSpread is the time over which hosts register when the whole fleet
+	// starts for the first time. The store refuses writes of one part that have to wait
+	// for more than a second, and does some 200 a second.
+	firstRegistrationSpread = 3 * clock.Second
+	// firstStartupWait is how long a host then waits for a source: hosts find each
+	// other only hostsRereadDelay after firstRegistrationSpread.
+	firstStartupWait = firstRegistrationSpread + 2*clock.Second
+	// startupWait replaces firstStartupWait at any other start, until the registered
+	// hosts have been read.
+	startupWait = 250 * clock.Millisecond
 	// hostsReadInterval is how often a registered host reads the registered hosts.
 	// It learns of new hosts sooner from its sources.
 	hostsReadInterval = clock.Minute
@@ -175,6 +179,13 @@
 	self := n.relay.Self
 	pause := storeRetryDelay
 	write := n.cfg().FirstStart // at the first start this host is not registered yet
+	listKnown := write          // others are not registered either, so there is no list to wait for
+	rereadDelay := hostsRereadDelay
+	if write {
+		delay := clock.Millis(rand.Int64N(int64(firstRegistrationSpread)))
+		sleep(ctx, delay)
+		rereadDelay += firstRegistrationSpread - delay
+	}
 	for ctx.Err() == nil {
 		pause = min(2*pause, storeMaxRetryDelay)
 		if write {
@@ -182,12 +193,16 @@
 				n.Log.Warn("cannot register this host in the store", "err", err)
 			} else {
 				write = false
-				pause = hostsRereadDelay
+				pause, rereadDelay = rereadDelay, hostsRereadDelay
 			}
 		} else if hosts, err := n.Hosts.Read(ctx); err != nil {
 			n.Log.Warn("cannot read the registered hosts from the store", "err", err)
 		} else {
 			n.relay.AddHosts(hosts)
+			if !listKnown {
+				listKnown = true
+				n.relay.HandleHostList()
+			}
 			pause = hostsReadInterval
 			if write = !isRegistered(hosts, self); write {
 				continue
@@ -198,7 +213,7 @@
 		case <-time.After(pause.Duration()):
 		case <-n.registerAgain:
 			write, pause = true, storeRetryDelay
-			time.Sleep(clock.Millis(rand.Int64N(int64(reregistrationSpread))).Duration())
+			sleep(ctx, clock.Millis(rand.Int64N(int64(reregistrationSpread))))
 			select {
 			case <-n.registerAgain: // of another table
 			default:
@@ -207,6 +222,16 @@
 	}
 }
 
+// sleep waits for span or until ctx ends.
+func sleep(ctx context.Context, span clock.Millis) {
+	t := time.NewTimer(span.Duration())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 // isRegistered reports whether this host is registered with its current addresses and
 // capacity. The incarnation is not part of the row: hosts learn it from the host itself.
 func isRegistered(hosts []overlay.Host, self overlay.Host) bool {
--- a/siskinpathd/relay/relay.go
+++ b/siskinpathd/relay/relay.go
@@ -117,6 +117,14 @@
 	}
 }
 
+// HandleHostList sets how long this host waits for a first source, after AddHosts has
+// been called with the registered hosts for the first time.
+func (r *Relay) HandleHostList() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.overlay.HandleHostList(r.Clock.Now())
+}
+
 // ShouldFollowStore reports whether this host must follow the store itself.
 func (r *Relay) ShouldFollowStore() bool {
 	r.mu.Lock()
