--- a/siskinpathd/upstream/pool.go
+++ b/siskinpathd/upstream/pool.go
@@ -34,7 +34,7 @@
 	DialTimeout    clock.Millis
 	Clock          clock.Clock
 	Dialect        *Dialect     // nil means Siskin
-	IdleTimeout    clock.Millis // how long an idle connection is kept; 0 means DefaultIdleTimeout
+	IdleTimeout    clock.Millis // how long an idle connection is kept if the upstream announces no time-out of its own; 0 means DefaultIdleTimeout
 	// ReplyGracePeriod is how long past the deadline of a request its connection may
 	// still read the reply. It serves callers that end attempts through the context.
 	ReplyGracePeriod clock.Millis
@@ -54,11 +54,7 @@
 
 // withinIdleTimeout reports whether an idle connection may still be used.
 func (p *Pool) withinIdleTimeout(c *conn) bool {
-	limit := cmp.Or(p.IdleTimeout, DefaultIdleTimeout)
-	if c.peerIdleTimeout > 0 {
-		limit = min(limit, c.peerIdleTimeout)
-	}
-	return p.Clock.Now()-c.lastUsed < limit
+	return p.Clock.Now()-c.lastUsed < cmp.Or(c.peerIdleTimeout, p.IdleTimeout, DefaultIdleTimeout)
 }
 
 // SetMaxConnections changes the limit. Excess connections are closed when they are
--- a/siskinpathd/upstream/pool_test.go
+++ b/siskinpathd/upstream/pool_test.go
@@ -260,3 +260,30 @@
 		}
 	}
 }
+
+func TestIdleTimeout(t *testing.T) {
+	for _, c := range []struct {
+		name, header string
+		idle         clock.Millis
+		reused       bool
+	}{
+		{"one that announces no time-out is kept for that of the pool", "", 4 * clock.Second, true},
+		{"and not longer", "", 6 * clock.Second, false},
+		{"one that announces a longer time-out is kept for longer", "Keep-Alive: timeout=10\r\n", 8 * clock.Second, true},
+		{"but is given up before the upstream closes it", "Keep-Alive: timeout=10\r\n", 9500 * clock.Millisecond, false},
+		{"one that announces a shorter time-out is given up sooner", "Keep-Alive: timeout=3\r\n", 2500 * clock.Millisecond, false},
+	} {
+		Convey("an idle connection: "+c.name, t, func() {
+			f := startUpstream(func(nc net.Conn, req *fasthttp.Request) bool { return respond(nc, requestID(req), c.header, "ok") })
+			p := f.pool()
+			now := &clock.Manual{}
+			now.Advance(clock.Second)
+			p.Clock, p.IdleTimeout = now, 5*clock.Second
+			opened := connectionsOpened.Get()
+			shouldEndWith(p, attemptFor(p, "r1"), route.Succeeded)
+			now.Advance(c.idle)
+			shouldEndWith(p, attemptFor(p, "r2"), route.Succeeded)
+			So(connectionsOpened.Get()-opened == 1, ShouldEqual, c.reused)
+		})
+	}
+}
