--- a/siskinpathd/entry/follow.go
+++ b/siskinpathd/entry/follow.go
@@ -176,24 +176,23 @@
 // maintainRegistration registers this host and reads the other registered hosts, until
 // ctx ends.
 func (n *Node) maintainRegistration(ctx context.Context) {
-	self := n.relay.Self
-	pause := storeRetryDelay
-	write := n.cfg().FirstStart // at the first start this host is not registered yet
-	listKnown := write          // others are not registered either, so there is no list to wait for
-	rereadDelay := hostsRereadDelay
-	if write {
-		delay := clock.Millis(rand.Int64N(int64(firstRegistrationSpread)))
-		sleep(ctx, delay)
-		rereadDelay += firstRegistrationSpread - delay
+	first := n.cfg().FirstStart
+	write := first     // at the first start this host is not registered yet
+	listKnown := first // and there is no list to wait for, as nobody else is either
+	readAt := n.Clock.Now()
+	if first {
+		readAt += firstRegistrationSpread + hostsRereadDelay
+		sleep(ctx, randomUpTo(firstRegistrationSpread))
 	}
+	pause := storeRetryDelay
 	for ctx.Err() == nil {
 		pause = min(2*pause, storeMaxRetryDelay)
 		if write {
-			if err := n.Hosts.Write(ctx, self); err != nil {
+			if err := n.Hosts.Write(ctx, n.relay.Self); err != nil {
 				n.Log.Warn("cannot register this host in the store", "err", err)
 			} else {
 				write = false
-				pause, rereadDelay = rereadDelay, hostsRereadDelay
+				pause = max(hostsRereadDelay, readAt-n.Clock.Now())
 			}
 		} else if hosts, err := n.Hosts.Read(ctx); err != nil {
 			n.Log.Warn("cannot read the registered hosts from the store", "err", err)
@@ -204,24 +203,36 @@
 				n.relay.HandleHostList()
 			}
 			pause = hostsReadInterval
-			if write = !isRegistered(hosts, self); write {
+			if write = !isRegistered(hosts, n.relay.Self); write {
 				continue
 			}
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause.Duration()):
-		case <-n.registerAgain:
+		if n.awaitRegistration(ctx, pause) {
 			write, pause = true, storeRetryDelay
-			sleep(ctx, clock.Millis(rand.Int64N(int64(reregistrationSpread))))
-			select {
-			case <-n.registerAgain: // of another table
-			default:
-			}
 		}
 	}
 }
 
+// awaitRegistration waits for span. It returns true sooner if this host must register
+// again, after a random delay.
+func (n *Node) awaitRegistration(ctx context.Context, span clock.Millis) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(span.Duration()):
+		return false
+	case <-n.registerAgain:
+	}
+	sleep(ctx, randomUpTo(reregistrationSpread))
+	select {
+	case <-n.registerAgain: // for another table
+	default:
+	}
+	return true
+}
+
+func randomUpTo(span clock.Millis) clock.Millis { return clock.Millis(rand.Int64N(int64(span))) }
+
 // sleep waits for span or until ctx ends.
 func sleep(ctx context.Context, span clock.Millis) {
 	t := time.NewTimer(span.Duration())
