idempotency, platform client: no key is claimed while the platform may have lost its claim

Cause: a platform that comes back from a copy some seconds old lacks claims that were committed since; a caller that asks again at another host would find its key unclaimed, and it would run twice. Change: the client tells of a higher Store-Era before it returns the reply that shows it; open claims are given up and none is made for a minute, with reason store_restored. Keys on record and keys with a prefix are decided as before. The stand-in of the platform can copy and restore its rows. Not mended: a host that starts after the platform came back does not know of it; the table (TestFollowerRestored, KNOWN-RED) takes an edit only when its version has passed the one in force, as docs/design-table.md said before. Nothing that siskinpath-entry runs is changed.

--- a/core/idempotency/claim.go
+++ b/core/idempotency/claim.go
@@ -78,6 +78,9 @@
 	if r != nil && r.phase != idle {
 		return k.decideKnown(r, req)
 	}
+	if left := k.guardedUntil - k.now; left > 0 {
+		return refuseNew(req, ReasonStoreRestored, left)
+	}
 	firstUnsentAttempt := uint64(0)
 	if r != nil {
 		if k.now >= req.Deadline {
@@ -109,6 +112,18 @@
 	return Decision{Verdict: Claim, Record: next.id}
 }
 
+// StoreRestored records that the platform has come back from an older copy of its rows,
+// which may lack claims that were committed. Claims that are not decided yet are given
+// up, and no key is claimed for restoreGuard: another host may have run it. Keys that
+// are on record here, and those with a prefix, are decided as before.
+func (k *KeyRegistry) StoreRestored(now clock.Millis) {
+	k.advance(now)
+	k.guardedUntil = k.now + restoreGuard
+	for len(k.claims) > 0 {
+		k.giveUp(k.claims[0], ReasonStoreRestored, restoreGuard)
+	}
+}
+
 // decideClaimedHere decides on a request forwarded by a host that found this
 // host's claim in the row.
 func (k *KeyRegistry) decideClaimedHere(req Request) Decision {
--- a/core/idempotency/claim_test.go
+++ b/core/idempotency/claim_test.go
@@ -213,3 +213,47 @@
 		convey.So(k.NextClaimWrites(0), convey.ShouldBeEmpty)
 	})
 }
+
+// TestStoreRestored plays a platform that loses a committed claim: without the guard,
+// the second host would run the key again.
+func TestStoreRestored(t *testing.T) {
+	convey.Convey("a key that another host has run, whose claim the platform has lost", t, func() {
+		first, second := newRegistry(), newRegistry()
+		second.Incarnation = first.Incarnation + 1
+		req := requestFor("order/17")
+		w := claim(first, 0, req, noHost)
+		first.HandleClaimOutcome(0, w.Record, ClaimOutcome{Kind: ClaimCommitted, Version: 1})
+		decided(first, w.Record, Run)
+		convey.So(first.MaySend(0, w.Record), convey.ShouldBeTrue)
+		first.End(0, w.Record, Reply{Status: 200})
+		for _, k := range []*KeyRegistry{first, second} {
+			k.StoreRestored(10)
+		}
+		convey.Convey("is not claimed by a second host for a while", func() {
+			d := begin(second, 20, req, noHost, Refuse)
+			convey.So(d.Reply.Outcome, convey.ShouldEqual, NotRun)
+			convey.So(d.Reply.Reason, convey.ShouldEqual, ReasonStoreRestored)
+			convey.So(d.Reply.RetryAfter, convey.ShouldBeGreaterThan, restoreGuard/2)
+			convey.So(second.NextClaimWrites(20), convey.ShouldBeEmpty)
+		})
+		convey.Convey("is unknown to a caller that says it has asked before", func() {
+			again := req
+			again.Retry = true
+			convey.So(begin(second, 20, again, noHost, Unknown).Reply.Reason, convey.ShouldEqual, ReasonStoreRestored)
+		})
+		convey.Convey("is answered from its record by the host that ran it", func() { begin(first, 20, req, noHost, Answer) })
+		convey.Convey("leaves keys with a prefix as they were", func() {
+			begin(second, 20, requestFor(second.Prefix(20)+"x"), noHost, Run)
+		})
+		convey.Convey("can be claimed again later", func() { begin(second, 10+restoreGuard, requestFor("order/18"), noHost, Claim) })
+	})
+	convey.Convey("a claim whose write was on its way when the platform came back older is given up and never sent", t, func() {
+		k := newRegistry()
+		w := claim(k, 0, requestFor("order/17"), noHost)
+		k.StoreRestored(10)
+		d := decided(k, w.Record, Refuse)
+		convey.So(d.Reply.Reason, convey.ShouldEqual, ReasonStoreRestored)
+		k.HandleClaimOutcome(11, w.Record, ClaimOutcome{Kind: ClaimCommitted, Version: 1})
+		convey.So(k.MaySend(11, w.Record), convey.ShouldBeFalse)
+	})
+}
--- a/core/idempotency/key_registry.go
+++ b/core/idempotency/key_registry.go
@@ -20,6 +20,10 @@
 	retryWhenFull    = 2 * clock.Second
 	retryWhenDown    = clock.Second
 	retryAfterExpiry = 100 * clock.Millisecond
+	// restoreGuard is how long no key is claimed after the platform has come back from
+	// an older copy of its rows: within it callers ask again for keys whose claims the
+	// copy lacks.
+	restoreGuard = clock.Minute
 )
 
 // KeyRegistry holds the records of the idempotency keys that this incarnation of
@@ -33,16 +37,17 @@
 	Retention      clock.Millis // how long a key is kept after its window and its end; 0 means DefaultRetention
 	WindowLength   clock.Millis // length of a key window; 0 means DefaultWindowLength
 
-	now      clock.Millis
-	byKey    map[scopedKey]*record
-	byID     map[RecordID]*record
-	claims   []*record            // open claims in order of arrival
-	expiry   map[uint32][]*record // records to check for expiry, by window
-	swept    uint32               // expiry has no entries below this window
-	lastID   RecordID
-	attempts uint64
-	bytes    int
-	counts   Counts
+	now          clock.Millis
+	guardedUntil clock.Millis // see restoreGuard
+	byKey        map[scopedKey]*record
+	byID         map[RecordID]*record
+	claims       []*record            // open claims in order of arrival
+	expiry       map[uint32][]*record // records to check for expiry, by window
+	swept        uint32               // expiry has no entries below this window
+	lastID       RecordID
+	attempts     uint64
+	bytes        int
+	counts       Counts
 }
 
 func (k *KeyRegistry) init() {
--- a/core/idempotency/types.go
+++ b/core/idempotency/types.go
@@ -46,6 +46,7 @@
 	ReasonRecordsFull     = "records_full"        // no room for a new record
 	ReasonDeadline        = "deadline"            // the deadline passed before the request was sent
 	ReasonPlatformDown    = "platform_down"       // the claim could not be written
+	ReasonStoreRestored   = "store_restored"      // the platform may have lost the claim of the key a moment ago
 	ReasonHostGone        = "host_gone"           // the incarnation that decides has terminated
 	ReasonHostUnreachable = "host_unreachable"    // the incarnation that decides can't be reached
 	ReasonHostNeverHeard  = "host_never_heard"    // this host has never heard of the incarnation that decides
--- a/core/table/follower_test.go
+++ b/core/table/follower_test.go
@@ -115,3 +115,16 @@
 		})
 	})
 }
+
+func TestFollowerRestored(t *testing.T) {
+	convey.Convey("after the platform came back from an older copy, the next edit comes into force although its version is lower", t, func() {
+		f := &Follower{Self: "gh-1"}
+		convey.So(f.PlatformRead(0, 12, rowValue(sample), true), convey.ShouldBeNil)
+		convey.So(f.PlatformRead(1, 9, rowValue(sample), true), convey.ShouldNotBeNil)
+		expectVersion(f, 12)
+		edit := EncodeRow(RowValue{EditID: "next", Author: "ama", Time: "2026-01-02T03:05:05Z", CSV: replaceOnce(sample, "gh-mid-a,100", "gh-mid-a,70")})
+		_ = f.PlatformRead(2, 10, edit, true)
+		_, value := f.Row()
+		convey.So(value, convey.ShouldEqual, edit)
+	})
+}
--- a/siskinpathd/platform/client.go
+++ b/siskinpathd/platform/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
@@ -37,9 +38,36 @@
 	Address  string       // IP address and port
 	Timeout  clock.Millis // timeout of one call; 0 means one second
 	Counters *metrics.Set // nil means the default set of the process
+	// OnNewEra is called when a reply shows that the platform has come back from an
+	// older copy of its rows since the last reply, before that reply is returned. Rows
+	// that were committed may be gone. Nil means that nobody is told.
+	OnNewEra func(era uint64)
 
 	once sync.Once
 	http *fasthttp.HostClient
+
+	mu      sync.Mutex
+	era     uint64
+	eraSeen bool
+}
+
+// headerEra counts how often the platform has come back from an older copy of its rows.
+// A platform that never does may leave it out.
+const headerEra = "Store-Era"
+
+// handleEra compares the era of a reply with that of the replies before.
+func (c *Client) handleEra(value []byte) {
+	era, err := strconv.ParseUint(string(value), 10, 64)
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	rose := c.eraSeen && era > c.era
+	c.era, c.eraSeen = max(era, c.era), true
+	c.mu.Unlock()
+	if rose && c.OnNewEra != nil {
+		c.OnNewEra(era)
+	}
 }
 
 func (c *Client) setDefaults() {
@@ -96,6 +124,7 @@
 	if err := c.http.DoDeadline(req, res, c.deadline(ctx)); err != nil {
 		return 0, nil, classify(err)
 	}
+	c.handleEra(res.Header.Peek(headerEra))
 	return res.StatusCode(), append([]byte(nil), res.Body()...), nil
 }
 
--- a/siskinpathd/platform/client_test.go
+++ b/siskinpathd/platform/client_test.go
@@ -263,3 +263,28 @@
 		}
 	})
 }
+
+func TestNewEra(t *testing.T) {
+	convey.Convey("a client", t, func() {
+		var told []uint64
+		c := &Client{Counters: metrics.NewSet(), OnNewEra: func(era uint64) { told = append(told, era) }}
+		convey.Convey("tells once of each new era, and not of the first that it sees", func() {
+			for _, reply := range []struct {
+				era  string
+				told []uint64
+			}{{"3", nil}, {"3", nil}, {"4", []uint64{4}}, {"4", []uint64{4}}, {"", []uint64{4}}, {"3", []uint64{4}}, {"x", []uint64{4}}, {"6", []uint64{4, 6}}} {
+				c.handleEra([]byte(reply.era))
+				convey.So(told, convey.ShouldResemble, reply.told)
+			}
+		})
+		convey.Convey("reads the era from replies, before it returns them", func() {
+			p := startPlatform(strings.Replace(reply(200, `{"rows":[{"key":"a","version":1}]}`), "\r\n", "\r\nStore-Era: 4\r\n", 1))
+			convey.Reset(func() { _ = p.listener.Close() })
+			c.Address = p.listener.Addr().String()
+			c.handleEra([]byte("3"))
+			_, err := c.Read(context.Background(), "a")
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(told, convey.ShouldResemble, []uint64{4})
+		})
+	})
+}
--- a/siskinpathd/serve/serve.go
+++ b/siskinpathd/serve/serve.go
@@ -107,7 +107,11 @@
 	return &filter.LockedKeyRegistry{Clock: c, Registry: &idempotency.KeyRegistry{Incarnation: uint64(self.Incarnation), Host: self.ID}}
 }
 
-func newCommitter(k *filter.LockedKeyRegistry, p *platform.Client, f *follow.Driver) *claim.Committer {
+func newCommitter(k *filter.LockedKeyRegistry, p *platform.Client, f *follow.Driver, log *slog.Logger) *claim.Committer {
+	p.OnNewEra = func(era uint64) {
+		log.Warn("platform came back from an older copy; no key is claimed for a while", "era", era)
+		k.WithLock(func(now clock.Millis, r *idempotency.KeyRegistry) { r.StoreRestored(now) })
+	}
 	c := claim.New(k, p)
 	c.Reachable = f.PlatformReachable
 	return c
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"sync"
 
 	"github.com/fasthttp/router"
@@ -99,6 +100,8 @@
 	r.GET("/control/faults", s.showFaults)
 	r.POST("/control/hosts", s.controlHosts)
 	r.GET("/control/counts", s.controlCounts)
+	r.POST("/control/copy", func(*fasthttp.RequestCtx) { s.store.Copy() })
+	r.POST("/control/restore", func(*fasthttp.RequestCtx) { s.store.Restore() })
 	return r
 }
 
@@ -121,6 +124,7 @@
 		}
 		faults.delay()
 		h(ctx)
+		ctx.Response.Header.Set("Store-Era", strconv.FormatUint(s.store.Era(), 10))
 	}
 }
 
--- a/standin/platform/server_test.go
+++ b/standin/platform/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -143,3 +144,35 @@
 		})
 	})
 }
+
+func TestRestore(t *testing.T) {
+	Convey("a platform that is restored from a copy loses what was committed since, and says so by its era", t, func() {
+		p := startServer()
+		Reset(p.stop)
+		era := func() string {
+			resp, err := p.client.Post(p.serviceURL+"/v1/read", "application/json", strings.NewReader(`{"keys":["a"]}`))
+			So(err, ShouldBeNil)
+			defer resp.Body.Close()
+			return resp.Header.Get("Store-Era")
+		}
+		put := func(value string) {
+			status, _, err := p.post(p.serviceURL+"/v1/transaction", `{"puts":[{"key":"a","value":"`+value+`"}]}`)
+			So(err, ShouldBeNil)
+			So(status, ShouldEqual, http.StatusOK)
+		}
+		shouldRead := func(value string, version int) {
+			p.shouldPost("/v1/read", `{"keys":["a"]}`, http.StatusOK, fmt.Sprintf(`{"rows":[{"key":"a","value":%q,"version":%d}]}`, value, version))
+		}
+		put("1")
+		_, _, err := p.post(p.controlURL+"/control/copy", "")
+		So(err, ShouldBeNil)
+		put("2")
+		So(era(), ShouldEqual, "0")
+		_, _, err = p.post(p.controlURL+"/control/restore", "")
+		So(err, ShouldBeNil)
+		So(era(), ShouldEqual, "1")
+		shouldRead("1", 1)
+		put("3")
+		shouldRead("3", 2)
+	})
+}
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -3,7 +3,10 @@
 // while it runs.
 package platform
 
-import "sync"
+import (
+	"maps"
+	"sync"
+)
 
 // Row is a row of the table service. An absent row has version 0.
 type Row struct {
@@ -36,6 +39,8 @@
 	mu      sync.Mutex
 	rows    map[string]storedRow
 	objects map[string][]byte
+	era     uint64               // how often Restore was called
+	copied  map[string]storedRow // rows as of the last Copy
 }
 
 // storedRow is kept after a delete, so that the version of a key never decreases.
@@ -106,6 +111,29 @@
 	s.rows[key] = r
 }
 
+// Copy keeps a copy of the rows for Restore.
+func (s *Store) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied = maps.Clone(s.rows)
+}
+
+// Restore replaces the rows by the last copy and begins a new era: what was committed
+// since then is gone, and its versions are given out again.
+func (s *Store) Restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows = maps.Clone(s.copied)
+	s.era++
+}
+
+// Era returns the number of times that the rows were restored.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // PutObject stores a copy of value under name.
 func (s *Store) PutObject(name string, value []byte) {
 	s.mu.Lock()
