--- a/siskinpathd/entry/dispatcher.go
+++ b/siskinpathd/entry/dispatcher.go
@@ -172,6 +172,12 @@
 	go d.runAttempt(ctx, p, a)
 }
 
+// maySend reports whether a request may still be sent. The process may have been paused
+// since the placer decided, and the caller may have been told meanwhile to come back.
+func (d *Dispatcher) maySend(ctx context.Context, c *call.Call) bool {
+	return ctx.Err() == nil && d.Clock.Now() < c.Deadline
+}
+
 // statusRunning is the status of an unfinished attempt.
 const statusRunning = "running"
 
@@ -190,7 +196,7 @@
 		RequestID:    p.id,
 		Clock:        d.Clock,
 		MaxBodyBytes: p.maxBody,
-		MaySend:      func() bool { return ctx.Err() == nil },
+		MaySend:      func() bool { return d.maySend(ctx, p.call) },
 	})
 	result.Attempt = a.Attempt
 	d.mu.Lock()
--- /dev/null
+++ b/siskinpathd/entry/dispatcher_test.go
@@ -0,0 +1,30 @@
+package entry
+
+import (
+	"context"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"siskinpath/core/clock"
+	"siskinpath/siskinpathd/call"
+)
+
+func TestMaySend(t *testing.T) {
+	Convey("a request is not sent once its deadline has passed or it was cancelled", t, func() {
+		now := &clock.Manual{}
+		d := &Dispatcher{Clock: now}
+		ctx, cancel := context.WithCancel(context.Background())
+		c := &call.Call{Deadline: 100}
+		So(d.maySend(ctx, c), ShouldBeTrue)
+		Convey("as after a pause of the process", func() {
+			now.Advance(5 * clock.Second)
+			So(d.maySend(ctx, c), ShouldBeFalse)
+		})
+		Convey("as when its caller has gone", func() {
+			cancel()
+			So(d.maySend(ctx, c), ShouldBeFalse)
+		})
+		cancel()
+	})
+}
--- a/siskinpathd/entry/request.go
+++ b/siskinpathd/entry/request.go
@@ -69,6 +69,9 @@
 	if dispatcher == nil {
 		return n.decisions.logRefusal(r, reasonNoService, notRunResponse(reasonNoService, startRetryAfter))
 	}
+	if r.deadline <= r.arrived {
+		return n.decisions.logRefusal(r, string(route.ReasonDeadline), notRunResponse(string(route.ReasonDeadline), 0))
+	}
 	if n.tooLateToStart(r) {
 		return n.decisions.logRefusal(r, reasonStopping, notRunResponse(reasonStopping, stoppingRetryAfter))
 	}
@@ -89,7 +92,7 @@
 // timeout.
 func (n *Node) timeLeft(req *fasthttp.Request, rt *config.Route) clock.Millis {
 	v, err := strconv.ParseInt(string(req.Header.Peek(n.CallerHeaders.Deadline)), 10, 64)
-	if err != nil || v < 0 {
+	if err != nil {
 		return rt.Timeout
 	}
 	return clock.Millis(v)
--- a/siskinpathd/upstream/attempt.go
+++ b/siskinpathd/upstream/attempt.go
@@ -56,7 +56,7 @@
 	}
 	if !a.MaySend() {
 		p.put(c)
-		result.Status = route.NotSent
+		result.Status, result.BlockedLocally = route.NotSent, true
 		return nil, result, nil
 	}
 	c.written.Store(0)
@@ -169,6 +169,9 @@
 			return err
 		}
 		if d.matchesRequest(resp, a.RequestID) {
+			// A second copy of a reply without an ID could not be told from the reply to
+			// the next request.
+			c.notReusable = c.notReusable || d.PreserveRequestID && len(resp.Header.Peek(d.RequestID)) == 0
 			return nil
 		}
 		repliesMismatched.Inc()
