--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -154,6 +154,8 @@
 	case best != nil && now < r.waitUntil && p.wouldMissTarget(now, r, best):
 		r.slow = best
 		p.enqueue(now, r)
+	case best != nil && p.betterRefused(now, r, best):
+		p.refuse(now, r, route.ReasonOverloaded)
 	case best != nil:
 		p.send(now, r, best)
 	case p.noneUsable(now, r):
@@ -171,6 +173,17 @@
 	return !p.Tuning.AcceptSlow && slow >= slowThreshold && now+clock.Millis(p.typicalTime(r.Route, r.Target)*slow) > r.Arrived+r.Target
 }
 
+// betterRefused reports whether r, whose wait is over, should be refused rather than
+// sent to u: r would be late there, and would keep a slot for longer than u's slow
+// spell lasts, while other requests wait for slots in which they can be in time.
+func (p *Placer) betterRefused(now clock.Millis, r *request, u *upstream) bool {
+	return !p.Tuning.SendLate && len(p.queue) >= minQueueToRefuse && p.wouldMissTarget(now, r, u)
+}
+
+// minQueueToRefuse is the length of the queue from which requests that would be late
+// are refused. The request itself may be in the queue.
+const minQueueToRefuse = 2
+
 // noneUsable reports whether no upstream is usable for r, so that waiting for a slot
 // can't help.
 func (p *Placer) noneUsable(now clock.Millis, r *request) bool {
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -1,6 +1,7 @@
 package place_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 
@@ -188,3 +189,24 @@
 		So(actions[0].RetryAfter, ShouldBeGreaterThan, 0)
 	})
 }
+
+func TestRefusesLate(t *testing.T) {
+	for _, factor := range []float64{1.8, 2.2} {
+		Convey(fmt.Sprintf("at %.1f times the usual load, refusing requests that would be late while others wait", factor), t, func() {
+			with, _ := simulate(place.DefaultTuning(), factor, nil)
+			none := place.DefaultTuning()
+			none.SendLate = true
+			without, _ := simulate(none, factor, nil)
+			Printf("\n  refuses %v\n  sends   %v\n", &with, &without)
+			Convey("answers more in time, of each priority", func() {
+				So(with.InTimeShare(), ShouldBeGreaterThan, without.InTimeShare()+0.01)
+				for priority := range loadsim.Priorities {
+					So(with.InTimeShareOf(priority), ShouldBeGreaterThanOrEqualTo, without.InTimeShareOf(priority))
+				}
+			})
+			Convey("and leaves hardly more callers without an answer", func() {
+				So(with.RefusedShare(), ShouldBeLessThan, without.RefusedShare()+0.01)
+			})
+		})
+	}
+}
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -273,7 +273,7 @@
 	case r.phase == hedgeProbing:
 		p.hedge(now, r)
 	case r.phase == queued && now >= r.waitUntil:
-		if u := p.lastResort(now, r); u != nil {
+		if u := p.lastResort(now, r); u != nil && !p.betterRefused(now, r, u) {
 			p.send(now, r, u)
 			return
 		}
