--- a/core/discovery/registry.go
+++ b/core/discovery/registry.go
@@ -168,10 +168,10 @@
 	return true
 }
 
-// missing handles an entry that a full read at revision at no longer contained. If an outage may have
-// caused it to expire, the entry stays for missingGrace, unless its upstream was
-// leaving. Otherwise it is dropped. Explicit removals don't get here: Apply drops those
-// at once.
+// missing handles an entry that a full read no longer contained; at is the revision of
+// the read. If an outage may have caused the entry to expire, it stays for missingGrace,
+// unless its upstream was leaving. Otherwise it is dropped. Explicit removals don't get
+// here: Apply drops those at once.
 func (r *Registry) missing(now clock.Millis, id string, at revision.Revision) (changed bool) {
 	e := r.entries[id]
 	if e.Leaving || !r.outage || now-r.outageAt > outageEffect {
