platform client, stand-in: the project's own name for the era's header; overlay: addresses for callers in a file of their own

Store-Era is a name of the users' platform, which only platform/ may know. The protocol of siskinpathd's own platform is the project's: Siskin-Store-Era. Nothing that siskinpath-entry does is changed.

--- /dev/null
+++ b/core/overlay/addresses.go
@@ -0,0 +1,50 @@
+package overlay
+
+import (
+	"math/rand/v2"
+	"slices"
+)
+
+// CallerAddresses returns up to most addresses for callers of an availability
+// zone: this host if it is ready, then other ready hosts that are live. Those
+// of other zones are added only if there are fewer than minAddresses.
+func (o *Overlay) CallerAddresses(zone string, limit int, rnd *rand.Rand) (addresses []string) {
+	near, far := []string{}, []string{}
+	for id, h := range o.liveHosts() {
+		switch {
+		case !h.Ready || id == o.Self.ID:
+		case h.AvailabilityZone == zone:
+			near = append(near, h.CallerAddress)
+		default:
+			far = append(far, h.CallerAddress)
+		}
+	}
+	if o.Self.Ready {
+		addresses = append(addresses, o.Self.CallerAddress)
+	}
+	shuffled := func(list []string) []string {
+		slices.Sort(list)
+		rnd.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		return list
+	}
+	addresses = append(addresses, shuffled(near)...)
+	if len(addresses) < minAddresses {
+		addresses = append(addresses, shuffled(far)...)
+	}
+	return addresses[:min(limit, len(addresses))]
+}
+
+// liveHosts returns the hosts that a source reports and the subscribers of this
+// one.
+func (o *Overlay) liveHosts() map[string]Host {
+	out := map[string]Host{}
+	for _, hosts := range o.reported {
+		for id, h := range hosts {
+			out[id] = h
+		}
+	}
+	for id, h := range o.subscribers {
+		out[id] = h
+	}
+	return out
+}
--- a/siskinpathd/platform/client.go
+++ b/siskinpathd/platform/client.go
@@ -53,7 +53,7 @@
 
 // headerEra counts how often the platform has come back from an older copy of its rows.
 // A platform that never does may leave it out.
-const headerEra = "Store-Era"
+const headerEra = "Siskin-Store-Era"
 
 // handleEra compares the era of a reply with that of the replies before.
 func (c *Client) handleEra(value []byte) {
--- a/siskinpathd/platform/client_test.go
+++ b/siskinpathd/platform/client_test.go
@@ -278,7 +278,7 @@
 			}
 		})
 		convey.Convey("reads the era from replies, before it returns them", func() {
-			p := startPlatform(strings.Replace(reply(200, `{"rows":[{"key":"a","version":1}]}`), "\r\n", "\r\nStore-Era: 4\r\n", 1))
+			p := startPlatform(strings.Replace(reply(200, `{"rows":[{"key":"a","version":1}]}`), "\r\n", "\r\nSiskin-Store-Era: 4\r\n", 1))
 			convey.Reset(func() { _ = p.listener.Close() })
 			c.Address = p.listener.Addr().String()
 			c.handleEra([]byte("3"))
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -124,7 +124,7 @@
 		}
 		faults.delay()
 		h(ctx)
-		ctx.Response.Header.Set("Store-Era", strconv.FormatUint(s.store.Era(), 10))
+		ctx.Response.Header.Set("Siskin-Store-Era", strconv.FormatUint(s.store.Era(), 10))
 	}
 }
 
--- a/standin/platform/server_test.go
+++ b/standin/platform/server_test.go
@@ -153,7 +153,7 @@
 			resp, err := p.client.Post(p.serviceURL+"/v1/read", "application/json", strings.NewReader(`{"keys":["a"]}`))
 			So(err, ShouldBeNil)
 			defer resp.Body.Close()
-			return resp.Header.Get("Store-Era")
+			return resp.Header.Get("Siskin-Store-Era")
 		}
 		put := func(value string) {
 			status, _, err := p.post(p.serviceURL+"/v1/transaction", `{"puts":[{"key":"a","value":"`+value+`"}]}`)
