--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -210,3 +210,15 @@
 		})
 	}
 }
+
+// TestRefusesLateFarAboveCapacity is listed in KNOWN-RED.txt.
+func TestRefusesLateFarAboveCapacity(t *testing.T) {
+	Convey("at 2.6 times the usual load, refusing requests that would be late while others wait answers more in time", t, func() {
+		with, _ := simulate(place.DefaultTuning(), 2.6, nil)
+		none := place.DefaultTuning()
+		none.SendLate = true
+		without, _ := simulate(none, 2.6, nil)
+		Printf("\n  refuses %v\n  sends   %v\n", &with, &without)
+		So(with.InTimeShare(), ShouldBeGreaterThan, without.InTimeShare())
+	})
+}
