--- a/siskinpathd/relay/relay.go
+++ b/siskinpathd/relay/relay.go
@@ -69,6 +69,7 @@
 	hostsAdded  chan struct{}   // signals that hosts were added, which may be better sources
 	ln          net.Listener
 	restored    atomic.Bool // the store has come back from an older copy
+	follows     bool        // the last result of ShouldFollowStore
 }
 
 // Bind opens the listener.
@@ -129,7 +130,13 @@
 func (r *Relay) ShouldFollowStore() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.overlay.ShouldFollowStore(r.Clock.Now())
+	now := r.Clock.Now()
+	follows := r.overlay.ShouldFollowStore(now)
+	if follows != r.follows {
+		r.follows = follows
+		r.Log.Info("follows the store itself", "follows", follows, "sources", r.overlay.SourceStates(now))
+	}
+	return follows
 }
 
 // Size returns the number of hosts, including this one.
--- a/siskinpathd/watch/watch.go
+++ b/siskinpathd/watch/watch.go
@@ -58,7 +58,8 @@
 	// It may be nil.
 	OnRecovery func()
 
-	failures int // consecutive failed calls
+	failures    int       // consecutive failed calls
+	respondedAt time.Time // of the last successful call
 }
 
 // ReadWhole reads the table in full at once, beside Run, if it is of an older era. It
@@ -139,7 +140,7 @@
 func (w *Watcher) handleFailure(ctx context.Context, err error) {
 	w.failures++
 	if w.failures == 1 {
-		w.Log.Warn("store lost", "table", w.Name, "err", err)
+		w.Log.Warn("store lost", "table", w.Name, "responded_ms_ago", w.sinceResponse(), "err", err)
 	}
 	if w.OnFailure != nil {
 		w.OnFailure(err)
@@ -147,7 +148,16 @@
 	pause(ctx, min(w.MaxRetryDelay, w.RetryDelay<<min(w.failures-1, 6)))
 }
 
+// sinceResponse returns the time in ms since the store last responded, -1 if it never did.
+func (w *Watcher) sinceResponse() int64 {
+	if w.respondedAt.IsZero() {
+		return -1
+	}
+	return time.Since(w.respondedAt).Milliseconds()
+}
+
 func (w *Watcher) handleSuccess() {
+	w.respondedAt = time.Now()
 	if w.failures == 0 {
 		return
 	}
