overlay, relay, watch: hosts ask the store themselves before a change can be late

Cause: a host relied on its sources as long as they sent heartbeats. Class: spans that each look small add up past the bound, and none of them is derived from it. Ruled out: silent sessions (no session was lost), changes that wait in a batch (none did).

Change: each host counts the age of its tables from what the store or its sources have last confirmed, and asks the store itself before the age reaches the bound of the settings. All waits lie inside that one age. Every table gets a response of the store each second or 1.2 s (a configuration was asked for each 1.2 s, upstreams each 4 s); a late one is given up within the bound too. A host without a way to the store listens to three more hosts.

--- a/core/overlay/overlay.go
+++ b/core/overlay/overlay.go
@@ -83,8 +83,12 @@
 // Overlay is one host's view of the overlay. Set the exported fields before
 // use. An Overlay is not safe for concurrent use.
 type Overlay struct {
-	Self Host
+	Self   Host
+	Tables []string // names of the tables whose age is counted
+	Spans  Spans
 
+	tables        map[string]*tableAge
+	ageFrom       clock.Millis // time from which ages count before a table is known
 	known         map[string]*knownHost
 	sessions      map[string]*session
 	reported      map[string]map[string]Host // by id of the source, then by id of the host
@@ -191,11 +195,13 @@
 func (o *Overlay) Sources(now clock.Millis) (sources []Host) {
 	o.init()
 	hosts := o.reachable(now)
-	relays := o.relayCount()
-	first := hosts[:min(len(hosts), SourceCount)]
-	next := hosts[len(first):min(len(hosts), SourceCount+relays)]
-	if relays > 0 && !containsHost(first, o.Self.ID) && !containsHost(next, o.Self.ID) {
-		first = o.nearest(next)
+	count := SourceCount
+	if o.NeedsMoreSources(now) {
+		count *= 2
+	}
+	first := hosts[:min(len(hosts), count)]
+	if o.isLeaf(hosts) {
+		first = o.nearest(o.relays(hosts), count)
 	}
 	for _, h := range first {
 		if h.ID != o.Self.ID {
@@ -214,10 +220,21 @@
 	return 0
 }
 
-// nearest returns the hosts of list to use as sources. Those of this host's
+// relays returns the relays among the reachable hosts by rank.
+func (o *Overlay) relays(hosts []Host) []Host {
+	first := min(len(hosts), SourceCount)
+	return hosts[first:min(len(hosts), SourceCount+o.relayCount())]
+}
+
+// isLeaf reports whether this host receives changes from relays.
+func (o *Overlay) isLeaf(hosts []Host) bool {
+	return o.relayCount() > 0 && !containsHost(hosts[:min(len(hosts), SourceCount+o.relayCount())], o.Self.ID)
+}
+
+// nearest returns up to count hosts of list to use as sources. Those of this host's
 // availability zone come first; within a zone each host has its own order,
 // which spreads the load.
-func (o *Overlay) nearest(list []Host) []Host {
+func (o *Overlay) nearest(list []Host, count int) []Host {
 	list = slices.Clone(list)
 	zoneDistance := func(h Host) int {
 		if h.AvailabilityZone == o.Self.AvailabilityZone {
@@ -228,7 +245,7 @@
 	slices.SortFunc(list, func(a, b Host) int {
 		return cmp.Or(cmp.Compare(zoneDistance(a), zoneDistance(b)), cmp.Compare(rank(o.Self.ID, a), rank(o.Self.ID, b)))
 	})
-	return list[:min(len(list), SourceCount)]
+	return list[:min(len(list), count)]
 }
 
 func containsHost(list []Host, id string) bool {
@@ -302,17 +319,22 @@
 	if o.hasPeers && containsHost(hosts[:min(len(hosts), SourceCount)], o.Self.ID) {
 		return true
 	}
+	leaf := o.isLeaf(hosts)
+	tooOld := o.tooOld(now, !leaf && o.relayCount() > 0)
 	anySource := false
 	for _, s := range o.sessions {
 		if s.lastMessageAt == 0 || now-s.lastMessageAt > staleAfter {
 			continue
 		}
-		if !s.storeLost {
+		if !s.storeLost && !tooOld {
 			o.noSourceSince, o.sourceWait = 0, noSourceWait
 			return false
 		}
 		anySource = true
 	}
+	if tooOld && (!leaf || !anySource) {
+		return true
+	}
 	if o.noSourceSince == 0 {
 		o.noSourceSince = now
 	}
@@ -361,6 +383,7 @@
 func (o *Overlay) Start(now, sourceWait clock.Millis) {
 	o.init()
 	o.noSourceSince, o.sourceWait = now, sourceWait
+	o.ageFrom = now + sourceWait
 }
 
 // HandleHostList sets how long this host waits for a first source, now that it has read
--- a/siskinpathd/entry/follow.go
+++ b/siskinpathd/entry/follow.go
@@ -14,17 +14,9 @@
 )
 
 const (
-	// batchInterval is the pause between two reads of changes by a host that follows the
-	// store. Changes must be in force on all hosts two seconds after they were
-	// accepted.
-	batchInterval = 1000 * clock.Millisecond
-	// longPollTimeout is how long the store may hold a read while nothing changes. A
-	// store that stops responding is detected only after this time.
-	longPollTimeout = 4 * clock.Second
-	// configLongPollTimeout replaces longPollTimeout for the configuration. Its responses
-	// show within this time that the store has come back from an older copy, also if the
-	// host has made no call while the store was away.
-	configLongPollTimeout = 1200 * clock.Millisecond
+	// maxBatchInterval limits the pause between two reads of changes by a host that
+	// follows the store.
+	maxBatchInterval = 1000 * clock.Millisecond
 	// storeRetryDelay is the pause after a failed call to the store. It doubles with
 	// each further failure up to storeMaxRetryDelay.
 	storeRetryDelay    = 100 * clock.Millisecond
@@ -95,7 +87,7 @@
 			CallerAddress: cfg.Listen.Caller, PeerAddress: cmp.Or(cfg.Listen.PeerAdvertised, cfg.Listen.Peer),
 			Capacity: capacity(cfg),
 		},
-		ListenAddress: cfg.Listen.Peer, Clock: n.Clock, Log: n.Log,
+		ListenAddress: cfg.Listen.Peer, Clock: n.Clock, Log: n.Log, Spans: overlay.NewSpans(cfg.Bounds.change()),
 		StartupWait: n.relayStartupWait(),
 		StoreLost:   func() bool { return n.failedStoreCalls.Load() > 0 },
 		OnStoreLost: n.recordStoreLoss,
@@ -118,15 +110,17 @@
 
 func (n *Node) initWatchers() {
 	config := n.watcher(tableConfig, n.Config.Source, n.configTable.Revision, n.configTable.Merge)
-	config.LongPollTimeout = configLongPollTimeout
 	upstreams := n.watcher(tableUpstreams, n.Discovery.Source, n.upstreamTable.Revision, n.upstreamTable.Merge)
 	n.watchers = []*watch.Watcher{config, upstreams}
 }
 
 func (n *Node) watcher(name string, s watch.Source, known func() (revision.Revision, bool), merge func(watch.Update) bool) *watch.Watcher {
+	spans := n.relay.Spans
 	return &watch.Watcher{
-		Name: name, Source: s, Log: n.Log, Revision: known, Merge: merge, Enabled: n.relay.ShouldFollowStore,
-		BatchInterval: batchInterval, LongPollTimeout: longPollTimeout, RetryDelay: storeRetryDelay, MaxRetryDelay: storeMaxRetryDelay,
+		Name: name, Source: s, Log: n.Log, Clock: n.Clock, Revision: known, Merge: merge, Enabled: n.relay.ShouldFollowStore,
+		Confirm:       func(at clock.Millis) { n.relay.ConfirmTable(name, at) },
+		BatchInterval: min(spans.Poll, maxBatchInterval), PollInterval: spans.Poll, ResponseMargin: spans.ResponseMargin,
+		RetryDelay: storeRetryDelay, MaxRetryDelay: storeMaxRetryDelay,
 		OnFailure: func(error) {
 			n.failedStoreCalls.Add(1)
 			n.recordStoreLoss()
--- a/siskinpathd/entry/settings.go
+++ b/siskinpathd/entry/settings.go
@@ -1,10 +1,13 @@
 package entry
 
 import (
+	"cmp"
+
 	"github.com/BurntSushi/toml"
 	"github.com/pkg/errors"
 
 	"siskinpath/core/clock"
+	"siskinpath/core/overlay"
 )
 
 // Settings holds the settings of a host. Times are in milliseconds.
@@ -16,6 +19,7 @@
 	Listen           Listen   `toml:"listen"`
 	Platform         Platform `toml:"platform"`
 	Budgets          Budgets  `toml:"budgets"`
+	Bounds           Bounds   `toml:"bounds"`
 	Shutdown         Shutdown `toml:"shutdown"`
 	Log              LogLimit `toml:"log"`
 	MemoryMB         int      `toml:"memory_mb"` // memory limit of the process
@@ -47,6 +51,22 @@
 	AddressTTLMs    clock.Millis `toml:"address_ttl_ms"`    // longest time for which callers may keep addresses
 }
 
+// Bounds holds the times within which this host must know what the platform has
+// accepted. Those that are not set are defaultChangeBound.
+type Bounds struct {
+	ConfigurationMs float64 `toml:"configuration_ms"` // a configuration is in force
+	LeavingMs       float64 `toml:"leaving_ms"`       // an upstream that leaves gets nothing more
+}
+
+// defaultChangeBound is the bound for changes if the settings give none.
+const defaultChangeBound = 2 * clock.Second
+
+// change returns the bound for changes of any table.
+func (b Bounds) change() clock.Millis {
+	or := func(ms float64) clock.Millis { return cmp.Or(clock.Millis(ms), defaultChangeBound) }
+	return min(or(b.ConfigurationMs), or(b.LeavingMs))
+}
+
 // Shutdown holds the settings of a shutdown.
 type Shutdown struct {
 	GraceMs clock.Millis `toml:"grace_ms"` // time from the stop signal until the process is killed
@@ -90,6 +110,9 @@
 		return errors.Errorf("budgets.repeat_ratio is %v: must be between 0 and 1", s.Budgets.RepeatRatio)
 	case s.Budgets.AddressTTLMs <= 0:
 		return errors.Errorf("budgets.address_ttl_ms is %d: must be greater than 0", s.Budgets.AddressTTLMs)
+	case s.Bounds.change() < overlay.MinBound:
+		return errors.Errorf("bounds: configuration_ms is %v and leaving_ms %v: must be at least %d, or 0 for the default",
+			s.Bounds.ConfigurationMs, s.Bounds.LeavingMs, overlay.MinBound)
 	case s.Shutdown.GraceMs <= 0:
 		return errors.Errorf("shutdown.grace_ms is %d: must be greater than 0", s.Shutdown.GraceMs)
 	}
--- a/siskinpathd/relay/relay.go
+++ b/siskinpathd/relay/relay.go
@@ -10,8 +10,10 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,6 +43,8 @@
 	sessionsLost    = metrics.NewCounter("relay_sessions_lost_total")
 	updatesSent     = metrics.NewCounter("relay_updates_sent_total")
 	updatesReceived = metrics.NewCounter("relay_updates_received_total")
+	followsStore    = metrics.NewGauge("follows_store", nil)     // 1 while this host follows the store itself
+	tableAge        = metrics.NewGauge("table_age_seconds", nil) // of the oldest table, at the last heartbeat
 )
 
 // Relay manages a host's sessions to its sources and from its subscribers. Set the
@@ -51,6 +55,7 @@
 	Clock         clock.Clock
 	Log           *slog.Logger
 	Tables        map[string]watch.Replica
+	Spans         overlay.Spans
 	// StartupWait is how long this host waits for a source after its start before it
 	// reads the store itself.
 	StartupWait clock.Millis
@@ -66,10 +71,11 @@
 	subscribers map[*subscriber]bool
 	hostChanges []*relaypb.Host // changes of hosts not yet sent to subscribers
 	selfChanged chan struct{}   // closed when this host's own entry changes
-	hostsAdded  chan struct{}   // signals that hosts were added, which may be better sources
+	newSources  chan struct{}   // signals that other hosts may be better sources now
 	ln          net.Listener
 	restored    atomic.Bool // the store has come back from an older copy
 	follows     bool        // the last result of ShouldFollowStore
+	moreSources bool        // more sources than usual are needed
 }
 
 // Bind opens the listener.
@@ -77,8 +83,9 @@
 	r.sessions = map[string]*session{}
 	r.subscribers = map[*subscriber]bool{}
 	r.selfChanged = make(chan struct{})
-	r.hostsAdded = make(chan struct{}, 1)
-	r.overlay.Self = r.Self
+	r.newSources = make(chan struct{}, 1)
+	r.overlay.Self, r.overlay.Spans = r.Self, r.Spans
+	r.overlay.Tables = slices.Sorted(maps.Keys(r.Tables))
 	r.overlay.Start(r.Clock.Now(), r.StartupWait)
 	r.ln, err = net.Listen("tcp", r.ListenAddress)
 	return errors.WithMessagef(err, "peer listener %s", r.ListenAddress)
@@ -99,7 +106,7 @@
 			return
 		case <-sources.C:
 			r.updateSessions(ctx)
-		case <-r.hostsAdded:
+		case <-r.newSources:
 			r.updateSessions(ctx)
 		case <-heartbeat.C:
 			r.sendHeartbeat()
@@ -112,8 +119,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.overlay.AddHosts(hosts)
+	r.signalNewSources()
+}
+
+func (r *Relay) signalNewSources() {
 	select {
-	case r.hostsAdded <- struct{}{}:
+	case r.newSources <- struct{}{}:
 	default: // a signal is already pending
 	}
 }
@@ -134,7 +145,16 @@
 	follows := r.overlay.ShouldFollowStore(now)
 	if follows != r.follows {
 		r.follows = follows
-		r.Log.Info("follows the store itself", "follows", follows, "sources", r.overlay.SourceStates(now))
+		followsStore.Set(0)
+		if follows {
+			followsStore.Set(1)
+		}
+		r.Log.Info("follows the store itself", "follows", follows, "age_ms", r.overlay.Age(now), "sources", r.overlay.SourceStates(now))
+	}
+	if more := r.overlay.NeedsMoreSources(now); more != r.moreSources {
+		r.moreSources = more
+		r.Log.Info("listens to more hosts", "more", more, "age_ms", r.overlay.Age(now), "sources", r.overlay.SourceStates(now))
+		r.signalNewSources()
 	}
 	return follows
 }
--- a/siskinpathd/relay/relay_test.go
+++ b/siskinpathd/relay/relay_test.go
@@ -26,9 +26,10 @@
 	table  *watch.Table[string]
 	cancel context.CancelFunc
 
-	mu   sync.Mutex
-	rows map[string]string
-	lost bool
+	mu     sync.Mutex
+	rows   map[string]string
+	lost   bool
+	silent bool // the store does not respond to this host, which has not noticed
 }
 
 func freeAddress() string {
@@ -43,7 +44,7 @@
 	h := &host{rows: map[string]string{}}
 	h.relay = &Relay{
 		Self:          overlay.Host{ID: id, Incarnation: 1, AvailabilityZone: "a", CallerAddress: id + ":80", PeerAddress: address, Capacity: 100},
-		ListenAddress: address, Clock: c, Log: log, StartupWait: 0,
+		ListenAddress: address, Clock: c, Log: log, StartupWait: 0, Spans: overlay.NewSpans(changeBound),
 		StoreLost:   func() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.lost },
 		OnStoreLost: func() {},
 	}
@@ -59,9 +60,26 @@
 	var ctx context.Context
 	ctx, h.cancel = context.WithCancel(context.Background())
 	go h.relay.Run(ctx)
+	go h.pollStore(ctx, c)
 	return h
 }
 
+// changeBound is the time within which the hosts must know of a change.
+const changeBound = 2 * clock.Second
+
+// pollStore stands in for the calls to the store: while the host follows it, it learns
+// again and again that its table lacks no change.
+func (h *host) pollStore(ctx context.Context, c clock.Clock) {
+	for ; ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
+		h.mu.Lock()
+		responds := !h.lost && !h.silent
+		h.mu.Unlock()
+		if _, known := h.table.Revision(); known && responds && h.relay.ShouldFollowStore() {
+			h.relay.ConfirmTable("t", c.Now())
+		}
+	}
+}
+
 func (h *host) apply(rows []watch.DecodedRow[string]) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -172,6 +190,28 @@
 				shouldBecome(h.relay.ShouldFollowStore)
 			}
 		})
+		silence := func(hosts ...*host) {
+			for _, h := range hosts {
+				h.mu.Lock()
+				h.silent = true
+				h.mu.Unlock()
+			}
+		}
+		Convey("follow the store themselves in time when it is silent for all that followed it", func() {
+			silence(following...)
+			begin := c.Now()
+			for _, h := range others {
+				shouldBecome(h.relay.ShouldFollowStore)
+			}
+			So(c.Now()-begin, ShouldBeLessThan, changeBound)
+		})
+		Convey("leave it to the host that hears from the store when it is silent for the others", func() {
+			silence(following[1:]...)
+			time.Sleep((changeBound + clock.Second).Duration())
+			for _, h := range others {
+				So(h.relay.ShouldFollowStore(), ShouldBeFalse)
+			}
+		})
 		Convey("close only the session on which an invalid message arrives", func() {
 			nc, err := net.Dial("tcp", others[0].relay.ListenAddress)
 			So(err, ShouldBeNil)
--- a/siskinpathd/relay/source.go
+++ b/siskinpathd/relay/source.go
@@ -111,10 +111,10 @@
 		if !r.comparable(s) {
 			continue
 		}
-		r.handleVersions(s, m)
 		if err = r.handleUpdates(m); err != nil {
 			return err
 		}
+		r.handleVersions(s, m)
 	}
 }
 
@@ -182,8 +182,10 @@
 func (r *Relay) HandleNewEra() { r.restored.Store(true) }
 
 // handleVersions fetches the changes that a source has and this host lacks.
-// Sources in this host's availability zone are preferred.
+// Sources in this host's availability zone are preferred. A table that lacks none is as
+// old as the source's.
 func (r *Relay) handleVersions(s *session, m *relaypb.FromWatcher) {
+	now := r.Clock.Now()
 	for _, k := range m.GetKnown() {
 		t := r.Tables[k.GetTable()]
 		if t == nil {
@@ -191,6 +193,9 @@
 		}
 		at := revisionFromWire(t, k.Era, k.GetVersion())
 		if !behind(t, at) {
+			r.mu.Lock()
+			r.overlay.ConfirmBySource(k.GetTable(), now, ageFromWire(k, m.GetStoreLost()))
+			r.mu.Unlock()
 			continue
 		}
 		if r.inSameZone(s) || !r.hasSameZoneSource() {
--- a/siskinpathd/relay/subscriber.go
+++ b/siskinpathd/relay/subscriber.go
@@ -4,6 +4,7 @@
 	"net"
 	"time"
 
+	"siskinpath/core/clock"
 	"siskinpath/core/overlay"
 	"siskinpath/core/revision"
 	"siskinpath/siskinpathd/relay/relaypb"
@@ -72,7 +73,9 @@
 		}
 		if u, ok := t.ChangesSince(revisionFromWire(t, f.Era, f.GetAfter())); ok {
 			updatesSent.Inc()
-			s.enqueue(encode(&relaypb.FromWatcher{Updates: []*relaypb.Update{updateToWire(u)}, StoreLost: r.storeLost()}))
+			m := r.lastChanges()
+			m.Updates = []*relaypb.Update{updateToWire(u)}
+			s.enqueue(encode(m))
 		}
 	}
 }
@@ -116,19 +119,43 @@
 func (r *Relay) lastChanges() *relaypb.FromWatcher {
 	m := &relaypb.FromWatcher{StoreLost: r.storeLost()}
 	for name, t := range r.Tables {
+		// The age is read first: a change in between only makes it too high.
+		age := r.tableAge(name)
 		if at, known := t.LastChange(); known {
-			m.Known = append(m.Known, knownToWire(name, at))
+			m.Known = append(m.Known, knownToWire(name, at, age))
 		}
 	}
 	return m
 }
 
+func (r *Relay) tableAge(name string) clock.Millis {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.overlay.TableAge(r.Clock.Now(), name)
+}
+
+// ConfirmTable records that the store has told this host every change of a table up to a
+// time, and announces it to all subscribers.
+func (r *Relay) ConfirmTable(name string, at clock.Millis) {
+	r.mu.Lock()
+	r.overlay.ConfirmByStore(name, at)
+	listening := len(r.subscribers) > 0
+	r.mu.Unlock()
+	if !listening {
+		return
+	}
+	if changed, known := r.Tables[name].LastChange(); known {
+		r.announce(&relaypb.FromWatcher{Known: []*relaypb.Known{knownToWire(name, changed, r.tableAge(name))}, StoreLost: r.storeLost()})
+	}
+}
+
 // sendHeartbeat sends a heartbeat with the last changes of the tables to all
 // subscribers.
 func (r *Relay) sendHeartbeat() {
 	m := r.lastChanges()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	tableAge.Set(r.overlay.Age(r.Clock.Now()).Duration().Seconds())
 	m.HostCount = uint32(r.overlay.Size())
 	b := encode(m)
 	for s := range r.subscribers {
@@ -139,7 +166,12 @@
 // AnnounceChange tells all subscribers that a table has changed. It is called with the
 // table locked.
 func (r *Relay) AnnounceChange(table string, at revision.Revision) {
-	b := encode(&relaypb.FromWatcher{Known: []*relaypb.Known{knownToWire(table, at)}, StoreLost: r.storeLost()})
+	r.announce(&relaypb.FromWatcher{Known: []*relaypb.Known{knownToWire(table, at, r.tableAge(table))}, StoreLost: r.storeLost()})
+}
+
+// announce sends a message to all subscribers.
+func (r *Relay) announce(m *relaypb.FromWatcher) {
+	b := encode(m)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for s := range r.subscribers {
--- a/siskinpathd/relay/wire.go
+++ b/siskinpathd/relay/wire.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
+	"siskinpath/core/clock"
 	"siskinpath/core/overlay"
 	"siskinpath/core/revision"
 	"siskinpath/siskinpathd/relay/relaypb"
@@ -78,8 +79,21 @@
 	}
 }
 
-func knownToWire(table string, at revision.Revision) *relaypb.Known {
-	return &relaypb.Known{Table: table, Version: at.Version, Era: &at.Era}
+func knownToWire(table string, at revision.Revision, age clock.Millis) *relaypb.Known {
+	ageMs := uint32(min(age, overlay.UnknownAge))
+	return &relaypb.Known{Table: table, Version: at.Version, Era: &at.Era, AgeMs: &ageMs}
+}
+
+// ageFromWire returns the age that a source has sent of its copy of a table. Sources of
+// older releases send none; they have every change unless they have lost the store.
+func ageFromWire(k *relaypb.Known, storeLost bool) clock.Millis {
+	if k.AgeMs != nil {
+		return clock.Millis(k.GetAgeMs())
+	}
+	if storeLost {
+		return overlay.UnknownAge
+	}
+	return 0
 }
 
 // revisionFromWire returns a revision that a peer has sent about t. Peers of older
--- a/siskinpathd/watch/watch.go
+++ b/siskinpathd/watch/watch.go
@@ -26,7 +26,8 @@
 	Snapshot(ctx context.Context) (rows []Row, at revision.Revision, err error)
 	// Changes returns the rows that changed after a revision. It blocks until
 	// there is one, and returns none when wait has passed. It fails with
-	// ErrHistoryGone when the store no longer keeps the changes since then.
+	// ErrHistoryGone when the store no longer keeps the changes since then, and at the
+	// deadline of ctx.
 	Changes(ctx context.Context, after revision.Revision, wait clock.Millis) (rows []Row, at revision.Revision, err error)
 }
 
@@ -43,11 +44,18 @@
 	// Enabled reports whether this host must follow the store itself. Nil means
 	// always.
 	Enabled func() bool
+	// Confirm is called with each time up to which the store has told this host every
+	// change of the table. It may be called by several goroutines at once.
+	Confirm func(at clock.Millis)
+	Clock   clock.Clock
 	// BatchInterval is the pause after changes were received. Changes made in the
 	// meantime arrive together in the next call.
 	BatchInterval clock.Millis
-	// LongPollTimeout is how long the store may hold a call while nothing changes.
-	LongPollTimeout clock.Millis
+	// PollInterval is the longest time between two responses of the store: it may hold a
+	// call for what is left of it while nothing changes.
+	PollInterval clock.Millis
+	// ResponseMargin is how much longer than the store may hold it a call may take.
+	ResponseMargin clock.Millis
 	// RetryDelay is the pause after the first failed call. It doubles with each
 	// further failure up to MaxRetryDelay.
 	RetryDelay    clock.Millis
@@ -58,8 +66,8 @@
 	// It may be nil.
 	OnRecovery func()
 
-	failures    int       // consecutive failed calls
-	respondedAt time.Time // of the last successful call
+	failures    int          // consecutive failed calls
+	respondedAt clock.Millis // end of the last successful call; 0 for none
 }
 
 // ReadWhole reads the table in full at once, beside Run, if it is of an older era. It
@@ -69,7 +77,7 @@
 	if at, known := w.Revision(); !known || at.Era >= era || w.Enabled != nil && !w.Enabled() {
 		return
 	}
-	if _, err := w.poll(ctx, true); err != nil {
+	if _, err := w.poll(ctx, true, 0); err != nil {
 		w.Log.Warn("table can't be read whole", "table", w.Name, "err", err)
 	}
 }
@@ -94,7 +102,7 @@
 			pause(ctx, poll)
 			continue
 		}
-		n, err := w.poll(ctx, full)
+		n, err := w.poll(ctx, full, max(0, w.PollInterval-w.sinceResponse()))
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -116,16 +124,20 @@
 	}
 }
 
-// poll makes one call to the store and merges its result. It returns the number
-// of rows received.
-func (w *Watcher) poll(ctx context.Context, full bool) (n int, err error) {
+// poll makes one call to the store, which may hold it for wait while nothing changes,
+// and merges its result. It returns the number of rows received.
+func (w *Watcher) poll(ctx context.Context, full bool, wait clock.Millis) (n int, err error) {
 	u := Update{Table: w.Name, Full: full}
 	after, known := w.Revision()
+	asOf := w.Clock.Now()
 	if full || !known {
 		u.Full = true
 		u.Rows, u.Revision, err = w.Source.Snapshot(ctx)
 	} else {
-		u.Rows, u.Revision, err = w.Source.Changes(ctx, after, w.LongPollTimeout)
+		timeout, cancel := context.WithTimeout(ctx, (wait + w.ResponseMargin).Duration())
+		u.Rows, u.Revision, err = w.Source.Changes(timeout, after, wait)
+		cancel()
+		asOf = min(w.Clock.Now(), asOf+wait)
 	}
 	if err != nil {
 		return 0, err
@@ -134,6 +146,7 @@
 	if !w.Merge(u) {
 		return 0, errors.Errorf("changes after revision %v leave a gap to the known rows", after)
 	}
+	w.Confirm(asOf)
 	return len(u.Rows), nil
 }
 
@@ -148,16 +161,12 @@
 	pause(ctx, min(w.MaxRetryDelay, w.RetryDelay<<min(w.failures-1, 6)))
 }
 
-// sinceResponse returns the time in ms since the store last responded, -1 if it never did.
-func (w *Watcher) sinceResponse() int64 {
-	if w.respondedAt.IsZero() {
-		return -1
-	}
-	return time.Since(w.respondedAt).Milliseconds()
-}
+// sinceResponse returns the time since the store last responded, a long one if it never
+// did.
+func (w *Watcher) sinceResponse() clock.Millis { return w.Clock.Now() - w.respondedAt }
 
 func (w *Watcher) handleSuccess() {
-	w.respondedAt = time.Now()
+	w.respondedAt = w.Clock.Now()
 	if w.failures == 0 {
 		return
 	}
--- a/siskinpathd/watch/watch_test.go
+++ b/siskinpathd/watch/watch_test.go
@@ -109,8 +109,9 @@
 	rep.table = &Table[string]{Name: "t", Log: slog.New(slog.DiscardHandler), Decode: decodeText, Apply: rep.apply}
 	w := &Watcher{
 		Name: "t", Source: f, Log: rep.table.Log, Revision: rep.table.Revision, Merge: rep.table.Merge,
-		Enabled:       func() bool { f.mu.Lock(); defer f.mu.Unlock(); return !f.disabled },
-		BatchInterval: 1, LongPollTimeout: 20, RetryDelay: 1, MaxRetryDelay: 5,
+		Enabled: func() bool { f.mu.Lock(); defer f.mu.Unlock(); return !f.disabled },
+		Clock:   clock.NewSystem(), Confirm: func(clock.Millis) {},
+		BatchInterval: 1, PollInterval: 20, ResponseMargin: 1000, RetryDelay: 1, MaxRetryDelay: 5,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
