--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -136,7 +136,7 @@
 
 func (p *Placer) recordProbe(now clock.Millis, u *upstream, res route.ProbeResult) {
 	u.probing = false
-	p.recordNotice(now, u, res.Notice, "")
+	p.recordProbeNotice(now, u, res.Notice)
 	if res.AddressReassigned {
 		p.suspend(now, u, "replaced", replacedPeriod)
 		return
@@ -160,7 +160,9 @@
 		u.report.InFlight--
 	}
 	p.recordLoad(now, u, res.Load, 0)
-	p.recordNotice(now, u, res.Notice, a.callerID)
+	if res.Status != route.NotSent && res.Status != route.ConnectionLost && res.Status != route.Cancelled && !res.AddressReassigned {
+		p.recordNotice(now, u, res.Notice, a.callerID)
+	}
 	switch res.Status {
 	case route.Succeeded:
 		p.updateTypicalTime(a, now-a.started)
--- a/core/place/notice.go
+++ b/core/place/notice.go
@@ -15,6 +15,8 @@
 	started     int64 // see Upstream.Started
 	leaving     bool
 	noneUntil   clock.Millis // it wants no request until then
+	perSecond   float64      // requests that it takes from all hosts together; 0 for no limit
+	inProbes    bool         // it names the limit in replies to probes too
 	lastHeardAt clock.Millis
 }
 
@@ -36,7 +38,7 @@
 // recordNotice records what u has said in a reply to the request with this caller's id,
 // or to a probe.
 func (p *Placer) recordNotice(now clock.Millis, u *upstream, said route.Notice, callerID string) {
-	if !said.Leaving && said.RetryAfter == 0 {
+	if !said.Leaving && said.RetryAfter == 0 && said.PerSecond == 0 && (u.notice == nil || u.notice.perSecond == 0) {
 		return
 	}
 	if u.notice == nil {
@@ -50,6 +52,10 @@
 		n.leaving = true
 		p.stateChanges = append(p.stateChanges, StateChange{Upstream: u.ID, State: "leaving", CallerID: callerID})
 	}
+	if said.PerSecond != n.perSecond {
+		n.perSecond = said.PerSecond
+		p.stateChanges = append(p.stateChanges, StateChange{Upstream: u.ID, State: StateLimited, PerSecond: said.PerSecond, CallerID: callerID})
+	}
 	if until := now + said.RetryAfter; said.RetryAfter > 0 && until > n.noneUntil {
 		if now >= n.noneUntil {
 			p.stateChanges = append(p.stateChanges, StateChange{Upstream: u.ID, State: "back_pressure", For: said.RetryAfter, CallerID: callerID})
@@ -58,6 +64,19 @@
 	}
 }
 
+// recordProbeNotice records what u has said in a reply to a probe. That the reply names
+// no limit counts only if an earlier one did.
+func (p *Placer) recordProbeNotice(now clock.Millis, u *upstream, said route.Notice) {
+	named := said.PerSecond > 0
+	if n := u.notice; n != nil && !named && !n.inProbes {
+		said.PerSecond = n.perSecond
+	}
+	p.recordNotice(now, u, said, "")
+	if named {
+		u.notice.inProbes = true
+	}
+}
+
 // dropOldNotices forgets upstreams that are not listed and were last heard from long
 // ago.
 func (p *Placer) dropOldNotices(now clock.Millis) {
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -126,12 +126,18 @@
 	Hedge    bool
 }
 
-// StateChange records that a Placer has taken an upstream out of use.
+// StateLimited is the state of an upstream that has named a limit, or no longer does.
+const StateLimited = "limited"
+
+// StateChange records that a Placer has taken an upstream out of use, or that the limit
+// that an upstream names has changed.
 type StateChange struct {
 	Upstream string
-	State    string       // "ejected", "unreachable", "replaced", "draining", "leaving" or "back_pressure"
+	State    string       // "ejected", "unreachable", "replaced", "draining", "leaving", "back_pressure" or StateLimited
 	For      clock.Millis // 0 for the rest of the upstream's life
 	Failures int          // consecutive
 	Success  float64      // success rate, 0 to 1
-	CallerID string       // of the request whose reply caused the change; "" for a probe, and for other changes
+	// PerSecond is the limit, 0 when there is none any more. Only set with StateLimited.
+	PerSecond float64
+	CallerID  string // of the request whose reply caused the change; "" for a probe, and for other changes
 }
--- a/core/route/types.go
+++ b/core/route/types.go
@@ -81,6 +81,9 @@
 type Notice struct {
 	Leaving    bool         // it is about to end
 	RetryAfter clock.Millis // it wants no request from this host for so long; 0 if it does not say so
+	// PerSecond is how many requests a second it takes from all hosts together while it
+	// says so; 0 if it names no limit.
+	PerSecond float64
 }
 
 // Digest is the load of one owner, as it reports it to the other owners of the
--- a/siskinpathd/upstream/dialect.go
+++ b/siskinpathd/upstream/dialect.go
@@ -25,6 +25,7 @@
 	Load           string // on replies: load report, parsed by ParseLoad
 	ParseLoad      func([]byte) *route.LoadReport
 	Leaving        string // on replies: set if the upstream is about to end
+	Limit          string // on replies: requests a second that the upstream takes from all hosts together
 	// RetryAfter reads the Retry-After header of replies with status 503.
 	RetryAfter bool
 	// ReassignedStatus is the HTTP status of a reply from an upstream other than the
@@ -143,12 +144,25 @@
 // notice returns what an upstream says about itself in a reply.
 func (d *Dialect) notice(resp *fasthttp.Response) (n route.Notice) {
 	n.Leaving = d.Leaving != "" && len(resp.Header.Peek(d.Leaving)) > 0 && string(resp.Header.Peek(d.Leaving)) != "0"
+	if d.Limit != "" {
+		n.PerSecond = parseLimit(string(resp.Header.Peek(d.Limit)))
+	}
 	if d.RetryAfter && resp.StatusCode() == fasthttp.StatusServiceUnavailable {
 		n.RetryAfter = parseRetryAfter(string(resp.Header.Peek(fasthttp.HeaderRetryAfter)), time.Now())
 	}
 	return n
 }
 
+// parseLimit parses a number of requests a second. It returns 0, which means no limit,
+// for one that is missing or malformed.
+func parseLimit(value string) float64 {
+	perSecond, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(perSecond > 0) || math.IsInf(perSecond, 0) {
+		return 0
+	}
+	return perSecond
+}
+
 // maxRetryAfter bounds the time for which an upstream may turn this host away with one
 // reply. Operators see such an upstream in the state dump long before.
 const maxRetryAfter = clock.Hour
@@ -190,5 +204,5 @@
 // isInternalHeader reports whether a reply header is meant for the host and is not
 // forwarded to the caller.
 func (d *Dialect) isInternalHeader(name string) bool {
-	return name == d.Load || name == d.NotExecuted || name == d.Leaving || name == d.RequestID && !d.PreserveRequestID
+	return name == d.Load || name == d.NotExecuted || name == d.Leaving || name == d.Limit || name == d.RequestID && !d.PreserveRequestID
 }
