upstream: a chunked reply is complete only with its end

A reply in chunks that was cut after its last chunk, or in a trailer, was passed on as complete, and its connection was never used again, as the end stayed unread. Cause: the body was read without its trailer section. Found by a test of upstreams that send trailers without end. TestChunkedReplyWithoutEnd failed before in all four cases: two cut replies succeeded, two complete ones needed a second connection.

--- a/siskinpathd/upstream/attempt.go
+++ b/siskinpathd/upstream/attempt.go
@@ -206,7 +206,12 @@
 		}
 		c.notReusable = true
 	}
-	if err = resp.ReadBody(c.r, a.MaxBodyBytes); err != nil {
+	chunked := resp.Header.ContentLength() == chunkedLength
+	err = resp.ReadBody(c.r, a.MaxBodyBytes)
+	if err == nil && chunked {
+		err = resp.Header.ReadTrailer(c.r)
+	}
+	if err != nil {
 		repliesTruncated.Inc()
 	}
 	return err
@@ -229,6 +234,9 @@
 	return method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 }
 
+// chunkedLength is the content length that fasthttp returns for a body in chunks.
+const chunkedLength = -1
+
 // untilCloseLength is the content length that fasthttp returns for a body that ends
 // when the connection closes.
 const untilCloseLength = -2
