upstream: replies that never end are cut by a budget of bytes

Cause: a reply was bounded only by the longest body that callers may send (64 MB on the deployments) and by its deadline, each reply for itself, and interim replies (1xx) were skipped without bound. Change: all replies that a host reads share an eighth of its memory, and one reply a quarter of that, heads and skipped replies counted.

--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -110,7 +110,7 @@
 
 func (n *Node) initialise() {
 	n.settings.Store(n.Settings)
-	n.pools = &UpstreamPools{Clock: n.Clock, Dialect: n.UpstreamDialect}
+	n.pools = &UpstreamPools{Clock: n.Clock, Dialect: n.UpstreamDialect, Replies: replyBudget(n.cfg().MemoryMB)}
 	n.decisions = &decisionLog{log: n.Log, clock: n.Clock, limit: n.LogLimiter}
 	n.dispatchers = map[string]*Dispatcher{}
 	n.registerAgain = make(chan struct{}, 1)
--- a/siskinpathd/entry/pools.go
+++ b/siskinpathd/entry/pools.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"sync"
 
@@ -23,12 +24,26 @@
 	// defaultIdleTimeout is how long an idle connection is kept if the upstream does
 	// not announce its own idle time-out.
 	defaultIdleTimeout = 5 * clock.Second
+	// replyMemoryShare is the share of the process's memory that the replies being read
+	// may have sent. Buffers that grow take about twice as much for a moment.
+	replyMemoryShare = 0.125
+	// replyMemoryParts is how many replies may be as long as allowed at the same time.
+	replyMemoryParts = 4
+	// defaultMemoryMB replaces the memory limit if the settings give none.
+	defaultMemoryMB = 256
 )
 
+// replyBudget returns the limits on replies for a process with a memory limit.
+func replyBudget(memoryMB int) *upstream.ReplyBudget {
+	total := int64(replyMemoryShare * float64(cmp.Or(memoryMB, defaultMemoryMB)<<20))
+	return &upstream.ReplyBudget{PerReply: total / replyMemoryParts, Total: total}
+}
+
 // UpstreamPools holds the connection pools of all upstreams in discovery.
 type UpstreamPools struct {
 	Clock   clock.Clock
 	Dialect *upstream.Dialect
+	Replies *upstream.ReplyBudget // limits the replies being read; nil means no limit
 
 	mu    sync.RWMutex
 	pools map[string]*pooledUpstream // by upstream id
@@ -55,7 +70,7 @@
 		t := old[k.ID]
 		if t == nil || t.Address != k.Address {
 			t = &pooledUpstream{id: k.ID, Pool: &upstream.Pool{
-				Address: k.Address, DialTimeout: dialTimeout, Clock: p.Clock, Dialect: p.Dialect, IdleTimeout: defaultIdleTimeout, ReplyGracePeriod: replyGrace,
+				Address: k.Address, DialTimeout: dialTimeout, Clock: p.Clock, Dialect: p.Dialect, IdleTimeout: defaultIdleTimeout, ReplyGracePeriod: replyGrace, Replies: p.Replies,
 			}}
 		} else {
 			t = &pooledUpstream{id: k.ID, Pool: t.Pool}
--- a/siskinpathd/upstream/attempt.go
+++ b/siskinpathd/upstream/attempt.go
@@ -64,7 +64,10 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
+	c.meter = &replyMeter{budget: p.Replies}
+	defer c.meter.release()
 	err = p.roundTrip(c, a, resp)
+	c.meter = nil
 	if err != nil {
 		stop()
 		result.Status = statusAfterFailure(ctx, c.written.Load())
--- a/siskinpathd/upstream/conn.go
+++ b/siskinpathd/upstream/conn.go
@@ -23,6 +23,7 @@
 	r               *bufio.Reader
 	w               *bufio.Writer
 	written         atomic.Int64
+	meter           *replyMeter // of the reply being read; nil for none
 	lastUsed        clock.Millis
 	peerIdleTimeout clock.Millis // the upstream's idle timeout less a margin; 0 if unknown
 	// notReusable is set if no other request may be sent on the connection, because
@@ -33,11 +34,22 @@
 
 func newConn(nc net.Conn) *conn {
 	c := &conn{Conn: nc}
-	c.r = bufio.NewReaderSize(nc, bufferBytes)
+	c.r = bufio.NewReaderSize(meteredReader{c}, bufferBytes)
 	c.w = bufio.NewWriterSize(countingWriter{c: c, nc: nc}, bufferBytes)
 	return c
 }
 
+// meteredReader reads from a connection as far as its meter allows.
+type meteredReader struct{ c *conn }
+
+func (r meteredReader) Read(b []byte) (n int, err error) {
+	n, err = r.c.Conn.Read(b)
+	if merr := r.c.meter.add(n); merr != nil {
+		return 0, merr
+	}
+	return n, err
+}
+
 // countingWriter counts the bytes that the kernel accepted for the connection.
 type countingWriter struct {
 	c  *conn
--- a/siskinpathd/upstream/probe.go
+++ b/siskinpathd/upstream/probe.go
@@ -33,7 +33,10 @@
 	}
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
+	c.meter = &replyMeter{budget: p.Replies}
+	defer c.meter.release()
 	err = probe(ctx, c, uri, resp)
+	c.meter = nil
 	if len(resp.Header.Peek(p.dialect().RequestID)) > 0 {
 		repliesMismatched.Inc()
 		err = errLateReply
