--- a/core/overlay/overlay.go
+++ b/core/overlay/overlay.go
@@ -312,7 +312,9 @@
 	return hosts
 }
 
-// ShouldFollowStore reports whether this host has to follow the store itself.
+// ShouldFollowStore reports whether this host has to follow the store itself: it is one
+// of the first by rank, its sources have failed it, or they leave its tables too old. A
+// leaf whose relays are all too old first waits for other relays that are not.
 func (o *Overlay) ShouldFollowStore(now clock.Millis) bool {
 	o.init()
 	hosts := o.reachable(now)
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -187,9 +187,16 @@
 // noneUsable reports whether no upstream is usable for r, so that waiting for a slot
 // can't help.
 func (p *Placer) noneUsable(now clock.Millis, r *request) bool {
-	return !slices.ContainsFunc(p.upstreams, func(u *upstream) bool {
-		return p.usable(now, r, u) || u.limited() && u.notice.freeAt(now) < r.waitUntil && p.usable(u.notice.freeAt(now), r, u)
-	})
+	return !slices.ContainsFunc(p.upstreams, func(u *upstream) bool { return p.usable(now, r, u) || p.hasTurnInTime(now, r, u) })
+}
+
+// hasTurnInTime reports whether u, which has named a limit, takes r while r may wait.
+func (p *Placer) hasTurnInTime(now clock.Millis, r *request, u *upstream) bool {
+	if !u.limited() {
+		return false
+	}
+	at := u.notice.freeAt(now)
+	return at < r.waitUntil && p.usable(at, r, u)
 }
 
 // cheapestOf returns the upstream of least cost in list that is usable, has room and
--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -163,7 +163,8 @@
 		u.report.InFlight--
 	}
 	p.recordLoad(now, u, res.Load, 0)
-	if res.Status != route.NotSent && res.Status != route.ConnectionLost && res.Status != route.Cancelled && !res.AddressReassigned {
+	replied := res.Status == route.Succeeded || res.Status == route.Errored || res.Status == route.Refused
+	if replied && !res.AddressReassigned {
 		p.recordNotice(now, u, res.Notice, a.callerID)
 	}
 	switch res.Status {
--- a/siskinpathd/relay/relay.go
+++ b/siskinpathd/relay/relay.go
@@ -44,7 +44,7 @@
 	updatesSent     = metrics.NewCounter("relay_updates_sent_total")
 	updatesReceived = metrics.NewCounter("relay_updates_received_total")
 	followsStore    = metrics.NewGauge("follows_store", nil)     // 1 while this host follows the store itself
-	tableAge        = metrics.NewGauge("table_age_seconds", nil) // of the oldest table, at the last heartbeat
+	oldestTableAge  = metrics.NewGauge("table_age_seconds", nil) // at the last heartbeat
 )
 
 // Relay manages a host's sessions to its sources and from its subscribers. Set the
--- a/siskinpathd/relay/subscriber.go
+++ b/siskinpathd/relay/subscriber.go
@@ -155,7 +155,7 @@
 	m := r.lastChanges()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	tableAge.Set(r.overlay.Age(r.Clock.Now()).Duration().Seconds())
+	oldestTableAge.Set(r.overlay.Age(r.Clock.Now()).Duration().Seconds())
 	m.HostCount = uint32(r.overlay.Size())
 	b := encode(m)
 	for s := range r.subscribers {
