--- a/siskinpathd/upstream/conn.go
+++ b/siskinpathd/upstream/conn.go
@@ -43,7 +43,7 @@
 type meteredReader struct{ c *conn }
 
 func (r meteredReader) Read(b []byte) (n int, err error) {
-	n, err = r.c.Conn.Read(b)
+	n, err = r.c.Read(b)
 	if merr := r.c.meter.add(n); merr != nil {
 		return 0, merr
 	}
