discovery: test of an upstream that writes its row again after a restore, known red

All rows lapsed at 11:23:01.834, and at 02.836 the store came back from a copy that still had them. The upstreams wrote their rows again within 1.5 s, but four of five hosts had none in use until 09.836, when the quarantine of restored upstreams ended. The quarantine should end when the row is written again; a row of the same content counts as unchanged, in the table (siskinpathd/watch) and in the registry.

--- a/core/discovery/registry_test.go
+++ b/core/discovery/registry_test.go
@@ -143,3 +143,18 @@
 		})
 	})
 }
+
+// TestRestoredAndWrittenAgainUnchanged guards against upstreams that stay out of use after a
+// restore of the store although they have written their rows again.
+func TestRestoredAndWrittenAgainUnchanged(t *testing.T) {
+	Convey("an upstream whose row was removed, that a restored store lists, and that writes the same row again, is used", t, func() {
+		r := &Registry{}
+		r.Apply(1000, []Entry{entryOf("a", 3)})
+		r.Apply(2000, []Entry{{ID: "a", Revision: at(5)}})
+		So(ids(r), ShouldBeEmpty)
+		r.Apply(3000, []Entry{restored(entryOf("a", 3))})
+		So(ids(r), ShouldBeEmpty)
+		r.Apply(4000, []Entry{restored(entryOf("a", 9))})
+		So(ids(r), ShouldResemble, []string{"a"})
+	})
+}
