entry: a lost attempt is logged with its request's content, and whether the upstream ended

After a lost attempt the host now looks at the upstream, and logs a fingerprint of the request that is the same on all hosts. Nothing is decided by it.

--- a/core/place/types.go
+++ b/core/place/types.go
@@ -124,6 +124,7 @@
 	Age      clock.Millis // of its report
 	Load     int          // requests running or queued there
 	Slots    int
+	Started  int64 // see Upstream.Started
 	Slowdown float64
 	Attempt  int // 1 for the first attempt of the request
 	Hedge    bool
--- a/siskinpathd/entry/conn.go
+++ b/siskinpathd/entry/conn.go
@@ -36,6 +36,7 @@
 	net.Conn
 	server    *Server
 	r         *bufio.Reader
+	caller    string // address of the caller, without its port
 	requests  chan *fasthttp.Request
 	inFlight  atomic.Int32 // requests read or being read, and not yet answered
 	lingering atomic.Bool  // the last response was written
@@ -50,7 +51,7 @@
 
 func (s *Server) serveConn(nc net.Conn) {
 	limits := s.Limits()
-	c := &conn{Conn: nc, server: s, requests: make(chan *fasthttp.Request, maxPipelined)}
+	c := &conn{Conn: nc, server: s, caller: callerAddress(nc), requests: make(chan *fasthttp.Request, maxPipelined)}
 	c.r = bufio.NewReaderSize(nc, limits.MaxHeaderBytes)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	if !s.addConn(c) {
@@ -62,6 +63,14 @@
 	c.handleReadEnd(err)
 }
 
+// callerAddress returns the address of the peer of a connection without its port.
+func callerAddress(nc net.Conn) string {
+	if a, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
+		return a.IP.String()
+	}
+	return nc.RemoteAddr().String()
+}
+
 // handleReadEnd ends the connection after readRequests has returned err. A caller
 // whose request could not be read is sent an error response first.
 func (c *conn) handleReadEnd(err error) {
@@ -261,7 +270,7 @@
 			c.writeReadError(w)
 			return
 		}
-		resp := c.server.Handle(c.ctx, req)
+		resp := c.server.Handle(c.ctx, req, c.caller)
 		last := c.closesAfter(req)
 		if err := c.write(w, req, resp, last); err != nil {
 			c.server.recordUndelivered(c, req, err)
--- a/siskinpathd/entry/decision_log.go
+++ b/siskinpathd/entry/decision_log.go
@@ -28,6 +28,7 @@
 	msgAnsweredLate   = "answered late"
 	msgAnsweredByHost = "answered by the host"
 	msgProbeFailed    = "probe failed"
+	msgLossChecked    = "upstream after a lost attempt"
 )
 
 // statusNames are the names of attempt statuses in log lines and metrics.
@@ -55,6 +56,14 @@
 	d.log.Info(msgAttemptEnded, "id", p.id, "service", service, "upstream", a.Upstream, "status", statusNames[res.Status], "err", err)
 }
 
+// logLoss logs whether an upstream has ended that has lost an attempt.
+func (d *decisionLog) logLoss(service string, p *pendingRequest, a place.Action, found string) {
+	if !d.limit.Allow(msgLossChecked) {
+		return
+	}
+	d.log.Info(msgLossChecked, "id", p.id, "content", p.content(), "service", service, "upstream", a.Upstream, "started", a.Sent.Started, "found", found)
+}
+
 // logProbeFailure logs a probe that returned no load, or a failed health check.
 func (d *decisionLog) logProbeFailure(service string, res route.ProbeResult, err error) {
 	if !d.limit.Allow(msgProbeFailed) {
--- a/siskinpathd/entry/dispatcher.go
+++ b/siskinpathd/entry/dispatcher.go
@@ -8,6 +8,7 @@
 
 	"siskinpath/core/clock"
 	"siskinpath/core/place"
+	"siskinpath/core/quarantine"
 	"siskinpath/core/route"
 	"siskinpath/siskinpathd/call"
 	"siskinpath/siskinpathd/upstream"
@@ -35,7 +36,8 @@
 // pendingRequest is a request that has been passed to the placer.
 type pendingRequest struct {
 	call    *call.Call
-	id      string // the caller's id of the request
+	id      string                        // the caller's id of the request
+	content func() quarantine.Fingerprint // of the request
 	maxBody int
 	replies map[route.AttemptID]*upstream.Reply
 	final   chan place.Action // receives the final action
@@ -67,8 +69,10 @@
 
 // Dispatch passes a request to the placer and waits for its outcome. If ctx ends first,
 // the request is cancelled.
-func (d *Dispatcher) Dispatch(ctx context.Context, c *call.Call, id string, maxBody int, in place.Request) outcome {
-	p := &pendingRequest{call: c, id: id, maxBody: maxBody, replies: map[route.AttemptID]*upstream.Reply{}, final: make(chan place.Action, 1)}
+func (d *Dispatcher) Dispatch(ctx context.Context, c *call.Call, r *request, maxBody int, in place.Request) outcome {
+	p := &pendingRequest{
+		call: c, id: r.id, content: r.content, maxBody: maxBody, replies: map[route.AttemptID]*upstream.Reply{}, final: make(chan place.Action, 1),
+	}
 	d.mu.Lock()
 	d.lastID++
 	in.ID = d.lastID
@@ -199,6 +203,9 @@
 		MaySend:      func() bool { return d.maySend(ctx, p.call) },
 	})
 	result.Attempt = a.Attempt
+	if result.Status == route.ConnectionLost {
+		go func() { d.Decisions.logLoss(d.Service, p, a, d.checkForCrash(a.Upstream)) }()
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	cancel := d.cancels[a.Attempt]
--- a/siskinpathd/entry/request.go
+++ b/siskinpathd/entry/request.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"context"
 	"strconv"
+	"sync"
 
 	"github.com/valyala/fasthttp"
 
 	"siskinpath/core/clock"
 	"siskinpath/core/config"
 	"siskinpath/core/place"
+	"siskinpath/core/quarantine"
 	"siskinpath/core/route"
 	"siskinpath/siskinpathd/call"
 )
@@ -40,15 +42,19 @@
 // request is a caller's request with its route, service and deadline.
 type request struct {
 	id       string
+	content  func() quarantine.Fingerprint // computed at the first call
 	arrived  clock.Millis
 	route    *config.Route
 	service  string
 	deadline clock.Millis
 }
 
-// handle returns the final response to a request.
-func (n *Node) handle(ctx context.Context, req *fasthttp.Request) *Response {
+// handle returns the final response to a request of the caller at an address.
+func (n *Node) handle(ctx context.Context, req *fasthttp.Request, caller string) *Response {
 	r := &request{id: string(req.Header.Peek(n.CallerHeaders.RequestID)), arrived: n.Clock.Now()}
+	r.content = sync.OnceValue(func() quarantine.Fingerprint {
+		return quarantine.Of(caller, string(req.Header.Method()), string(req.Header.Host()), string(req.Header.RequestURI()), req.Body())
+	})
 	resp := n.respond(ctx, req, r)
 	countResponse(r, resp, n.Clock.Now()-r.arrived)
 	return resp
@@ -75,7 +81,7 @@
 	if n.tooLateToStart(r) {
 		return n.decisions.logRefusal(r, reasonStopping, notRunResponse(reasonStopping, stoppingRetryAfter))
 	}
-	end := dispatcher.Dispatch(ctx, n.buildCall(req, r), r.id, cfg.Limits.MaxBodyBytes, place.Request{
+	end := dispatcher.Dispatch(ctx, n.buildCall(req, r), r, cfg.Limits.MaxBodyBytes, place.Request{
 		CallerID:    r.id,
 		Route:       r.route.Name,
 		Priority:    r.route.Priority,
--- a/siskinpathd/entry/server.go
+++ b/siskinpathd/entry/server.go
@@ -36,9 +36,9 @@
 	Log           *slog.Logger
 	// Limits returns the limits in force for new connections.
 	Limits func() config.Limits
-	// Handle returns the final response to a request. ctx is cancelled when the caller
-	// has disconnected.
-	Handle func(ctx context.Context, req *fasthttp.Request) *Response
+	// Handle returns the final response to a request of the caller at an address. ctx is
+	// cancelled when the caller has disconnected.
+	Handle func(ctx context.Context, req *fasthttp.Request, caller string) *Response
 
 	ln                net.Listener
 	keepAliveDisabled atomic.Bool
