quarantine, entry, relay: a request that crashes its upstreams is recognised by its content on all hosts

Cause: nothing that outlives a request says how earlier ones of the same content ended, on one host or between hosts.

Change: an attempt whose connection is lost counts against its request's fingerprint (caller, method, host, URI, body) until a look at the upstream shows that it lives. Confirmed ends go to all hosts over the sessions of the relay, each host passing on what it did not know. After three ends of upstreams a request is refused at once for 10 minutes (503, not run, with when to come back), those under way are sent to no further upstream, and a success of the same content anywhere takes it back.

Also tested: requests beside it are served, a host that starts later knows it, upstreams that reset connections and live put nothing in quarantine.

--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -37,6 +37,7 @@
 	mayHaveRun bool            // an attempt ended without telling whether the request ran
 	fallback   route.AttemptID // attempt with an upstream's error answer, passed on if no later attempt succeeds; 0 for none
 	lastReason route.Reason
+	withheld   clock.Millis // if not 0, it is sent to no further upstream, and the caller need not come back sooner
 }
 
 // attempt is one sending of a request to one upstream.
@@ -221,6 +222,23 @@
 	return p.takeActions()
 }
 
+// Withhold stops a request from being sent to further upstreams. If none runs it, it is
+// refused, and its caller told to come back after span. Attempts in flight go on.
+func (p *Placer) Withhold(now clock.Millis, id route.RequestID, span clock.Millis) []Action {
+	r := p.requests[id]
+	if r == nil {
+		return nil
+	}
+	r.withheld = span
+	r.hedgeAt = 0
+	if len(r.running) > 0 {
+		r.phase = sent
+		return nil
+	}
+	p.refuse(now, r, route.ReasonQuarantined)
+	return p.takeActions()
+}
+
 // Tick handles the timers that have expired.
 func (p *Placer) Tick(now clock.Millis) []Action {
 	var due []*request
@@ -319,7 +337,7 @@
 		p.emit(route.Action{Kind: route.Unknown, Request: r.ID, Reason: reason})
 		return
 	}
-	after := p.retryDelay.RecordRefusal(now, clock.Millis(p.typicalTime(r.Route, r.Target)/4), p.Rand)
+	after := max(r.withheld, p.retryDelay.RecordRefusal(now, clock.Millis(p.typicalTime(r.Route, r.Target)/4), p.Rand))
 	if left := p.backPressureLeft(now, r); left > 0 {
 		after += left
 	}
--- a/core/place/retry.go
+++ b/core/place/retry.go
@@ -48,6 +48,10 @@
 	if len(r.running) > 0 {
 		return // another attempt may still answer
 	}
+	if r.withheld > 0 {
+		p.refuse(now, r, route.ReasonQuarantined)
+		return
+	}
 	if !p.mayRetry(now, r, status) {
 		p.refuse(now, r, cmp.Or(r.lastReason, route.ReasonOverloaded))
 		return
--- a/core/route/types.go
+++ b/core/route/types.go
@@ -124,6 +124,7 @@
 	ReasonConnectionLost  Reason = "connection_lost"  // the connection failed after the first byte; only with Unknown
 	ReasonTimeout         Reason = "timeout"          // no answer in time from an upstream that got the request; only with Unknown
 	ReasonCallerGone      Reason = "caller_gone"      // the caller disconnected
+	ReasonQuarantined     Reason = "quarantined"      // it crashes the upstreams that run it
 )
 
 // Action is something the driver of a Shard must do.
--- a/siskinpathd/entry/crash.go
+++ b/siskinpathd/entry/crash.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"maps"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"siskinpath/core/clock"
+	"siskinpath/core/place"
+	"siskinpath/core/quarantine"
 	"siskinpath/core/route"
 )
 
@@ -22,6 +25,33 @@
 // attempt, as long as the answers do not tell whether it has ended.
 var crashCheckDelays = []clock.Millis{0, 50 * clock.Millisecond, 200 * clock.Millisecond}
 
+// guardAgainstCrash takes note of the end of an attempt before the placer decides whether
+// the request is sent again.
+func (d *Dispatcher) guardAgainstCrash(p *pendingRequest, a place.Action, status route.Status) {
+	switch status {
+	case route.Succeeded:
+		d.Crashes.succeeded(p)
+	case route.ConnectionLost:
+		d.Crashes.suspect(p, a)
+		go func() {
+			found := d.checkForCrash(a.Upstream)
+			d.Decisions.logLoss(d.Service, p, a, found)
+			d.Crashes.handleCheck(p, a, found == upstreamEnded)
+		}()
+	}
+}
+
+// withhold stops the running requests of a content from being sent on.
+func (d *Dispatcher) withhold(f quarantine.Fingerprint, span clock.Millis) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, p := range maps.Clone(d.pending) {
+		if p.content() == f {
+			d.execute(d.placer.Withhold(d.Clock.Now(), id, span))
+		}
+	}
+}
+
 // checkForCrash looks whether an upstream that has lost an attempt has ended.
 func (d *Dispatcher) checkForCrash(id string) (found string) {
 	for _, delay := range crashCheckDelays {
--- a/siskinpathd/entry/decision_log.go
+++ b/siskinpathd/entry/decision_log.go
@@ -6,6 +6,7 @@
 	"siskinpath/core/clock"
 	"siskinpath/core/discovery"
 	"siskinpath/core/place"
+	"siskinpath/core/quarantine"
 	"siskinpath/core/route"
 	"siskinpath/siskinpathd/logs"
 	"siskinpath/siskinpathd/watch"
@@ -64,6 +65,12 @@
 	d.log.Info(msgLossChecked, "id", p.id, "content", p.content(), "service", service, "upstream", a.Upstream, "started", a.Sent.Started, "found", found)
 }
 
+// logQuarantine logs that the requests of a content are not sent on for a time, or are
+// again if it is 0.
+func (d *decisionLog) logQuarantine(f quarantine.Fingerprint, id string, left clock.Millis, upstreams []string) {
+	d.log.Warn("quarantine", "content", f, "for_ms", left, "upstreams", upstreams, "id", id)
+}
+
 // logProbeFailure logs a probe that returned no load, or a failed health check.
 func (d *decisionLog) logProbeFailure(service string, res route.ProbeResult, err error) {
 	if !d.limit.Allow(msgProbeFailed) {
--- a/siskinpathd/entry/dispatcher.go
+++ b/siskinpathd/entry/dispatcher.go
@@ -23,6 +23,7 @@
 	Clock     clock.Clock
 	Pools     *UpstreamPools
 	Decisions *decisionLog
+	Crashes   *crashGuard
 
 	mu      sync.Mutex
 	placer  *place.Placer
@@ -203,9 +204,7 @@
 		MaySend:      func() bool { return d.maySend(ctx, p.call) },
 	})
 	result.Attempt = a.Attempt
-	if result.Status == route.ConnectionLost {
-		go func() { d.Decisions.logLoss(d.Service, p, a, d.checkForCrash(a.Upstream)) }()
-	}
+	d.guardAgainstCrash(p, a, result.Status)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	cancel := d.cancels[a.Attempt]
--- a/siskinpathd/entry/follow.go
+++ b/siskinpathd/entry/follow.go
@@ -91,6 +91,7 @@
 		StartupWait: n.relayStartupWait(),
 		StoreLost:   func() bool { return n.failedStoreCalls.Load() > 0 },
 		OnStoreLost: n.recordStoreLoss,
+		OnEnds:      n.crashes.merge, KnownEnds: n.crashes.known,
 	}
 	n.configTable = newTable(n, tableConfig, n.Config, n.applyConfig)
 	n.upstreamTable = newTable(n, tableUpstreams, n.Discovery, n.applyDiscovery)
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -8,8 +8,10 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +20,7 @@
 	"siskinpath/core/config"
 	"siskinpath/core/discovery"
 	"siskinpath/core/place"
+	"siskinpath/core/quarantine"
 	"siskinpath/core/route"
 	"siskinpath/siskinpathd/logs"
 	"siskinpath/siskinpathd/relay"
@@ -70,6 +73,7 @@
 	upstreamTable    *watch.Table[*discovery.Upstream]
 	watchers         []*watch.Watcher
 	decisions        *decisionLog
+	crashes          *crashGuard
 	hostHeaders      map[string]bool // headers that only hosts set; removed from callers' requests
 
 	mu          sync.Mutex // guards the fields below
@@ -112,6 +116,7 @@
 	n.settings.Store(n.Settings)
 	n.pools = &UpstreamPools{Clock: n.Clock, Dialect: n.UpstreamDialect, Replies: replyBudget(n.cfg().MemoryMB)}
 	n.decisions = &decisionLog{log: n.Log, clock: n.Clock, limit: n.LogLimiter}
+	n.crashes = &crashGuard{Clock: n.Clock, Decisions: n.decisions, Withhold: n.withhold, Announce: func(ends []quarantine.End) { n.relay.AnnounceEnds(ends) }}
 	n.dispatchers = map[string]*Dispatcher{}
 	n.registerAgain = make(chan struct{}, 1)
 	n.splitter.Rand = newRand()
@@ -275,7 +280,7 @@
 
 func (n *Node) newDispatcher(name string) *Dispatcher {
 	d := &Dispatcher{
-		Service: name, Clock: n.Clock, Pools: n.pools, Decisions: n.decisions,
+		Service: name, Clock: n.Clock, Pools: n.pools, Decisions: n.decisions, Crashes: n.crashes,
 		placer:  &place.Placer{Service: name, Tuning: place.DefaultTuning(), Rand: newRand()},
 		pending: map[route.RequestID]*pendingRequest{},
 		cancels: map[route.AttemptID]context.CancelCauseFunc{},
@@ -284,6 +289,17 @@
 	return d
 }
 
+// withhold stops the running requests of a content from being sent on, whatever their
+// service.
+func (n *Node) withhold(f quarantine.Fingerprint, span clock.Millis) {
+	n.mu.Lock()
+	list := slices.Collect(maps.Values(n.dispatchers))
+	n.mu.Unlock()
+	for _, d := range list {
+		d.withhold(f, span)
+	}
+}
+
 // runMaintenance sweeps idle connections, and reconfigures the host when the number of
 // hosts has changed, until ctx ends.
 func (n *Node) runMaintenance(ctx context.Context) {
--- a/siskinpathd/entry/operator.go
+++ b/siskinpathd/entry/operator.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"siskinpath/core/place"
+	"siskinpath/core/quarantine"
 )
 
 // stateDump is the state of this process as shown to operators.
@@ -24,6 +25,7 @@
 	Leaving       bool                    `json:"leaving"`
 	NotReady      string                  `json:"not_ready,omitempty"`
 	Services      map[string]place.Report `json:"services"`
+	Quarantine    []quarantine.Report     `json:"quarantine,omitempty"`
 }
 
 // runOperatorServer serves metrics and the state dump if the settings hold an address
@@ -53,6 +55,7 @@
 	s := stateDump{
 		ID: n.cfg().ID, Incarnation: n.relay.Self.Incarnation, Hosts: n.relay.Size(), FollowsStore: n.relay.ShouldFollowStore(),
 		Leaving: n.drainStart.Load() != 0, Services: map[string]place.Report{},
+		Quarantine: n.crashes.report(),
 	}
 	if cfg := n.config.Load(); cfg != nil {
 		s.ConfigVersion = cfg.Version
--- a/siskinpathd/entry/request.go
+++ b/siskinpathd/entry/request.go
@@ -81,6 +81,10 @@
 	if n.tooLateToStart(r) {
 		return n.decisions.logRefusal(r, reasonStopping, notRunResponse(reasonStopping, stoppingRetryAfter))
 	}
+	if left := n.crashes.left(r); left > 0 {
+		quarantineRefusals.Inc()
+		return n.decisions.logRefusal(r, string(route.ReasonQuarantined), notRunResponse(string(route.ReasonQuarantined), left))
+	}
 	end := dispatcher.Dispatch(ctx, n.buildCall(req, r), r, cfg.Limits.MaxBodyBytes, place.Request{
 		CallerID:    r.id,
 		Route:       r.route.Name,
--- a/siskinpathd/relay/relay.go
+++ b/siskinpathd/relay/relay.go
@@ -23,6 +23,7 @@
 
 	"siskinpath/core/clock"
 	"siskinpath/core/overlay"
+	"siskinpath/core/quarantine"
 	"siskinpath/siskinpathd/relay/relaypb"
 	"siskinpath/siskinpathd/watch"
 )
@@ -64,6 +65,10 @@
 	// OnStoreLost is called for each message received while all sources have lost
 	// the store.
 	OnStoreLost func()
+	// OnEnds is called with the ends of upstreams that a peer has sent, and returns those
+	// that this host did not know. KnownEnds returns all that it knows. Either may be nil.
+	OnEnds    func([]quarantine.End) []quarantine.End
+	KnownEnds func() []quarantine.End
 
 	mu          sync.Mutex
 	overlay     overlay.Overlay
--- a/siskinpathd/relay/relay_test.go
+++ b/siskinpathd/relay/relay_test.go
@@ -13,6 +13,7 @@
 
 	"siskinpath/core/clock"
 	"siskinpath/core/overlay"
+	"siskinpath/core/quarantine"
 	"siskinpath/core/revision"
 	"siskinpath/siskinpathd/watch"
 )
@@ -26,10 +27,11 @@
 	table  *watch.Table[string]
 	cancel context.CancelFunc
 
-	mu     sync.Mutex
-	rows   map[string]string
-	lost   bool
-	silent bool // the store does not respond to this host, which has not noticed
+	mu       sync.Mutex
+	registry quarantine.Registry
+	rows     map[string]string
+	lost     bool
+	silent   bool // the store does not respond to this host, which has not noticed
 }
 
 func freeAddress() string {
@@ -47,6 +49,8 @@
 		ListenAddress: address, Clock: c, Log: log, StartupWait: 0, Spans: overlay.NewSpans(changeBound),
 		StoreLost:   func() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.lost },
 		OnStoreLost: func() {},
+		OnEnds:      func(ends []quarantine.End) []quarantine.End { return h.addEnds(ends...) },
+		KnownEnds:   h.ends,
 	}
 	h.table = &watch.Table[string]{
 		Name: "t", Log: log,
--- a/siskinpathd/relay/source.go
+++ b/siskinpathd/relay/source.go
@@ -30,6 +30,9 @@
 	cancel context.CancelFunc
 	open   bool
 	out    chan *relaypb.Fetch
+	ends   []*relaypb.End // to be sent; guarded by Relay.mu
+	// endsAdded signals that there are ends to be sent.
+	endsAdded chan struct{}
 	// sendsEras is set once the source has sent an era, which older releases do not.
 	// Only the goroutine that receives its messages uses it.
 	sendsEras bool
@@ -50,7 +53,7 @@
 		wanted[h.ID] = true
 		s := r.sessions[h.ID]
 		if s == nil {
-			s = &session{host: h, out: make(chan *relaypb.Fetch, fetchQueueSize)}
+			s = &session{host: h, out: make(chan *relaypb.Fetch, fetchQueueSize), endsAdded: make(chan struct{}, 1)}
 			var sctx context.Context
 			sctx, s.cancel = context.WithCancel(ctx)
 			r.sessions[h.ID] = s
@@ -93,10 +96,10 @@
 	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
 	defer stop()
 	self, changed := r.self()
-	if err = write(nc, &relaypb.FromListener{Self: hostToWire(self)}); err != nil {
+	r.sessionOpened(s)
+	if err = write(nc, &relaypb.FromListener{Self: hostToWire(self), Ends: r.knownEnds()}); err != nil {
 		return err
 	}
-	r.sessionOpened(s)
 	ended := make(chan struct{})
 	defer close(ended)
 	go r.sendToSource(nc, s, changed, ended)
@@ -108,6 +111,7 @@
 		}
 		s.sendsEras = s.sendsEras || slices.ContainsFunc(m.GetKnown(), func(k *relaypb.Known) bool { return k.Era != nil })
 		r.handleHosts(s, m)
+		r.handleEnds(m.GetEnds())
 		if !r.comparable(s) {
 			continue
 		}
@@ -140,6 +144,8 @@
 		case <-t.C:
 		case f := <-s.out:
 			m.Fetches = append(m.Fetches, f)
+		case <-s.endsAdded:
+			m.Ends = r.takeEnds(s)
 		case <-changed:
 			var self overlay.Host
 			self, changed = r.self()
