quarantine: requests are recognised also when their caller or query changes

Ends are now kept by the work (method, host, path, body), and count in four scopes, the narrowest first: one caller and query, any caller, any query, any of both. A scope over several callers or queries counts ends of different ones only. So that a common path is not stopped by upstreams that fail for another reason, ends that overlap count once, and those before a success in the same scope not at all. TestRequestThatCrashesUpstreamsIsSentOn plays all four and passes.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -270,7 +270,7 @@
 	}
 	p.attempts[a.id] = a
 	basis := SendDetail{
-		Waited: now - r.Arrived, Probed: len(r.probed), Reported: u.reporting, Age: now - u.loadAt, Load: u.load(), Slots: u.Slots, Started: u.Started,
+		At: now, Waited: now - r.Arrived, Probed: len(r.probed), Reported: u.reporting, Age: now - u.loadAt, Load: u.load(), Slots: u.Slots, Started: u.Started,
 		Slowdown: a.slowdown, Attempt: len(r.tried) + 1, Hedge: len(r.running) > 0,
 	}
 	r.phase = sent
--- a/siskinpathd/entry/crash.go
+++ b/siskinpathd/entry/crash.go
@@ -32,22 +32,27 @@
 	case route.Succeeded:
 		d.Crashes.succeeded(p)
 	case route.ConnectionLost:
-		d.Crashes.suspect(p, a)
+		at, ran := d.Clock.Now(), d.Clock.Now()-a.Sent.At
+		d.Crashes.suspect(p, a, ran)
 		go func() {
 			found := d.checkForCrash(a.Upstream)
 			d.Decisions.logLoss(d.Service, p, a, found)
-			d.Crashes.handleCheck(p, a, found == upstreamEnded)
+			d.Crashes.handleCheck(p, a, at, ran, found == upstreamEnded)
 		}()
 	}
 }
 
-// withhold stops the running requests of a content from being sent on.
-func (d *Dispatcher) withhold(f quarantine.Fingerprint, span clock.Millis) {
+// withhold stops those of the running requests of a work that are in quarantine from
+// being sent on.
+func (d *Dispatcher) withhold(work quarantine.Hash) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id, p := range maps.Clone(d.pending) {
-		if p.content() == f {
-			d.execute(d.placer.Withhold(d.Clock.Now(), id, span))
+		if p.content().Work != work {
+			continue
+		}
+		if v := d.Crashes.verdict(p.content); v.Left > 0 {
+			d.execute(d.placer.Withhold(d.Clock.Now(), id, v.Left))
 		}
 	}
 }
--- a/siskinpathd/entry/crash_guard.go
+++ b/siskinpathd/entry/crash_guard.go
@@ -22,28 +22,28 @@
 type crashGuard struct {
 	Clock     clock.Clock
 	Decisions *decisionLog
-	// Announce tells all other hosts of ends.
-	Announce func([]quarantine.End)
-	// Withhold stops the running requests of a content from being sent on, and tells their
-	// callers to come back after span.
-	Withhold func(f quarantine.Fingerprint, span clock.Millis)
+	// Announce tells all other hosts of events.
+	Announce func([]quarantine.Event)
+	// Withhold stops those of the running requests of a work that are in quarantine from
+	// being sent on.
+	Withhold func(work quarantine.Hash)
 
 	mu       sync.Mutex
 	registry quarantine.Registry
 }
 
-// left returns how long a request is still in quarantine, 0 if it is not.
-func (g *crashGuard) left(r *request) clock.Millis {
+// verdict returns whether a request is in quarantine.
+func (g *crashGuard) verdict(content func() quarantine.Content) quarantine.Verdict {
 	if g.empty() {
-		return 0
+		return quarantine.Verdict{}
 	}
-	f := r.content()
+	c := content()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.registry.Left(g.Clock.Now(), f)
+	return g.registry.Verdict(g.Clock.Now(), c)
 }
 
-// empty reports whether nothing is known of any request, which spares the fingerprint.
+// empty reports whether nothing is known of any request, which spares the fingerprints.
 func (g *crashGuard) empty() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -57,22 +57,22 @@
 
 // suspect records that an attempt was lost. Until handleCheck is called the upstream counts
 // as ended.
-func (g *crashGuard) suspect(p *pendingRequest, a place.Action) {
-	f := p.content()
-	g.update(f, p.id, func(now clock.Millis) { g.registry.Suspect(now, f, startOf(a)) })
+func (g *crashGuard) suspect(p *pendingRequest, a place.Action, ran clock.Millis) {
+	c := p.content()
+	g.update(c, p.id, func(now clock.Millis) { g.registry.Suspect(now, c, startOf(a), ran) })
 }
 
-// handleCheck records whether an upstream has ended that had lost an attempt.
-func (g *crashGuard) handleCheck(p *pendingRequest, a place.Action, hasEnded bool) {
-	f := p.content()
+// handleCheck records whether an upstream has ended that lost an attempt at a time.
+func (g *crashGuard) handleCheck(p *pendingRequest, a place.Action, at, ran clock.Millis, hasEnded bool) {
+	c := p.content()
 	if !hasEnded {
-		g.update(f, p.id, func(clock.Millis) { g.registry.Retract(f, startOf(a)) })
+		g.update(c, p.id, func(clock.Millis) { g.registry.Retract(c, startOf(a)) })
 		return
 	}
 	upstreamEnds.Inc()
-	var news []quarantine.End
-	g.update(f, p.id, func(now clock.Millis) {
-		news = g.registry.Add(now, quarantine.End{Request: f, Upstream: startOf(a)})
+	var news []quarantine.Event
+	g.update(c, p.id, func(now clock.Millis) {
+		news = g.registry.Add(now, quarantine.Event{Content: c, Upstream: startOf(a), Age: now - at, Ran: ran})
 	})
 	g.Announce(news)
 }
@@ -82,26 +82,26 @@
 	if g.empty() {
 		return
 	}
-	f := p.content()
-	var news []quarantine.End
-	g.update(f, p.id, func(clock.Millis) { news = g.registry.Succeeded(f) })
+	c := p.content()
+	var news []quarantine.Event
+	g.update(c, p.id, func(now clock.Millis) { news = g.registry.Succeeded(now, c) })
 	g.Announce(news)
 }
 
-// merge records ends that another host has announced, and returns those that were not
+// merge records events that another host has announced, and returns those that were not
 // known.
-func (g *crashGuard) merge(ends []quarantine.End) (news []quarantine.End) {
-	for _, e := range ends {
-		g.update(e.Request, "", func(now clock.Millis) { news = append(news, g.registry.Add(now, e)...) })
+func (g *crashGuard) merge(events []quarantine.Event) (news []quarantine.Event) {
+	for _, e := range events {
+		g.update(e.Content, "", func(now clock.Millis) { news = append(news, g.registry.Add(now, e)...) })
 	}
 	return news
 }
 
-// known returns all ends that this host knows.
-func (g *crashGuard) known() []quarantine.End {
+// known returns all events that this host knows.
+func (g *crashGuard) known() []quarantine.Event {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.registry.Ends(g.Clock.Now())
+	return g.registry.Events(g.Clock.Now())
 }
 
 func (g *crashGuard) report() []quarantine.Report {
@@ -112,20 +112,19 @@
 
 // update changes the registry, and acts on a change of the quarantine of a content. id is
 // the caller's id of the request that made the difference, "" if another host did.
-func (g *crashGuard) update(f quarantine.Fingerprint, id string, change func(now clock.Millis)) {
+func (g *crashGuard) update(c quarantine.Content, id string, change func(now clock.Millis)) {
 	g.mu.Lock()
 	now := g.Clock.Now()
-	before := g.registry.Left(now, f)
+	before := g.registry.Verdict(now, c)
 	change(now)
-	after := g.registry.Left(now, f)
-	upstreams := g.registry.Upstreams(f)
+	after := g.registry.Verdict(now, c)
 	g.mu.Unlock()
-	if (before > 0) == (after > 0) {
+	if before.Scope == after.Scope {
 		return
 	}
-	g.Decisions.logQuarantine(f, id, after, upstreams)
-	if after > 0 {
+	g.Decisions.logQuarantine(c, id, after)
+	if after.Left > 0 {
 		requestsQuarantined.Inc()
-		g.Withhold(f, after)
+		g.Withhold(c.Work)
 	}
 }
--- a/siskinpathd/entry/decision_log.go
+++ b/siskinpathd/entry/decision_log.go
@@ -65,10 +65,10 @@
 	d.log.Info(msgLossChecked, "id", p.id, "content", p.content(), "service", service, "upstream", a.Upstream, "started", a.Sent.Started, "found", found)
 }
 
-// logQuarantine logs that the requests of a content are not sent on for a time, or are
-// again if it is 0.
-func (d *decisionLog) logQuarantine(f quarantine.Fingerprint, id string, left clock.Millis, upstreams []string) {
-	d.log.Warn("quarantine", "content", f, "for_ms", left, "upstreams", upstreams, "id", id)
+// logQuarantine logs that requests of a content are not sent on for a time, or are again if
+// it is 0.
+func (d *decisionLog) logQuarantine(c quarantine.Content, id string, v quarantine.Verdict) {
+	d.log.Warn("quarantine", "content", c, "scope", v.Scope, "for_ms", v.Left, "upstreams", v.Upstreams, "id", id)
 }
 
 // logProbeFailure logs a probe that returned no load, or a failed health check.
--- a/siskinpathd/entry/dispatcher.go
+++ b/siskinpathd/entry/dispatcher.go
@@ -37,8 +37,8 @@
 // pendingRequest is a request that has been passed to the placer.
 type pendingRequest struct {
 	call    *call.Call
-	id      string                        // the caller's id of the request
-	content func() quarantine.Fingerprint // of the request
+	id      string                    // the caller's id of the request
+	content func() quarantine.Content // of the request
 	maxBody int
 	replies map[route.AttemptID]*upstream.Reply
 	final   chan place.Action // receives the final action
--- a/siskinpathd/entry/follow.go
+++ b/siskinpathd/entry/follow.go
@@ -88,10 +88,10 @@
 			Capacity: capacity(cfg),
 		},
 		ListenAddress: cfg.Listen.Peer, Clock: n.Clock, Log: n.Log, Spans: overlay.NewSpans(cfg.Bounds.change()),
-		StartupWait: n.relayStartupWait(),
-		StoreLost:   func() bool { return n.failedStoreCalls.Load() > 0 },
-		OnStoreLost: n.recordStoreLoss,
-		OnEnds:      n.crashes.merge, KnownEnds: n.crashes.known,
+		StartupWait:   n.relayStartupWait(),
+		StoreLost:     func() bool { return n.failedStoreCalls.Load() > 0 },
+		OnStoreLost:   n.recordStoreLoss,
+		OnCrashEvents: n.crashes.merge, KnownCrashEvents: n.crashes.known,
 	}
 	n.configTable = newTable(n, tableConfig, n.Config, n.applyConfig)
 	n.upstreamTable = newTable(n, tableUpstreams, n.Discovery, n.applyDiscovery)
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -116,7 +116,7 @@
 	n.settings.Store(n.Settings)
 	n.pools = &UpstreamPools{Clock: n.Clock, Dialect: n.UpstreamDialect, Replies: replyBudget(n.cfg().MemoryMB)}
 	n.decisions = &decisionLog{log: n.Log, clock: n.Clock, limit: n.LogLimiter}
-	n.crashes = &crashGuard{Clock: n.Clock, Decisions: n.decisions, Withhold: n.withhold, Announce: func(ends []quarantine.End) { n.relay.AnnounceEnds(ends) }}
+	n.crashes = &crashGuard{Clock: n.Clock, Decisions: n.decisions, Withhold: n.withhold, Announce: func(events []quarantine.Event) { n.relay.AnnounceCrashEvents(events) }}
 	n.dispatchers = map[string]*Dispatcher{}
 	n.registerAgain = make(chan struct{}, 1)
 	n.splitter.Rand = newRand()
@@ -289,14 +289,14 @@
 	return d
 }
 
-// withhold stops the running requests of a content from being sent on, whatever their
-// service.
-func (n *Node) withhold(f quarantine.Fingerprint, span clock.Millis) {
+// withhold stops those of the running requests of a work that are in quarantine from being
+// sent on, whatever their service.
+func (n *Node) withhold(work quarantine.Hash) {
 	n.mu.Lock()
 	list := slices.Collect(maps.Values(n.dispatchers))
 	n.mu.Unlock()
 	for _, d := range list {
-		d.withhold(f, span)
+		d.withhold(work)
 	}
 }
 
--- a/siskinpathd/entry/request.go
+++ b/siskinpathd/entry/request.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 
 	"github.com/valyala/fasthttp"
@@ -42,7 +43,7 @@
 // request is a caller's request with its route, service and deadline.
 type request struct {
 	id       string
-	content  func() quarantine.Fingerprint // computed at the first call
+	content  func() quarantine.Content // computed at the first call
 	arrived  clock.Millis
 	route    *config.Route
 	service  string
@@ -52,8 +53,9 @@
 // handle returns the final response to a request of the caller at an address.
 func (n *Node) handle(ctx context.Context, req *fasthttp.Request, caller string) *Response {
 	r := &request{id: string(req.Header.Peek(n.CallerHeaders.RequestID)), arrived: n.Clock.Now()}
-	r.content = sync.OnceValue(func() quarantine.Fingerprint {
-		return quarantine.Of(caller, string(req.Header.Method()), string(req.Header.Host()), string(req.Header.RequestURI()), req.Body())
+	r.content = sync.OnceValue(func() quarantine.Content {
+		path, query, _ := strings.Cut(string(req.Header.RequestURI()), "?")
+		return quarantine.Of(caller, string(req.Header.Method()), string(req.Header.Host()), path, query, req.Body())
 	})
 	resp := n.respond(ctx, req, r)
 	countResponse(r, resp, n.Clock.Now()-r.arrived)
@@ -81,9 +83,9 @@
 	if n.tooLateToStart(r) {
 		return n.decisions.logRefusal(r, reasonStopping, notRunResponse(reasonStopping, stoppingRetryAfter))
 	}
-	if left := n.crashes.left(r); left > 0 {
+	if v := n.crashes.verdict(r.content); v.Left > 0 {
 		quarantineRefusals.Inc()
-		return n.decisions.logRefusal(r, string(route.ReasonQuarantined), notRunResponse(string(route.ReasonQuarantined), left))
+		return n.decisions.logRefusal(r, string(route.ReasonQuarantined), notRunResponse(string(route.ReasonQuarantined), v.Left))
 	}
 	end := dispatcher.Dispatch(ctx, n.buildCall(req, r), r, cfg.Limits.MaxBodyBytes, place.Request{
 		CallerID:    r.id,
--- a/siskinpathd/relay/relay.go
+++ b/siskinpathd/relay/relay.go
@@ -65,10 +65,10 @@
 	// OnStoreLost is called for each message received while all sources have lost
 	// the store.
 	OnStoreLost func()
-	// OnEnds is called with the ends of upstreams that a peer has sent, and returns those
-	// that this host did not know. KnownEnds returns all that it knows. Either may be nil.
-	OnEnds    func([]quarantine.End) []quarantine.End
-	KnownEnds func() []quarantine.End
+	// OnCrashEvents is called with the events that a peer has sent, and returns those that
+	// this host did not know. KnownCrashEvents returns all that it knows. Either may be nil.
+	OnCrashEvents    func([]quarantine.Event) []quarantine.Event
+	KnownCrashEvents func() []quarantine.Event
 
 	mu          sync.Mutex
 	overlay     overlay.Overlay
--- a/siskinpathd/relay/relay_test.go
+++ b/siskinpathd/relay/relay_test.go
@@ -47,10 +47,10 @@
 	h.relay = &Relay{
 		Self:          overlay.Host{ID: id, Incarnation: 1, AvailabilityZone: "a", CallerAddress: id + ":80", PeerAddress: address, Capacity: 100},
 		ListenAddress: address, Clock: c, Log: log, StartupWait: 0, Spans: overlay.NewSpans(changeBound),
-		StoreLost:   func() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.lost },
-		OnStoreLost: func() {},
-		OnEnds:      func(ends []quarantine.End) []quarantine.End { return h.addEnds(ends...) },
-		KnownEnds:   h.ends,
+		StoreLost:        func() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.lost },
+		OnStoreLost:      func() {},
+		OnCrashEvents:    func(events []quarantine.Event) []quarantine.Event { return h.addCrashEvents(events...) },
+		KnownCrashEvents: h.crashEvents,
 	}
 	h.table = &watch.Table[string]{
 		Name: "t", Log: log,
--- a/siskinpathd/relay/source.go
+++ b/siskinpathd/relay/source.go
@@ -30,9 +30,9 @@
 	cancel context.CancelFunc
 	open   bool
 	out    chan *relaypb.Fetch
-	ends   []*relaypb.End // to be sent; guarded by Relay.mu
-	// endsAdded signals that there are ends to be sent.
-	endsAdded chan struct{}
+	events []*relaypb.CrashEvent // to be sent; guarded by Relay.mu
+	// eventsAdded signals that there are events to be sent.
+	eventsAdded chan struct{}
 	// sendsEras is set once the source has sent an era, which older releases do not.
 	// Only the goroutine that receives its messages uses it.
 	sendsEras bool
@@ -53,7 +53,7 @@
 		wanted[h.ID] = true
 		s := r.sessions[h.ID]
 		if s == nil {
-			s = &session{host: h, out: make(chan *relaypb.Fetch, fetchQueueSize), endsAdded: make(chan struct{}, 1)}
+			s = &session{host: h, out: make(chan *relaypb.Fetch, fetchQueueSize), eventsAdded: make(chan struct{}, 1)}
 			var sctx context.Context
 			sctx, s.cancel = context.WithCancel(ctx)
 			r.sessions[h.ID] = s
@@ -97,7 +97,7 @@
 	defer stop()
 	self, changed := r.self()
 	r.sessionOpened(s)
-	if err = write(nc, &relaypb.FromListener{Self: hostToWire(self), Ends: r.knownEnds()}); err != nil {
+	if err = write(nc, &relaypb.FromListener{Self: hostToWire(self), CrashEvents: r.knownCrashEvents()}); err != nil {
 		return err
 	}
 	ended := make(chan struct{})
@@ -111,7 +111,7 @@
 		}
 		s.sendsEras = s.sendsEras || slices.ContainsFunc(m.GetKnown(), func(k *relaypb.Known) bool { return k.Era != nil })
 		r.handleHosts(s, m)
-		r.handleEnds(m.GetEnds())
+		r.handleCrashEvents(m.GetCrashEvents())
 		if !r.comparable(s) {
 			continue
 		}
@@ -144,8 +144,8 @@
 		case <-t.C:
 		case f := <-s.out:
 			m.Fetches = append(m.Fetches, f)
-		case <-s.endsAdded:
-			m.Ends = r.takeEnds(s)
+		case <-s.eventsAdded:
+			m.CrashEvents = r.takeCrashEvents(s)
 		case <-changed:
 			var self overlay.Host
 			self, changed = r.self()
--- a/siskinpathd/relay/subscriber.go
+++ b/siskinpathd/relay/subscriber.go
@@ -44,7 +44,7 @@
 	s := &subscriber{nc: nc, out: make(chan []byte, outboxSize), host: hostFromWire(first.GetSelf())}
 	r.addSubscriber(s)
 	go s.sendQueued()
-	r.handleEnds(first.GetEnds())
+	r.handleCrashEvents(first.GetCrashEvents())
 	for {
 		m := &relaypb.FromListener{}
 		err := in.read(m)
@@ -67,7 +67,7 @@
 		r.announceHost(m.GetSelf())
 		r.mu.Unlock()
 	}
-	r.handleEnds(m.GetEnds())
+	r.handleCrashEvents(m.GetCrashEvents())
 	for _, f := range m.GetFetches() {
 		t := r.Tables[f.GetTable()]
 		if t == nil {
@@ -86,7 +86,7 @@
 // hosts of its availability zone.
 func (r *Relay) addSubscriber(s *subscriber) {
 	m := r.lastChanges()
-	m.Ends = r.knownEnds()
+	m.CrashEvents = r.knownCrashEvents()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.overlay.AddSubscriber(s.host)
