place, entry: a host that reaches no upstream of a service says so in its log

A placer now counts upstreams that have not answered since one last did, and reports when at least three (or all) have not for 200 ms. Any reply counts as an answer, also a failed status check. Nothing is decided by it.

--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -139,6 +139,11 @@
 
 func (p *Placer) recordProbe(now clock.Millis, u *upstream, res route.ProbeResult) {
 	u.probing = false
+	if res.OK || res.Answered {
+		p.recordAnswer(now)
+	} else {
+		p.recordNoAnswer(now, u)
+	}
 	p.recordProbeNotice(now, u, res.Notice)
 	if res.AddressReassigned {
 		p.suspend(now, u, "replaced", replacedPeriod)
@@ -164,6 +169,12 @@
 	}
 	p.recordLoad(now, u, res.Load, 0)
 	replied := res.Status == route.Succeeded || res.Status == route.Errored || res.Status == route.Refused
+	switch {
+	case replied:
+		p.recordAnswer(now)
+	case res.Status != route.Cancelled && !res.BlockedLocally:
+		p.recordNoAnswer(now, u)
+	}
 	if replied && !res.AddressReassigned {
 		p.recordNotice(now, u, res.Notice, a.callerID)
 	}
@@ -209,6 +220,7 @@
 // than the request's target.
 func (p *Placer) recordTimeout(now clock.Millis, a *attempt) {
 	if now-a.started > a.target {
+		p.recordNoAnswer(now, a.upstream)
 		p.recordFailure(now, a.upstream)
 	}
 }
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -74,6 +74,7 @@
 	lastAttempt  route.AttemptID
 	actions      []Action
 	stateChanges []StateChange
+	reach        reach
 	notices      map[string]*notice // by upstream; kept while service discovery does not list it
 }
 
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -131,19 +131,23 @@
 	Hedge    bool
 }
 
-// StateLimited is the state of an upstream that has named a limit, or no longer does.
-const StateLimited = "limited"
+// States besides those of an upstream that is out of use.
+const (
+	StateLimited = "limited" // an upstream has named a limit, or no longer does
+	StateCutOff  = "cut_off" // this host reaches no upstream, or does again
+)
 
-// StateChange records that a Placer has taken an upstream out of use, or that the limit
-// that an upstream names has changed.
+// StateChange records that a Placer has taken an upstream out of use, that the limit that
+// an upstream names has changed, or that this host is cut off from all upstreams.
 type StateChange struct {
-	Upstream string
-	State    string       // "ejected", "unreachable", "replaced", "draining", "leaving", "back_pressure" or StateLimited
+	Upstream string       // "" with StateCutOff
+	State    string       // "ejected", "unreachable", "replaced", "draining", "leaving", "back_pressure", StateLimited or StateCutOff
 	For      clock.Millis // 0 for the rest of the upstream's life
 	Failures int          // consecutive
 	Success  float64      // success rate, 0 to 1
 	// PerSecond is the limit, 0 when there is none any more. Only set with StateLimited.
 	PerSecond float64
 	Share     float64 // this host's share of the limit
+	CutOff    bool    // with StateCutOff
 	CallerID  string  // of the request whose reply caused the change; "" for a probe, and for other changes
 }
--- a/core/route/types.go
+++ b/core/route/types.go
@@ -154,6 +154,7 @@
 	Upstream          string
 	OK                bool
 	AddressReassigned bool // another upstream has the address now
+	Answered          bool // something at its address has replied, whatever it said
 	Latency           clock.Millis
 	Load              *LoadReport
 	Notice            Notice
--- a/siskinpathd/entry/decision_log.go
+++ b/siskinpathd/entry/decision_log.go
@@ -86,6 +86,10 @@
 		d.log.Info("upstream limit", "service", service, "upstream", c.Upstream, "per_second", c.PerSecond, "share", c.Share, "id", c.CallerID)
 		return
 	}
+	if c.State == place.StateCutOff {
+		d.log.Warn("service out of reach", "service", service, "out_of_reach", c.CutOff, "unanswered", c.Failures)
+		return
+	}
 	d.log.Info("upstream out of use", "service", service, "upstream", c.Upstream, "belief", c.State, "for_ms", c.For,
 		"failures", c.Failures, "success", c.Success, "id", c.CallerID)
 }
--- a/siskinpathd/upstream/probe.go
+++ b/siskinpathd/upstream/probe.go
@@ -46,6 +46,7 @@
 		p.discard(c)
 		return result, err
 	}
+	result.Answered = true
 	if p.dialect().fromOtherInstance(resp, instance) {
 		p.discard(c)
 		result.AddressReassigned = true
