forward, place, entry: a host that reaches no upstream passes requests to one that does

Cause: hosts pass tables to each other, but no requests, so that a host without a way to an upstream can only refuse. Steering callers away alone would not do: they keep addresses for up to three times their time to live, and connections for longer.

Requests that may have run are passed on only if they may be repeated, within the budget.

--- a/Makefile
+++ b/Makefile
@@ -64,7 +64,7 @@
 
 # generate needs protoc (Debian package protobuf-compiler).
 generate: $(BIN)/protoc-gen-go
-	PATH=$(BIN):$$PATH protoc --go_out=. --go_opt=module=siskinpath siskinpathd/peer/peerpb/peer.proto siskinpathd/relay/relaypb/relay.proto
+	PATH=$(BIN):$$PATH protoc --go_out=. --go_opt=module=siskinpath siskinpathd/peer/peerpb/peer.proto siskinpathd/relay/relaypb/relay.proto siskinpathd/forward/forwardpb/forward.proto
 
 # prove drives the decisions as a fleet in virtual time, many seeds.
 prove:
--- a/core/overlay/addresses.go
+++ b/core/overlay/addresses.go
@@ -1,6 +1,7 @@
 package overlay
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 )
@@ -48,3 +49,28 @@
 	}
 	return out
 }
+
+// ForwardHosts returns up to limit other hosts that take requests of this one, at random.
+// It prefers those that are known to live, and includes hosts of other availability zones.
+func (o *Overlay) ForwardHosts(limit int, rnd *rand.Rand) (hosts []Host) {
+	live := o.liveHosts()
+	var near, far []Host
+	for id, k := range o.known {
+		_, lives := live[id]
+		switch {
+		case k.ForwardAddress == "":
+		case k.AvailabilityZone == o.Self.AvailabilityZone && !lives:
+			// Sources report all hosts of this zone that live.
+		case k.AvailabilityZone == o.Self.AvailabilityZone:
+			near = append(near, k.Host)
+		default:
+			far = append(far, k.Host)
+		}
+	}
+	for _, list := range [][]Host{near, far} {
+		slices.SortFunc(list, func(a, b Host) int { return cmp.Compare(a.ID, b.ID) })
+		rnd.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	ofNear := min(len(near), max(limit/2, limit-len(far)))
+	return append(near[:ofNear:ofNear], far[:min(len(far), limit-ofNear)]...)
+}
--- a/core/overlay/overlay.go
+++ b/core/overlay/overlay.go
@@ -28,8 +28,9 @@
 	AvailabilityZone string
 	CallerAddress    string
 	PeerAddress      string
-	Capacity         int  // what it can spend on other hosts, in thousandths of a core
-	Ready            bool // accepts callers
+	ForwardAddress   string // where it takes requests of other hosts; "" if it takes none
+	Capacity         int    // what it can spend on other hosts, in thousandths of a core
+	Ready            bool   // accepts callers
 }
 
 const (
--- a/core/overlay/overlay_test.go
+++ b/core/overlay/overlay_test.go
@@ -257,3 +257,30 @@
 		})
 	})
 }
+
+func TestForwardHosts(t *testing.T) {
+	Convey("a host passes requests to others of its zone that live, and to others of all zones", t, func() {
+		hosts := testHosts(30)
+		for i := range hosts {
+			hosts[i].ForwardAddress = hosts[i].ID + ":70"
+		}
+		hosts[4].ForwardAddress = "" // of an older release
+		o := newOverlay(hosts[0], hosts)
+		o.SessionOpened(hosts[1].ID)
+		o.HandleUpdate(1000, hosts[1].ID, false, 30, []Host{hosts[3], hosts[6]}, nil)
+		rnd := rand.New(rand.NewPCG(1, 1))
+		byZone := func(limit int) map[string]int {
+			zones := map[string]int{}
+			for _, h := range o.ForwardHosts(limit, rnd) {
+				So(h.ID, ShouldNotEqual, hosts[0].ID)
+				So(h.ForwardAddress, ShouldNotBeEmpty)
+				zones[h.AvailabilityZone]++
+			}
+			return zones
+		}
+		So(byZone(100), ShouldResemble, map[string]int{"a": 2, "b": 9, "c": 10})
+		few := byZone(6)
+		So(few["a"], ShouldEqual, 2)
+		So(few["b"]+few["c"], ShouldEqual, 4)
+	})
+}
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -73,6 +73,10 @@
 // startProbing probes the most promising upstreams for r. It chooses at once when
 // their load is known or no probe can be sent.
 func (p *Placer) startProbing(now clock.Millis, r *request) {
+	p.reportReach(now)
+	if p.reach.cutOff && p.forward(now, r) {
+		return
+	}
 	r.probed = r.probed[:0]
 	r.phase = probing
 	r.probeUntil = now + p.Tuning.ProbeWait
@@ -159,9 +163,9 @@
 	case best != nil:
 		p.send(now, r, best)
 	case p.noneUsable(now, r):
-		p.refuse(now, r, route.ReasonNoUpstream)
+		p.turnAway(now, r, route.ReasonNoUpstream)
 	case now >= r.waitUntil:
-		p.refuse(now, r, route.ReasonOverloaded)
+		p.turnAway(now, r, route.ReasonOverloaded)
 	default:
 		p.enqueue(now, r)
 	}
--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -54,6 +54,7 @@
 	loadAt          clock.Millis
 	sentSinceReport int // this host's sends since the report
 
+	unansweredAt   clock.Millis // when it last did not answer; 0 if it has since
 	probing        bool
 	probedAt       clock.Millis
 	sentSinceProbe int
@@ -140,7 +141,7 @@
 func (p *Placer) recordProbe(now clock.Millis, u *upstream, res route.ProbeResult) {
 	u.probing = false
 	if res.OK || res.Answered {
-		p.recordAnswer(now)
+		p.recordAnswer(now, u)
 	} else {
 		p.recordNoAnswer(now, u)
 	}
@@ -171,7 +172,7 @@
 	replied := res.Status == route.Succeeded || res.Status == route.Errored || res.Status == route.Refused
 	switch {
 	case replied:
-		p.recordAnswer(now)
+		p.recordAnswer(now, u)
 	case res.Status != route.Cancelled && !res.BlockedLocally:
 		p.recordNoAnswer(now, u)
 	}
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -37,14 +37,18 @@
 	mayHaveRun bool            // an attempt ended without telling whether the request ran
 	fallback   route.AttemptID // attempt with an upstream's error answer, passed on if no later attempt succeeds; 0 for none
 	lastReason route.Reason
-	withheld   clock.Millis // if not 0, it is sent to no further upstream, and the caller need not come back sooner
+	withheld   bool         // it is sent to no further upstream
+	retryAfter clock.Millis // the caller need not come back sooner
+	triedHosts []string
 }
 
 // attempt is one sending of a request to one upstream.
 type attempt struct {
 	id       route.AttemptID
-	request  *request // nil once the request has its final answer
-	upstream *upstream
+	request  *request  // nil once the request has its final answer
+	upstream *upstream // nil with host
+	host     string    // the other host that it was passed to; "" for none
+	sends    int       // with host: upstreams that the host may send it to
 	started  clock.Millis
 	slowdown float64 // estimated slowdown when it was sent
 	target   clock.Millis
@@ -75,7 +79,8 @@
 	actions      []Action
 	stateChanges []StateChange
 	reach        reach
-	notices      map[string]*notice // by upstream; kept while service discovery does not list it
+	avoidedHosts map[string]clock.Millis // until when nothing is passed to a host
+	notices      map[string]*notice      // by upstream; kept while service discovery does not list it
 }
 
 // probeBurst is the capacity of the probe budget, in seconds of its rate, for bursts
@@ -114,6 +119,7 @@
 			u.gone = true
 		}
 	}
+	p.pruneReach(now)
 	p.setProbeRate(now)
 	slices.SortFunc(p.upstreams, func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
 	p.serveQueue(now)
@@ -136,6 +142,7 @@
 	p.attempts = map[route.AttemptID]*attempt{}
 	p.typicalTimes = map[string]float64{}
 	p.notices = map[string]*notice{}
+	p.avoidedHosts = map[string]clock.Millis{}
 	p.meanSlowdown = 1
 	p.retryDelay = admit.RetryDelay{Min: minRetryAfter, Max: maxRetryAfter}
 }
@@ -154,7 +161,9 @@
 	p.init()
 	r := &request{Request: in}
 	p.requests[in.ID] = r
-	p.repeatBudget.Deposit()
+	if !in.Forwarded { // it counts at the host that got it from its caller
+		p.repeatBudget.Deposit()
+	}
 	p.retryDelay.RecordRequest(now)
 	share := p.Tuning.QueueWaitShare
 	if in.Priority < p.Tuning.FirstNormalPriority {
@@ -205,10 +214,16 @@
 		return nil
 	}
 	delete(p.attempts, res.Attempt)
-	p.recordResult(now, a, res)
+	if a.host == "" {
+		p.recordResult(now, a, res)
+	}
 	if r := a.request; r != nil {
 		r.running = slices.DeleteFunc(r.running, func(x *attempt) bool { return x == a })
-		p.afterAttempt(now, r, a, res.Status)
+		if a.host == "" {
+			p.afterAttempt(now, r, a, res.Status)
+		} else {
+			p.afterForward(now, r, a, res)
+		}
 	}
 	p.serveQueue(now)
 	return p.takeActions()
@@ -230,7 +245,7 @@
 	if r == nil {
 		return nil
 	}
-	r.withheld = span
+	r.withheld, r.retryAfter = true, span
 	r.hedgeAt = 0
 	if len(r.running) > 0 {
 		r.phase = sent
@@ -252,6 +267,7 @@
 	for _, r := range due {
 		p.wake(now, r)
 	}
+	p.probeForReach(now)
 	return p.takeActions()
 }
 
@@ -263,6 +279,9 @@
 			next = at
 		}
 	}
+	if p.reach.cutOff && (next == 0 || p.reach.probeAt < next) {
+		next = p.reach.probeAt
+	}
 	return next
 }
 
@@ -296,7 +315,7 @@
 			p.send(now, r, u)
 			return
 		}
-		p.refuse(now, r, cmp.Or(r.lastReason, route.ReasonOverloaded))
+		p.turnAway(now, r, cmp.Or(r.lastReason, route.ReasonOverloaded))
 	case r.phase == queued:
 		p.reprobe(now, r)
 	case r.hedgeAt > 0 && now >= r.hedgeAt:
@@ -313,7 +332,11 @@
 func (p *Placer) remove(r *request) {
 	for _, a := range r.running {
 		a.request = nil
-		p.emit(route.Action{Kind: route.Cancel, Request: r.ID, Attempt: a.id, Upstream: a.upstream.ID})
+		cancel := route.Action{Kind: route.Cancel, Request: r.ID, Attempt: a.id, Host: a.host}
+		if a.upstream != nil {
+			cancel.Upstream = a.upstream.ID
+		}
+		p.emit(cancel)
 	}
 	r.running = nil
 	p.dequeue(r)
@@ -338,7 +361,7 @@
 		p.emit(route.Action{Kind: route.Unknown, Request: r.ID, Reason: reason})
 		return
 	}
-	after := max(r.withheld, p.retryDelay.RecordRefusal(now, clock.Millis(p.typicalTime(r.Route, r.Target)/4), p.Rand))
+	after := max(r.retryAfter, p.retryDelay.RecordRefusal(now, clock.Millis(p.typicalTime(r.Route, r.Target)/4), p.Rand))
 	if left := p.backPressureLeft(now, r); left > 0 {
 		after += left
 	}
@@ -349,7 +372,7 @@
 }
 
 func (p *Placer) refusalDetail(now clock.Millis, r *request) RefusalDetail {
-	c := RefusalDetail{Waited: now - r.Arrived, Probed: len(r.probed), Upstreams: len(p.upstreams), Queued: len(p.queue)}
+	c := RefusalDetail{Waited: now - r.Arrived, Probed: len(r.probed), Upstreams: len(p.upstreams), Queued: len(p.queue), OutOfReach: p.outOfReach()}
 	for _, u := range p.upstreams {
 		if !p.usable(now, r, u) {
 			continue
@@ -366,6 +389,10 @@
 func (p *Placer) giveUp(now clock.Millis, r *request) {
 	if len(r.running) > 0 {
 		for _, a := range r.running {
+			if a.host != "" {
+				p.avoidHost(now, a.host)
+				continue
+			}
 			p.recordTimeout(now, a)
 		}
 		r.mayHaveRun = true
--- a/core/place/retry.go
+++ b/core/place/retry.go
@@ -48,7 +48,7 @@
 	if len(r.running) > 0 {
 		return // another attempt may still answer
 	}
-	if r.withheld > 0 {
+	if r.withheld {
 		p.refuse(now, r, route.ReasonQuarantined)
 		return
 	}
@@ -110,7 +110,7 @@
 // the probe, and the second is fast and has room.
 func (p *Placer) hedge(now clock.Millis, r *request) {
 	r.phase = sent
-	if len(r.running) != 1 {
+	if len(r.running) != 1 || r.running[0].host != "" {
 		return
 	}
 	current := r.running[0].upstream
@@ -118,6 +118,10 @@
 		return
 	}
 	u := p.cheapestOf(now, r, r.probed)
+	if u == nil && p.outOfReach() && p.chooseHost(now, r) != "" && p.repeatBudget.Withdraw() {
+		p.forward(now, r)
+		return
+	}
 	if u == nil || u.slowdownAt(now, p.meanSlowdown) > hedgeToMaxSlowdown || float64(u.load()+1) > hedgeToMaxFill*float64(u.Slots) {
 		return
 	}
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -28,6 +28,8 @@
 type Config struct {
 	AvailabilityZone string
 	Upstreams        []Upstream
+	// Hosts are other hosts that requests may be passed to.
+	Hosts []Host
 	// ProbesPerSecond is this host's probe rate for each upstream. The sum over its
 	// upstreams is one budget.
 	ProbesPerSecond float64
@@ -51,6 +53,8 @@
 	GiveUp      clock.Millis // latest time of its final answer
 	Idempotent  bool
 	MaxAttempts int // most upstreams that it may be sent to, at least 1
+	// Forwarded is set if another host has passed it to this one. It is not passed on.
+	Forwarded bool
 }
 
 // Tuning holds the parameters of the dispatch decisions.
@@ -103,6 +107,7 @@
 type Action struct {
 	route.Action
 	Sent    SendDetail    // with route.Send: the data behind the choice
+	Forward ForwardDetail // with route.Forward
 	Refusal RefusalDetail // with route.Refuse: the state that led to it
 }
 
@@ -114,6 +119,8 @@
 	Usable    int          // upstreams that the request might be sent to
 	WithRoom  int          // usable upstreams with room, by the latest load reports
 	Queued    int          // requests queued on this host
+	// OutOfReach is set if this host reaches no upstream, so that another one may.
+	OutOfReach bool
 }
 
 // SendDetail is the state of an upstream when a request was sent to it.
--- a/core/route/types.go
+++ b/core/route/types.go
@@ -75,6 +75,7 @@
 	// AddressReassigned is set with Refused when another upstream has the address now.
 	AddressReassigned bool
 	Notice            Notice
+	Reason            Reason // with Refused by another host
 }
 
 // Notice is what an upstream says about itself in a reply, besides its load.
--- a/siskinpathd/entry/decision_log.go
+++ b/siskinpathd/entry/decision_log.go
@@ -30,6 +30,7 @@
 	msgAnsweredByHost = "answered by the host"
 	msgProbeFailed    = "probe failed"
 	msgLossChecked    = "upstream after a lost attempt"
+	msgForwarded      = "forwarded"
 )
 
 // statusNames are the names of attempt statuses in log lines and metrics.
@@ -54,9 +55,22 @@
 	if res.Status == route.Succeeded || !d.limit.Allow(msgAttemptEnded) {
 		return
 	}
+	if a.Host != "" {
+		d.log.Info(msgAttemptEnded, "id", p.id, "service", service, "host", a.Host, "status", statusNames[res.Status], "reason", res.Reason, "err", err)
+		return
+	}
 	d.log.Info(msgAttemptEnded, "id", p.id, "service", service, "upstream", a.Upstream, "status", statusNames[res.Status], "err", err)
 }
 
+// logForward logs that a request is passed to another host, and why.
+func (d *decisionLog) logForward(service string, p *pendingRequest, a place.Action) {
+	if !d.limit.Allow(msgForwarded) {
+		return
+	}
+	d.log.Info(msgForwarded, "id", p.id, "service", service, "host", a.Host, "attempts_left", a.Forward.AttemptsLeft,
+		"unanswered", a.Forward.Unanswered, "waited_ms", d.clock.Now()-p.in.Arrived)
+}
+
 // logLoss logs whether an upstream has ended that has lost an attempt.
 func (d *decisionLog) logLoss(service string, p *pendingRequest, a place.Action, found string) {
 	if !d.limit.Allow(msgLossChecked) {
--- a/siskinpathd/entry/dispatcher.go
+++ b/siskinpathd/entry/dispatcher.go
@@ -24,6 +24,7 @@
 	Pools     *UpstreamPools
 	Decisions *decisionLog
 	Crashes   *crashGuard
+	Forwarder *forwarder
 
 	mu      sync.Mutex
 	placer  *place.Placer
@@ -37,7 +38,9 @@
 // pendingRequest is a request that has been passed to the placer.
 type pendingRequest struct {
 	call    *call.Call
+	in      place.Request
 	id      string                    // the caller's id of the request
+	caller  string                    // address of the caller, without its port
 	content func() quarantine.Content // of the request
 	maxBody int
 	replies map[route.AttemptID]*upstream.Reply
@@ -47,7 +50,8 @@
 
 // attemptRecord describes an attempt in the log line of a request's end.
 type attemptRecord struct {
-	Upstream string       `json:"upstream"`
+	Upstream string       `json:"upstream,omitempty"`
+	Host     string       `json:"host,omitempty"` // the other host that it was passed to
 	Status   string       `json:"status"`
 	Took     clock.Millis `json:"ms"`
 	started  clock.Millis
@@ -72,7 +76,7 @@
 // the request is cancelled.
 func (d *Dispatcher) Dispatch(ctx context.Context, c *call.Call, r *request, maxBody int, in place.Request) outcome {
 	p := &pendingRequest{
-		call: c, id: r.id, content: r.content, maxBody: maxBody, replies: map[route.AttemptID]*upstream.Reply{}, final: make(chan place.Action, 1),
+		call: c, in: in, id: r.id, caller: r.caller, content: r.content, maxBody: maxBody, replies: map[route.AttemptID]*upstream.Reply{}, final: make(chan place.Action, 1),
 	}
 	d.mu.Lock()
 	d.lastID++
@@ -112,7 +116,7 @@
 		switch a.Kind {
 		case route.Probe:
 			go d.probe(a.Upstream)
-		case route.Send:
+		case route.Send, route.Forward:
 			d.send(a)
 		case route.Cancel:
 			if cancel := d.cancels[a.Attempt]; cancel != nil {
@@ -171,7 +175,13 @@
 	p := d.pending[a.Request]
 	ctx, cancel := context.WithCancelCause(context.Background())
 	d.cancels[a.Attempt] = cancel
-	p.trail = append(p.trail, attemptRecord{Upstream: a.Upstream, Status: statusRunning, started: d.Clock.Now(), attempt: a.Attempt})
+	p.trail = append(p.trail, attemptRecord{Upstream: a.Upstream, Host: a.Host, Status: statusRunning, started: d.Clock.Now(), attempt: a.Attempt})
+	if a.Kind == route.Forward {
+		forwardsSent.Inc()
+		d.Decisions.logForward(d.Service, p, a)
+		go d.runForward(ctx, p, a)
+		return
+	}
 	countSend(a.Sent)
 	d.Decisions.logSend(d.Service, p, a)
 	go d.runAttempt(ctx, p, a)
@@ -203,8 +213,22 @@
 		MaxBodyBytes: p.maxBody,
 		MaySend:      func() bool { return d.maySend(ctx, p.call) },
 	})
-	result.Attempt = a.Attempt
 	d.guardAgainstCrash(p, a, result.Status)
+	countAttempt(d.Service, result.Status)
+	d.attemptDone(p, a, reply, result, err)
+}
+
+// runForward passes a request to another host.
+func (d *Dispatcher) runForward(ctx context.Context, p *pendingRequest, a place.Action) {
+	reply, result, err := d.Forwarder.send(ctx, p, a)
+	if reply == nil {
+		forwardsFailed.Inc()
+	}
+	d.attemptDone(p, a, reply, result, err)
+}
+
+func (d *Dispatcher) attemptDone(p *pendingRequest, a place.Action, reply *upstream.Reply, result route.Result, err error) {
+	result.Attempt = a.Attempt
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	cancel := d.cancels[a.Attempt]
@@ -213,7 +237,6 @@
 	if reply != nil {
 		p.replies[a.Attempt] = reply
 	}
-	countAttempt(d.Service, result.Status)
 	p.recordEnd(a.Attempt, result.Status, d.Clock.Now())
 	d.Decisions.logAttemptEnd(d.Service, p, a, result, err)
 	d.execute(d.placer.AttemptDone(d.Clock.Now(), result))
--- a/siskinpathd/entry/drain.go
+++ b/siskinpathd/entry/drain.go
@@ -34,7 +34,7 @@
 	start := n.Clock.Now()
 	n.drainStart.Store(int64(start))
 	grace := n.cfg().Shutdown.GraceMs
-	n.Log.Info("leaving", "grace_ms", grace, "in_flight", n.server.InFlight())
+	n.Log.Info("leaving", "grace_ms", grace, "in_flight", n.InFlight())
 	n.relay.SetReady(false)
 	n.server.DisableKeepAlive()
 	accepting := true
@@ -47,11 +47,11 @@
 			n.server.StopAccepting()
 			accepting = false
 		}
-		if !accepting && n.server.InFlight() == 0 {
+		if !accepting && n.InFlight() == 0 {
 			return
 		}
 		if elapsed >= fractionOf(grace, stopFraction) {
-			n.Log.Warn("stopping with requests in flight", "in_flight", n.server.InFlight())
+			n.Log.Warn("stopping with requests in flight", "in_flight", n.InFlight())
 			return
 		}
 		time.Sleep(drainPollInterval.Duration())
--- a/siskinpathd/entry/follow.go
+++ b/siskinpathd/entry/follow.go
@@ -85,7 +85,7 @@
 		Self: overlay.Host{
 			ID: cfg.ID, Incarnation: rand.Uint64() | 1, AvailabilityZone: cfg.AvailabilityZone,
 			CallerAddress: cfg.Listen.Caller, PeerAddress: cmp.Or(cfg.Listen.PeerAdvertised, cfg.Listen.Peer),
-			Capacity: capacity(cfg),
+			ForwardAddress: cfg.Listen.Forward, Capacity: capacity(cfg),
 		},
 		ListenAddress: cfg.Listen.Peer, Clock: n.Clock, Log: n.Log, Spans: overlay.NewSpans(cfg.Bounds.change()),
 		StartupWait:   n.relayStartupWait(),
@@ -243,7 +243,8 @@
 func isRegistered(hosts []overlay.Host, self overlay.Host) bool {
 	for _, h := range hosts {
 		if h.ID == self.ID {
-			return h.PeerAddress == self.PeerAddress && h.CallerAddress == self.CallerAddress && h.Capacity == self.Capacity
+			return h.PeerAddress == self.PeerAddress && h.CallerAddress == self.CallerAddress && h.ForwardAddress == self.ForwardAddress &&
+				h.Capacity == self.Capacity
 		}
 	}
 	return false
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -22,6 +22,7 @@
 	"siskinpath/core/place"
 	"siskinpath/core/quarantine"
 	"siskinpath/core/route"
+	"siskinpath/siskinpathd/forward"
 	"siskinpath/siskinpathd/logs"
 	"siskinpath/siskinpathd/relay"
 	"siskinpath/siskinpathd/upstream"
@@ -67,6 +68,7 @@
 	drainStart       atomic.Int64  // time at which the drain started; 0 before
 	server           *Server
 	relay            *relay.Relay
+	forwardsInFlight atomic.Int64 // requests of other hosts
 	failedStoreCalls atomic.Int64 // failed calls to the store since the last successful one
 	pools            *UpstreamPools
 	configTable      *watch.Table[*config.Config]
@@ -74,6 +76,8 @@
 	watchers         []*watch.Watcher
 	decisions        *decisionLog
 	crashes          *crashGuard
+	forwarder        *forwarder
+	forwardServer    *forward.Server // nil without an address for it
 	hostHeaders      map[string]bool // headers that only hosts set; removed from callers' requests
 
 	mu          sync.Mutex // guards the fields below
@@ -92,6 +96,11 @@
 	if err = n.relay.Bind(); err != nil {
 		return err
 	}
+	if n.forwardServer != nil {
+		if err = n.forwardServer.Bind(); err != nil {
+			return err
+		}
+	}
 	if err = n.runOperatorServer(); err != nil {
 		return err
 	}
@@ -99,6 +108,9 @@
 	defer stop()
 	go n.server.Run()
 	go n.relay.Run(work)
+	if n.forwardServer != nil {
+		go n.forwardServer.Run(work)
+	}
 	for _, w := range n.watchers {
 		go w.Run(work)
 	}
@@ -117,6 +129,10 @@
 	n.pools = &UpstreamPools{Clock: n.Clock, Dialect: n.UpstreamDialect, Replies: replyBudget(n.cfg().MemoryMB)}
 	n.decisions = &decisionLog{log: n.Log, clock: n.Clock, limit: n.LogLimiter}
 	n.crashes = &crashGuard{Clock: n.Clock, Decisions: n.decisions, Withhold: n.withhold, Announce: func(events []quarantine.Event) { n.relay.AnnounceCrashEvents(events) }}
+	n.forwarder = &forwarder{Clock: n.Clock}
+	if address := n.cfg().Listen.Forward; address != "" {
+		n.forwardServer = &forward.Server{ListenAddress: address, Log: n.Log, Serve: n.serveForward}
+	}
 	n.dispatchers = map[string]*Dispatcher{}
 	n.registerAgain = make(chan struct{}, 1)
 	n.splitter.Rand = newRand()
@@ -145,7 +161,7 @@
 }
 
 // InFlight returns the number of requests that have not been answered.
-func (n *Node) InFlight() int { return n.server.InFlight() }
+func (n *Node) InFlight() int { return n.server.InFlight() + int(n.forwardsInFlight.Load()) }
 
 // defaultLimits apply until the configuration has been read.
 var defaultLimits = config.Limits{
@@ -240,8 +256,9 @@
 	n.pools.Configure(all,
 		func(service string) string { return cfg.Services[service].HealthPath },
 		func(service string) int { return connectionShare(cfg.Services[service].MaxConnections, n.budgetHosts) })
+	hosts := n.forwardHosts()
 	for name, d := range n.dispatchers {
-		d.Configure(n.placeConfig(n.registry.Service(name)))
+		d.Configure(n.placeConfig(n.registry.Service(name), hosts))
 	}
 }
 
@@ -255,10 +272,11 @@
 	return max(2, limit/(2*hosts))
 }
 
-func (n *Node) placeConfig(list []discovery.ActiveUpstream) place.Config {
+func (n *Node) placeConfig(list []discovery.ActiveUpstream, hosts []place.Host) place.Config {
 	b := n.cfg().Budgets
 	cfg := place.Config{
 		AvailabilityZone: n.cfg().AvailabilityZone,
+		Hosts:            hosts,
 		RepeatRatio:      repeatBudgetShare * b.RepeatRatio,
 		RepeatBurst:      1 + repeatSlackShare*b.RepeatSlack/float64(n.budgetHosts),
 	}
@@ -280,7 +298,7 @@
 
 func (n *Node) newDispatcher(name string) *Dispatcher {
 	d := &Dispatcher{
-		Service: name, Clock: n.Clock, Pools: n.pools, Decisions: n.decisions, Crashes: n.crashes,
+		Service: name, Clock: n.Clock, Pools: n.pools, Decisions: n.decisions, Crashes: n.crashes, Forwarder: n.forwarder,
 		placer:  &place.Placer{Service: name, Tuning: place.DefaultTuning(), Rand: newRand()},
 		pending: map[route.RequestID]*pendingRequest{},
 		cancels: map[route.AttemptID]context.CancelCauseFunc{},
--- a/siskinpathd/entry/request.go
+++ b/siskinpathd/entry/request.go
@@ -43,16 +43,19 @@
 // request is a caller's request with its route, service and deadline.
 type request struct {
 	id       string
+	caller   string                    // address of the caller, without its port
 	content  func() quarantine.Content // computed at the first call
 	arrived  clock.Millis
 	route    *config.Route
 	service  string
 	deadline clock.Millis
+	// forwarded is set if another host has passed it to this one.
+	forwarded bool
 }
 
 // handle returns the final response to a request of the caller at an address.
 func (n *Node) handle(ctx context.Context, req *fasthttp.Request, caller string) *Response {
-	r := &request{id: string(req.Header.Peek(n.CallerHeaders.RequestID)), arrived: n.Clock.Now()}
+	r := &request{id: string(req.Header.Peek(n.CallerHeaders.RequestID)), caller: caller, arrived: n.Clock.Now()}
 	r.content = sync.OnceValue(func() quarantine.Content {
 		path, query, _ := strings.Cut(string(req.Header.RequestURI()), "?")
 		return quarantine.Of(caller, string(req.Header.Method()), string(req.Header.Host()), path, query, req.Body())
@@ -83,11 +86,19 @@
 	if n.tooLateToStart(r) {
 		return n.decisions.logRefusal(r, reasonStopping, notRunResponse(reasonStopping, stoppingRetryAfter))
 	}
+	_, resp := n.dispatch(ctx, dispatcher, n.buildCall(req, r), r, cfg.Limits.MaxBodyBytes)
+	return resp
+}
+
+// dispatch passes a request to the placer of its service, unless it is in quarantine, and
+// returns how it ended.
+func (n *Node) dispatch(ctx context.Context, d *Dispatcher, c *call.Call, r *request, maxBody int) (end outcome, resp *Response) {
 	if v := n.crashes.verdict(r.content); v.Left > 0 {
 		quarantineRefusals.Inc()
-		return n.decisions.logRefusal(r, string(route.ReasonQuarantined), notRunResponse(string(route.ReasonQuarantined), v.Left))
+		end.action = place.Action{Action: route.Action{Kind: route.Refuse, Reason: route.ReasonQuarantined, RetryAfter: v.Left}}
+		return end, n.decisions.logRefusal(r, string(route.ReasonQuarantined), responseFor(end))
 	}
-	end := dispatcher.Dispatch(ctx, n.buildCall(req, r), r, cfg.Limits.MaxBodyBytes, place.Request{
+	end = d.Dispatch(ctx, c, r, maxBody, place.Request{
 		CallerID:    r.id,
 		Route:       r.route.Name,
 		Priority:    r.route.Priority,
@@ -96,8 +107,9 @@
 		GiveUp:      min(r.deadline, r.arrived+r.route.Timeout),
 		Idempotent:  r.route.Idempotent,
 		MaxAttempts: r.route.MaxAttempts,
+		Forwarded:   r.forwarded,
 	})
-	return n.decisions.logEnd(r, end, responseFor(end))
+	return end, n.decisions.logEnd(r, end, responseFor(end))
 }
 
 // timeLeft returns how long the caller waits for a response. The default is the route's
--- a/siskinpathd/entry/settings.go
+++ b/siskinpathd/entry/settings.go
@@ -33,6 +33,8 @@
 	Directory string `toml:"directory"`
 	Metrics   string `toml:"metrics"`
 	Peer      string `toml:"peer"`
+	// Forward is where requests of other hosts are taken. None are if it is empty.
+	Forward string `toml:"forward"`
 	// PeerAdvertised is the address at which other hosts reach Peer, if it differs from
 	// Peer.
 	PeerAdvertised string `toml:"peer_advertised"`
--- /dev/null
+++ b/siskinpathd/forward/server.go
@@ -0,0 +1,105 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
+
+	"siskinpath/core/clock"
+	"siskinpath/siskinpathd/forward/forwardpb"
+)
+
+const (
+	// maxConcurrent is the number of requests that are served at the same time.
+	maxConcurrent = 256
+	// readTimeout is how long another host may take to send a request.
+	readTimeout = 5 * clock.Second
+)
+
+// Server takes the requests of other hosts. Set the exported fields before Bind.
+type Server struct {
+	ListenAddress string
+	Log           *slog.Logger
+	// Serve returns the reply to a request. ctx is cancelled when the other host gives up.
+	Serve func(ctx context.Context, req *forwardpb.Request) *forwardpb.Reply
+
+	ln    net.Listener
+	slots chan struct{}
+}
+
+// Bind opens the listener.
+func (s *Server) Bind() (err error) {
+	s.slots = make(chan struct{}, maxConcurrent)
+	s.ln, err = net.Listen("tcp", s.ListenAddress)
+	return errors.WithMessagef(err, "listener for other hosts' requests %s", s.ListenAddress)
+}
+
+// Run accepts sessions until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = s.ln.Close() })
+	defer stop()
+	for {
+		nc, err := s.ln.Accept()
+		if err != nil {
+			if ctx.Err() == nil {
+				s.Log.Error("listener for other hosts' requests failed", "address", s.ListenAddress, "err", err)
+			}
+			return
+		}
+		go s.serveSession(ctx, nc)
+	}
+}
+
+func (s *Server) serveSession(ctx context.Context, nc net.Conn) {
+	mux, err := yamux.Server(nc, muxConfig())
+	if err != nil {
+		s.Log.Warn("session of another host refused", "peer", nc.RemoteAddr().String(), "err", err)
+		_ = nc.Close()
+		return
+	}
+	defer func() { _ = mux.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = mux.Close() })
+	defer stop()
+	for {
+		stream, err := mux.AcceptStream()
+		if err != nil {
+			return // the other host has closed the session, or is gone
+		}
+		go s.serveStream(ctx, stream)
+	}
+}
+
+// serveStream serves one request. The other host closes its side of the stream only after
+// it has the reply or has given up.
+func (s *Server) serveStream(ctx context.Context, stream *yamux.Stream) {
+	defer func() { _ = stream.Close() }()
+	_ = stream.SetReadDeadline(time.Now().Add(readTimeout.Duration()))
+	req := &forwardpb.Request{}
+	if err := read(stream, req); err != nil {
+		s.Log.Warn("request of another host can't be read", "peer", stream.RemoteAddr().String(), "err", err)
+		return
+	}
+	_ = stream.SetReadDeadline(time.Time{})
+	reply := &forwardpb.Reply{Outcome: forwardpb.Outcome_OUTCOME_NOT_TAKEN, Reason: "host_busy"}
+	select {
+	case s.slots <- struct{}{}:
+		ctx, cancel := context.WithCancel(ctx)
+		go func() {
+			_, _ = io.Copy(io.Discard, stream)
+			cancel()
+		}()
+		reply = s.Serve(ctx, req)
+		cancel()
+		<-s.slots
+	default:
+	}
+	_ = stream.SetWriteDeadline(time.Now().Add(writeTimeout.Duration()))
+	if err := write(stream, reply); err != nil {
+		s.Log.Info("reply not delivered to another host", "id", req.GetId(), "peer", stream.RemoteAddr().String(), "err", err)
+	}
+}
--- a/siskinpathd/relay/wire.go
+++ b/siskinpathd/relay/wire.go
@@ -68,14 +68,14 @@
 func hostToWire(h overlay.Host) *relaypb.Host {
 	return &relaypb.Host{
 		Id: h.ID, Incarnation: h.Incarnation, AvailabilityZone: h.AvailabilityZone,
-		CallerAddress: h.CallerAddress, PeerAddress: h.PeerAddress, Ready: h.Ready, Capacity: uint32(h.Capacity),
+		CallerAddress: h.CallerAddress, PeerAddress: h.PeerAddress, ForwardAddress: h.ForwardAddress, Ready: h.Ready, Capacity: uint32(h.Capacity),
 	}
 }
 
 func hostFromWire(h *relaypb.Host) overlay.Host {
 	return overlay.Host{
 		ID: h.GetId(), Incarnation: h.GetIncarnation(), AvailabilityZone: h.GetAvailabilityZone(),
-		CallerAddress: h.GetCallerAddress(), PeerAddress: h.GetPeerAddress(), Ready: h.GetReady(), Capacity: int(h.GetCapacity()),
+		CallerAddress: h.GetCallerAddress(), PeerAddress: h.GetPeerAddress(), ForwardAddress: h.GetForwardAddress(), Ready: h.GetReady(), Capacity: int(h.GetCapacity()),
 	}
 }
 
