--- a/siskinpathd/entry/follow.go
+++ b/siskinpathd/entry/follow.go
@@ -85,7 +85,7 @@
 		Self: overlay.Host{
 			ID: cfg.ID, Incarnation: rand.Uint64() | 1, AvailabilityZone: cfg.AvailabilityZone,
 			CallerAddress: cfg.Listen.Caller, PeerAddress: cmp.Or(cfg.Listen.PeerAdvertised, cfg.Listen.Peer),
-			ForwardAddress: cfg.Listen.Forward, Capacity: capacity(cfg),
+			ForwardAddress: cmp.Or(cfg.Listen.ForwardAdvertised, cfg.Listen.Forward), Capacity: capacity(cfg),
 		},
 		ListenAddress: cfg.Listen.Peer, Clock: n.Clock, Log: n.Log, Spans: overlay.NewSpans(cfg.Bounds.change()),
 		StartupWait:   n.relayStartupWait(),
--- a/siskinpathd/entry/settings.go
+++ b/siskinpathd/entry/settings.go
@@ -38,6 +38,8 @@
 	// PeerAdvertised is the address at which other hosts reach Peer, if it differs from
 	// Peer.
 	PeerAdvertised string `toml:"peer_advertised"`
+	// ForwardAdvertised is the same for Forward.
+	ForwardAdvertised string `toml:"forward_advertised"`
 }
 
 // Platform holds the address of the platform's store.
