discovery, watch: an upstream that writes its row again after a restore is used at once

Cause: core/discovery and siskinpathd/watch both took a row that is written again with the same value for no news; in a quarantine that a new write of the same era ends, it is. Both now take it. A row with the same value in a new era is no news as before.

--- a/core/discovery/registry.go
+++ b/core/discovery/registry.go
@@ -111,8 +111,13 @@
 		return known != nil
 	}
 	if known != nil && known.Upstream == *e.Upstream && known.missingSince == 0 {
+		released := known.quarantinedUntil > 0 && writtenSinceRestore(known, e) && known.revision.Before(e.Revision)
+		if released {
+			known.quarantinedUntil = 0
+			delete(r.departed, e.ID)
+		}
 		known.revision = e.Revision
-		return false
+		return released
 	}
 	next := &entry{Upstream: *e.Upstream, revision: e.Revision}
 	if e.Upstream.ColdFor > 0 {
--- a/siskinpathd/watch/table.go
+++ b/siskinpathd/watch/table.go
@@ -163,8 +163,8 @@
 			continue // already received from another host, or not changed
 		}
 		t.storeRow(r)
-		if ok && !r.Removed && bytes.Equal(old.Value, r.Value) {
-			continue // same in a new era, or written again
+		if ok && !r.Removed && bytes.Equal(old.Value, r.Value) && old.Revision.Era != r.Revision.Era {
+			continue // same in a new era; in the same era its writer has written it again
 		}
 		changed = append(changed, r)
 	}
--- a/siskinpathd/watch/watch_test.go
+++ b/siskinpathd/watch/watch_test.go
@@ -232,6 +232,12 @@
 			So(tb.Merge(u), ShouldBeTrue)
 			So(rep.rows, ShouldHaveLength, 1)
 		})
+		Convey("applies a row that is written again with the same value", func() {
+			applied := 0
+			tb.Apply = func(rows []DecodedRow[string]) { applied += len(rows) }
+			So(tb.Merge(Update{Revision: at(12), Base: at(10), Rows: []Row{{Key: "b", Value: []byte("2"), Revision: at(11)}}}), ShouldBeTrue)
+			So(applied, ShouldEqual, 1)
+		})
 		Convey("returns only the changes that another host lacks", func() {
 			tb.Merge(Update{Revision: at(12), Base: at(10), Rows: []Row{{Key: "b", Removed: true, Revision: at(11)}, {Key: "c", Value: []byte("3"), Revision: at(12)}}})
 			u, ok := tb.ChangesSince(at(10))
