place: a host that is cut off refuses what others pass to it at once, and sends nothing that is withheld

Found by reading the change: a host that knows that it reaches no upstream probed for a request of another host until the end of its wait, so that three such hosts in turn could hold a request for 0.4 s; and a withheld request that no host took was probed for, and sent if an upstream answered again. Both are in TestForward, which failed for both before.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -74,7 +74,11 @@
 // their load is known or no probe can be sent.
 func (p *Placer) startProbing(now clock.Millis, r *request) {
 	p.reportReach(now)
-	if p.reach.cutOff && p.forward(now, r) {
+	switch {
+	case p.reach.cutOff && r.Forwarded:
+		p.refuse(now, r, route.ReasonNoUpstream)
+		return
+	case p.reach.cutOff && p.forward(now, r):
 		return
 	}
 	r.probed = r.probed[:0]
--- a/core/place/forward.go
+++ b/core/place/forward.go
@@ -109,7 +109,7 @@
 	if len(r.running) > 0 {
 		return // another attempt may still answer
 	}
-	if res.Status == route.Refused || res.Status != route.NotSent && !p.mayRetry(now, r, res.Status) {
+	if r.withheld || res.Status == route.Refused || res.Status != route.NotSent && !p.mayRetry(now, r, res.Status) {
 		p.refuse(now, r, r.lastReason)
 		return
 	}
--- a/core/place/forward_test.go
+++ b/core/place/forward_test.go
@@ -187,15 +187,18 @@
 			})
 		})
 		Convey("does not pass on what another host has passed to it, and says that others may serve it", func() {
+			probes := r.probes
 			r.offer(place.Request{Forwarded: true})
-			r.pass(300)
+			So(r.probes, ShouldEqual, probes)
 			So(r.takeOpen(), ShouldBeEmpty)
 			So(shouldEnd(r, route.Refuse).Refusal.OutOfReach, ShouldBeTrue)
 		})
-		Convey("does not pass on what is withheld", func() {
+		Convey("does not pass on what is withheld, nor send it when upstreams answer again", func() {
 			id := r.offer(place.Request{Idempotent: true})
 			a := shouldForward(r)
 			r.perform(r.placer.Withhold(r.now, id, clock.Minute))
+			r.silence(0)
+			r.pass(500)
 			r.end(a, route.Result{Status: route.NotSent})
 			r.pass(300)
 			So(r.takeOpen(), ShouldBeEmpty)
