discovery: a restored store's row of an earlier start does not replace the later one

From the logs: the store had come back from a copy in which the upstream was listed with its start before the last one, at the same address. Hosts took the replies of the later start for the earlier one's, and what it said was forgotten when its own row came back 1.7 s later.

In a new era, a row with an earlier start at the same address now counts as of the start that is known. TestRestoredEarlierStart failed before.

--- a/core/discovery/registry.go
+++ b/core/discovery/registry.go
@@ -110,6 +110,11 @@
 		r.drop(now, e.ID, e.Revision)
 		return known != nil
 	}
+	if known != nil && listsEarlierStart(known, e) {
+		u := *e.Upstream
+		u.Started = known.Started
+		e.Upstream = &u
+	}
 	if known != nil && known.Upstream == *e.Upstream && known.missingSince == 0 {
 		released := known.quarantinedUntil > 0 && writtenSinceRestore(known, e) && known.revision.Before(e.Revision)
 		if released {
@@ -132,6 +137,12 @@
 	return true
 }
 
+// listsEarlierStart reports whether e is the entry of an earlier start of an upstream, from
+// the copy that the store has come back from. What runs at its address is the later start.
+func listsEarlierStart(known *entry, e Entry) bool {
+	return known.revision.Era < e.Revision.Era && e.Upstream.Started < known.Started && e.Upstream.Address == known.Address
+}
+
 // writtenSinceRestore reports whether e is a change in the era in which its upstream is
 // in quarantine, so that the upstream itself wrote it.
 func writtenSinceRestore(known *entry, e Entry) bool {
--- a/core/discovery/registry_test.go
+++ b/core/discovery/registry_test.go
@@ -158,3 +158,41 @@
 		So(ids(r), ShouldResemble, []string{"a"})
 	})
 }
+
+// TestRestoredEarlierStart guards against an upstream that is taken for its earlier start,
+// which a restored store lists, so that what it has said of itself does not bind any more.
+func TestRestoredEarlierStart(t *testing.T) {
+	Convey("an upstream that has started twice, and a store that comes back from a copy of before", t, func() {
+		r := &Registry{}
+		start := func(number, version int64) Entry {
+			e := entryOf("a", version)
+			e.Upstream.Started = number
+			return e
+		}
+		r.Apply(1000, []Entry{start(1, 3)})
+		r.Apply(2000, []Entry{start(2, 7)})
+		listed := func() Upstream { return r.Service("booking")[0].Upstream }
+		Convey("the upstream stays the later start at its address", func() {
+			r.Apply(3000, []Entry{restored(start(1, 4))})
+			So(listed().Started, ShouldEqual, 2)
+			Convey("and so when it writes its row again", func() {
+				r.Apply(4000, []Entry{restored(start(2, 9))})
+				So(listed().Started, ShouldEqual, 2)
+			})
+			Convey("and a third start is taken", func() {
+				r.Apply(4000, []Entry{restored(start(3, 9))})
+				So(listed().Started, ShouldEqual, 3)
+			})
+		})
+		Convey("at another address it is the start that the row names", func() {
+			e := restored(start(1, 4))
+			e.Upstream.Address = "a:2"
+			r.Apply(3000, []Entry{e})
+			So(listed().Started, ShouldEqual, 1)
+		})
+		Convey("in the same era a start with an earlier clock is taken", func() {
+			r.Apply(3000, []Entry{start(1, 8)})
+			So(listed().Started, ShouldEqual, 1)
+		})
+	})
+}
