siskinctl, entry: a request that was passed to another host counts once as a failure

A host marks its lines of a request that another has passed to it; these, and lines without a status, are no answers to callers.

place: Withhold moved beside the retries; no change.

--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -238,23 +238,6 @@
 	return p.takeActions()
 }
 
-// Withhold stops a request from being sent to further upstreams. If none runs it, it is
-// refused, and its caller told to come back after span. Attempts in flight go on.
-func (p *Placer) Withhold(now clock.Millis, id route.RequestID, span clock.Millis) []Action {
-	r := p.requests[id]
-	if r == nil {
-		return nil
-	}
-	r.withheld, r.retryAfter = true, span
-	r.hedgeAt = 0
-	if len(r.running) > 0 {
-		r.phase = sent
-		return nil
-	}
-	p.refuse(now, r, route.ReasonQuarantined)
-	return p.takeActions()
-}
-
 // Tick handles the timers that have expired.
 func (p *Placer) Tick(now clock.Millis) []Action {
 	var due []*request
--- a/core/place/retry.go
+++ b/core/place/retry.go
@@ -60,6 +60,23 @@
 	p.startProbing(now, r)
 }
 
+// Withhold stops a request from being sent to further upstreams. If none runs it, it is
+// refused, and its caller told to come back after span. Attempts in flight go on.
+func (p *Placer) Withhold(now clock.Millis, id route.RequestID, span clock.Millis) []Action {
+	r := p.requests[id]
+	if r == nil {
+		return nil
+	}
+	r.withheld, r.retryAfter = true, span
+	r.hedgeAt = 0
+	if len(r.running) > 0 {
+		r.phase = sent
+		return nil
+	}
+	p.refuse(now, r, route.ReasonQuarantined)
+	return p.takeActions()
+}
+
 // mayRetry reports whether r may be sent again, and withdraws from the retry budget
 // if an upstream has received it before.
 func (p *Placer) mayRetry(now clock.Millis, r *request, status route.Status) bool {
--- a/siskinctl/cmd_explain.go
+++ b/siskinctl/cmd_explain.go
@@ -149,11 +149,11 @@
 // descending order of the count.
 func countFailures(lines []logLine) (counts []failureCount) {
 	for _, l := range lines {
-		reason, ok := l.Values["reason"].(string)
-		if !ok {
-			continue
+		reason, hasReason := l.Values["reason"].(string)
+		status, hasStatus := l.Values["status"].(float64)
+		if forwarded, _ := l.Values["forwarded"].(bool); !hasReason || !hasStatus || forwarded {
+			continue // no answer to a caller
 		}
-		status, _ := l.Values["status"].(float64)
 		id, _ := l.Values["id"].(string)
 		at := slices.IndexFunc(counts, func(c failureCount) bool { return c.Reason == reason && c.Status == int(status) })
 		if at < 0 {
--- a/siskinpathd/entry/decision_log.go
+++ b/siskinpathd/entry/decision_log.go
@@ -108,13 +108,22 @@
 		"failures", c.Failures, "success", c.Success, "id", c.CallerID)
 }
 
+// of returns the logger for the end of a request: one that another host has passed to this
+// one is marked, as that host answers the caller.
+func (d *decisionLog) of(r *request) *slog.Logger {
+	if r.forwarded {
+		return d.log.With("forwarded", true)
+	}
+	return d.log
+}
+
 // logRefusal logs a request that the host refused before it reached a placer. It
 // returns resp.
 func (d *decisionLog) logRefusal(r *request, reason string, resp *Response) *Response {
 	if !d.limit.Allow(msgRefused) {
 		return resp
 	}
-	d.log.Info(msgRefused, "id", r.id, "reason", reason, "status", resp.Status, "retry_after_ms", resp.RetryAfter)
+	d.of(r).Info(msgRefused, "id", r.id, "reason", reason, "status", resp.Status, "retry_after_ms", resp.RetryAfter)
 	return resp
 }
 
@@ -129,12 +138,12 @@
 		return resp
 	}
 	if c := end.action.Refusal; end.action.Kind == route.Refuse {
-		d.log.Info(msgAnsweredByHost, "id", r.id, "route", r.route.Name, "service", r.service, "reason", resp.Reason, "status", resp.Status,
+		d.of(r).Info(msgAnsweredByHost, "id", r.id, "route", r.route.Name, "service", r.service, "reason", resp.Reason, "status", resp.Status,
 			"after_ms", c.Waited, "asked", c.Probed, "upstreams", c.Upstreams, "usable", c.Usable, "room", c.WithRoom, "queued", c.Queued,
 			"trail", end.trail, "retry_after_ms", resp.RetryAfter)
 		return resp
 	}
-	d.log.Info(msgAnsweredByHost, "id", r.id, "route", r.route.Name, "service", r.service, "reason", resp.Reason, "status", resp.Status,
+	d.of(r).Info(msgAnsweredByHost, "id", r.id, "route", r.route.Name, "service", r.service, "reason", resp.Reason, "status", resp.Status,
 		"after_ms", d.clock.Now()-r.arrived, "trail", end.trail, "retry_after_ms", resp.RetryAfter)
 	return resp
 }
@@ -145,7 +154,7 @@
 	if took <= r.route.Target || !d.limit.Allow(msgAnsweredLate) {
 		return
 	}
-	d.log.Info(msgAnsweredLate, "id", r.id, "route", r.route.Name, "service", r.service, "status", resp.Status, "after_ms", took,
+	d.of(r).Info(msgAnsweredLate, "id", r.id, "route", r.route.Name, "service", r.service, "status", resp.Status, "after_ms", took,
 		"target_ms", r.route.Target, "trail", end.trail)
 }
 
