place: a pause is not forgotten when a row that lagged behind names the next start

From the logs: the upstream's row still named the start before, from the copy that the store had come back from; the host kept the pause for that start, and forgot it 0.8 s later when the row named the start that had asked for it. The same can happen without a restore while a row lags behind a start under the same id. That the two rows name different starts is inferred from the lines (all else in them is equal); the line of an upstream now says its start.

A pause that was asked for within 3 s of such a change is kept for the next start; if it was the earlier start's after all, the next one rests for what is left of it. TestNotices failed before (25 sends, none allowed), and checks that later changes free the next start at once.

--- a/core/place/notice.go
+++ b/core/place/notice.go
@@ -11,6 +11,9 @@
 // not list, in case it is listed again.
 const noticeMemory = 10 * clock.Minute
 
+// rowLag is how long after a start of an upstream its row may still name the start before.
+const rowLag = 3 * clock.Second
+
 // notice is what one start of an upstream has told this host about itself in replies.
 // It binds this host until that start ends, whatever service discovery says.
 type notice struct {
@@ -37,13 +40,21 @@
 	return n.noneUntil
 }
 
-// noticeOf returns the notice of a start of an upstream, nil for none.
-func (p *Placer) noticeOf(u Upstream) *notice {
+// noticeOf returns the notice of a start of an upstream, nil for none. A pause that the
+// start before has asked for within rowLag may have been this one's.
+func (p *Placer) noticeOf(now clock.Millis, u Upstream) *notice {
 	n := p.notices[u.ID]
-	if n == nil || n.started != u.Started {
+	switch {
+	case n == nil:
+		return nil
+	case n.started == u.Started:
+		return n
+	case now-n.lastHeardAt >= rowLag || now >= n.noneUntil:
 		return nil
 	}
-	return n
+	next := &notice{started: u.Started, noneUntil: n.noneUntil, lastHeardAt: n.lastHeardAt}
+	p.notices[u.ID] = next
+	return next
 }
 
 // recordNotice records what u has said in a reply to the request with this caller's id,
--- a/core/place/notice_test.go
+++ b/core/place/notice_test.go
@@ -130,6 +130,17 @@
 				So(n.sends["a"], ShouldEqual, sends)
 				So(n.probes["a"], ShouldEqual, probes)
 			})
+			Convey("it gets nothing until then if its row names another start soon after it was refused, as the row may have lagged", func() {
+				n.now = refusedAt + 500
+				n.configure(place.Upstream{ID: "a", Started: 2, Slots: 4}, place.Upstream{ID: "b", Started: 1, Slots: 4})
+				n.requests(refusedAt + 3*clock.Second - 10 - n.now)
+				So(n.sends["a"], ShouldEqual, sends)
+				Convey("and its share after that", func() {
+					n.now = refusedAt + 3*clock.Second
+					n.requests(clock.Second)
+					So(n.sends["a"], ShouldBeGreaterThan, sends)
+				})
+			})
 			Convey("it gets its share again soon after", func() {
 				n.now = refusedAt + 3*clock.Second
 				before := n.sends["b"]
@@ -137,6 +148,18 @@
 				So(n.sends["a"]-sends, ShouldBeGreaterThan, (n.sends["b"]-before)/3)
 			})
 		})
+		Convey("when one refuses a request with a long time to wait, a start that its row names later is used at once", func() {
+			n.refuse["a"], n.notice["a"] = true, route.Notice{RetryAfter: clock.Minute}
+			for n.placer.StateChanges() == nil {
+				n.request()
+			}
+			n.refuse["a"], n.notice["a"] = false, route.Notice{}
+			n.requests(4 * clock.Second)
+			sends := n.sends["a"]
+			n.configure(place.Upstream{ID: "a", Started: 2, Slots: 4}, place.Upstream{ID: "b", Started: 1, Slots: 4})
+			n.requests(clock.Second)
+			So(n.sends["a"], ShouldBeGreaterThan, sends)
+		})
 		Convey("when all refuse with a time to wait, requests are refused at once until the first of them", func() {
 			for id, wait := range map[string]clock.Millis{"a": 2 * clock.Second, "b": 5 * clock.Second} {
 				n.refuse[id], n.notice[id] = true, route.Notice{RetryAfter: wait}
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -110,7 +110,7 @@
 			k = &upstream{success: 1}
 		}
 		k.Upstream = u
-		k.notice = p.noticeOf(u)
+		k.notice = p.noticeOf(now, u)
 		p.byID[u.ID] = k
 		p.upstreams = append(p.upstreams, k)
 	}
--- a/siskinpathd/entry/decision_log.go
+++ b/siskinpathd/entry/decision_log.go
@@ -166,5 +166,5 @@
 	}
 	u := row.Value
 	d.log.Info("upstream", "upstream", row.Key, "row_version", row.Revision.Version, "row_era", row.Revision.Era, "service", u.Service, "address", u.Address,
-		"availability_zone", u.AvailabilityZone, "leaving", u.Leaving, "cold_ms", u.ColdFor)
+		"availability_zone", u.AvailabilityZone, "leaving", u.Leaving, "cold_ms", u.ColdFor, "started", u.Started)
 }
