relay: a host that subscribes misses no event about requests that crash upstreams

Found by reading the change: an event announced between the first message of a session and the subscription reached that host only through its other sources. No test shows it: the span is some microseconds. The events of the first message are now read under the lock that announcements take.

--- a/siskinpathd/relay/relay.go
+++ b/siskinpathd/relay/relay.go
@@ -66,7 +66,8 @@
 	// the store.
 	OnStoreLost func()
 	// OnCrashEvents is called with the events that a peer has sent, and returns those that
-	// this host did not know. KnownCrashEvents returns all that it knows. Either may be nil.
+	// this host did not know. KnownCrashEvents returns all that it knows; it must not call the
+	// relay. Either may be nil.
 	OnCrashEvents    func([]quarantine.Event) []quarantine.Event
 	KnownCrashEvents func() []quarantine.Event
 
--- a/siskinpathd/relay/subscriber.go
+++ b/siskinpathd/relay/subscriber.go
@@ -86,9 +86,10 @@
 // hosts of its availability zone.
 func (r *Relay) addSubscriber(s *subscriber) {
 	m := r.lastChanges()
-	m.CrashEvents = r.knownCrashEvents()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	// Under the lock, so that no event is announced between this and the subscription.
+	m.CrashEvents = r.knownCrashEvents()
 	r.overlay.AddSubscriber(s.host)
 	m.Hosts = []*relaypb.Host{hostToWire(r.overlay.Self)}
 	for _, h := range r.overlay.Subscribers() {
