--- a/core/place/types.go
+++ b/core/place/types.go
@@ -125,7 +125,7 @@
 
 // SendDetail is the state of an upstream when a request was sent to it.
 type SendDetail struct {
-	At       clock.Millis
+	At       clock.Millis // when it was sent
 	Waited   clock.Millis // since the request arrived
 	Probed   int          // upstreams probed for the request
 	Reported bool         // the upstream has reported its load
