place: wait for probes that are late instead of refusing

Cause: an upstream whose probe had not been answered within 25 ms counted as unusable, and a host without usable upstreams refused at once with no_upstream, although the caller had time left. A new connection or a busy processor delays an answer as well.

Change: such an upstream is in doubt until its probe fails. While all that r may use are in doubt, r waits for their probes, also beyond its usual wait.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -74,7 +74,12 @@
 
 // inUse reports whether r may be sent to u, regardless of load and of u's warm-up.
 func (p *Placer) inUse(now clock.Millis, r *request, u *upstream) bool {
-	return !u.Leaving && !u.gone && !u.notice.forbids(now) && now >= u.suspendedUntil && !slices.Contains(r.tried, u) && !u.silent(now)
+	return p.eligible(now, r, u) && !u.silent(now)
+}
+
+// eligible is like inUse, but includes upstreams that have not answered a probe yet.
+func (p *Placer) eligible(now clock.Millis, r *request, u *upstream) bool {
+	return !u.Leaving && !u.gone && !u.notice.forbids(now) && now >= u.suspendedUntil && !slices.Contains(r.tried, u)
 }
 
 // startProbing probes the most promising upstreams for r. It chooses at once when
@@ -177,7 +182,9 @@
 		p.refuse(now, r, route.ReasonOverloaded)
 	case best != nil:
 		p.send(now, r, best)
-	case p.noneUsable(now, r):
+	case now >= r.waitUntil && p.allInDoubt(now, r):
+		p.awaitProbes(now, r)
+	case p.noneUsable(now, r) && !p.allInDoubt(now, r):
 		p.turnAway(now, r, route.ReasonNoUpstream)
 	case now >= r.waitUntil:
 		p.turnAway(now, r, route.ReasonOverloaded)
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -338,6 +338,10 @@
 			p.send(now, r, u)
 			return
 		}
+		if p.allInDoubt(now, r) {
+			p.awaitProbes(now, r)
+			return
+		}
 		p.turnAway(now, r, cmp.Or(r.lastReason, route.ReasonOverloaded))
 	case r.phase == queued:
 		p.reprobe(now, r)
