--- a/core/loadsim/scenario.go
+++ b/core/loadsim/scenario.go
@@ -177,3 +177,51 @@
 		booking("six_slots_high", 6, 2.7),
 	}
 }
+
+// threeSlots is a service of 20 upstreams with three slots, which slow down with the third
+// and do not answer what they can't queue.
+var threeSlots = Config{
+	Hosts: 20, Upstreams: 20, Slots: 3, Zones: 3, SlowShare: 0.25, SlowFactor: 5, SpeedPeriod: 150, QueueLength: 6, IgnoresOverflow: true, Retries: 2,
+}
+
+// RecordsWorkloads returns reads and orders of 120 and 160 ms.
+func RecordsWorkloads(load float64) []Workload {
+	return []Workload{
+		{Kind: "order", PerSecond: 45 * load, Priority: 1, Target: 400, Deadline: 3000, WorkMs: 160},
+		{Kind: "read", PerSecond: 90 * load, Priority: 2, Target: 300, Deadline: 2500, WorkMs: 120, Idempotent: true},
+	}
+}
+
+// records returns a scenario of a service with three slots an upstream.
+func records(name string, load float64, disturb func(sim *Simulation)) Scenario {
+	return Scenario{Name: name, Config: threeSlots, Span: 16 * clock.Second, Start: func(sim *Simulation) {
+		for _, k := range RecordsWorkloads(load) {
+			sim.Generate(k)
+		}
+		if disturb != nil {
+			disturb(sim)
+		}
+	}}
+}
+
+// ScarceScenarios returns loads near the capacity of services whose hosts have to find the
+// last free slots, and one in which all hosts come back from a loss of power.
+func ScarceScenarios() []Scenario {
+	addLoad := func(load float64, at, span clock.Millis) func(sim *Simulation) {
+		return func(sim *Simulation) {
+			sim.After(at, func() {
+				for _, k := range RecordsWorkloads(load) {
+					sim.After(span, sim.Generate(k))
+				}
+			})
+		}
+	}
+	return []Scenario{
+		records("records", 0.7, nil),
+		records("records_busy", 1, nil),
+		records("records_peak", 1.3, nil),
+		records("records_above", 1.8, nil),
+		records("records_burst", 1, addLoad(0.6, 4*clock.Second, 5*clock.Second)),
+		records("records_power", 1, func(sim *Simulation) { sim.LosePower(6*clock.Second, 750) }),
+	}
+}
--- a/core/loadsim/simulation.go
+++ b/core/loadsim/simulation.go
@@ -8,6 +8,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 
 	"siskinpath/core/clock"
 	"siskinpath/core/place"
@@ -25,6 +26,12 @@
 	NextTick() clock.Millis
 }
 
+// allocated is implemented by policies that pass messages about slots.
+type allocated interface {
+	HostLinked(host string)
+	HandleSlotMessage(now clock.Millis, host string, m place.SlotMessage) []place.Action
+}
+
 // Config holds the parameters of a Simulation.
 type Config struct {
 	Seed      uint64
@@ -38,8 +45,18 @@
 	Zones int
 	// SlowShare is the share of upstreams that are slow at any moment; 0 for 0.25.
 	SlowShare float64
+	// SlowFactor is how much slower a slow upstream is; 0 for 4. SpeedPeriod is the mean time
+	// between two changes of its speed; 0 for 300 ms.
+	SlowFactor  float64
+	SpeedPeriod clock.Millis
 	// QueueLength is how many requests an upstream queues; 0 for 8.
 	QueueLength int
+	// IgnoresOverflow is set on all upstreams; see Upstream.
+	IgnoresOverflow bool
+	// Retries is how often a caller comes back after refusals; 0 for 1.
+	Retries int
+	// Allocator lets a host allocate the slots of all upstreams; see place.Config.
+	Allocator bool
 	// Overload enables the hosts' decisions for overload; see place.Config.
 	Overload bool
 	// Policy returns a new policy for one host.
@@ -53,8 +70,11 @@
 	Requests  []*Request
 	Outcomes  Outcomes
 	Probes    int
-	// Kinds and Organisations count requests by workload and by organisation.
-	Kinds, Organisations Tally
+	// SlotMessages counts the messages between hosts about slots.
+	SlotMessages int
+	// Kinds and Organisations count requests by workload and by organisation, Windows by the
+	// two seconds from the start in which they were first sent.
+	Kinds, Organisations, Windows Tally
 	// Refusals counts all refusals by reason, also those after which the caller came
 	// back.
 	Refusals map[route.Reason]int
@@ -63,14 +83,18 @@
 
 	cfg      Config
 	demand   map[string]*demand
+	start    clock.Millis
 	now      clock.Millis
 	events   events
 	sequence int
 	hosts    []*host
 	byID     map[string]*Upstream
+	list     []place.Upstream
+	dark     bool // all hosts are without power
 }
 
 type host struct {
+	name   string
 	zone   string
 	policy Policy
 	wakeAt clock.Millis
@@ -116,38 +140,56 @@
 	// the share of the requests, and the burst beyond one for each host.
 	repeatRatio = 0.18
 	repeatSlack = 19
+	// windowSpan is the span of a group of Simulation.Windows.
+	windowSpan = 2 * clock.Second
 )
 
 // New returns a simulation. Its upstreams vary in speed from the start.
 func New(cfg Config) *Simulation {
 	cfg.Zones = max(1, cfg.Zones)
 	sim := &Simulation{
-		Rand: rand.New(rand.NewPCG(cfg.Seed, 7)), now: clock.Hour, byID: map[string]*Upstream{}, cfg: cfg,
-		Kinds: Tally{}, Organisations: Tally{}, Refusals: map[route.Reason]int{}, demand: map[string]*demand{},
+		Rand: rand.New(rand.NewPCG(cfg.Seed, 7)), start: clock.Hour, now: clock.Hour, byID: map[string]*Upstream{}, cfg: cfg,
+		Kinds: Tally{}, Organisations: Tally{}, Windows: Tally{}, Refusals: map[route.Reason]int{}, demand: map[string]*demand{},
 	}
 	var list []place.Upstream
 	for i := range cfg.Upstreams {
 		u := newUpstream(i, cfg.Slots)
+		u.IgnoresOverflow = cfg.IgnoresOverflow
 		u.Zone = zoneName(i % cfg.Zones)
 		sim.Upstreams = append(sim.Upstreams, u)
 		sim.byID[u.ID] = u
 		list = append(list, place.Upstream{ID: u.ID, AvailabilityZone: u.Zone, Slots: cfg.Slots, ColdLimited: cfg.ColdLimited})
 		sim.drawSpeed(u)
 	}
+	sim.list = list
 	for h := range cfg.Hosts {
-		p := cfg.Policy(rand.New(rand.NewPCG(cfg.Seed, uint64(h))))
-		zone := zoneName(h % cfg.Zones)
-		sim.hosts = append(sim.hosts, &host{zone: zone, policy: p, runs: map[route.AttemptID]*run{}})
-		used := place.Subset(sim.now, fmt.Sprint("h", h), zone, list)
-		sim.carryOut(h, p.Configure(sim.now, place.Config{
-			Overload:         cfg.Overload,
-			AvailabilityZone: zone, Upstreams: used, RepeatRatio: repeatRatio, RepeatBurst: 1 + repeatSlack/float64(cfg.Hosts),
-			ProbesPerSecond: probesPerSecond * float64(len(list)) / float64(cfg.Hosts*len(used)),
-		}))
+		sim.hosts = append(sim.hosts, nil)
+		sim.startHost(h, uint64(h))
 	}
 	return sim
 }
 
+// startHost starts host h, which knows nothing of an earlier start.
+func (sim *Simulation) startHost(h int, stream uint64) {
+	p := sim.cfg.Policy(rand.New(rand.NewPCG(sim.cfg.Seed, stream)))
+	zone := zoneName(h % sim.cfg.Zones)
+	sim.hosts[h] = &host{name: hostName(h), zone: zone, policy: p, runs: map[route.AttemptID]*run{}}
+	var allocators []string
+	if sim.cfg.Allocator {
+		allocators = []string{hostName(0), hostName(1)}
+	}
+	used := place.Subset(sim.now, fmt.Sprint("h", h), zone, sim.list)
+	if p, ok := p.(allocated); ok && sim.cfg.Allocator {
+		p.HostLinked(hostName(0))
+	}
+	sim.carryOut(h, p.Configure(sim.now, place.Config{
+		Overload: sim.cfg.Overload,
+		Host:     hostName(h), Allocators: allocators,
+		AvailabilityZone: zone, Upstreams: used, RepeatRatio: repeatRatio, RepeatBurst: 1 + repeatSlack/float64(sim.cfg.Hosts),
+		ProbesPerSecond: probesPerSecond * sim.probeShare(h) * float64(len(sim.list)) / float64(len(used)),
+	}))
+}
+
 func zoneName(i int) string { return string(rune('a' + i)) }
 
 // latency returns the one-way latency between a host and an upstream.
@@ -191,6 +233,8 @@
 			sim.cancel(h, a.Attempt)
 		case route.Finish, route.Refuse, route.Unknown:
 			sim.complete(a)
+		case route.SlotMessage:
+			sim.passSlotMessage(h, a)
 		}
 	}
 	host := sim.hosts[h]
@@ -200,15 +244,46 @@
 	}
 	host.wakeAt = next
 	sim.After(max(0, next-sim.now), func() {
-		if host.wakeAt == next {
+		if host.wakeAt == next && sim.runs(h, host) {
 			host.wakeAt = 0
 			sim.carryOut(h, host.policy.Tick(sim.now))
 		}
 	})
 }
 
+// probeShare returns the share of the probes that host h may send. An allocator has half of
+// them.
+func (sim *Simulation) probeShare(h int) float64 {
+	share := 1 / float64(sim.cfg.Hosts)
+	switch {
+	case !sim.cfg.Allocator:
+		return share
+	case h == 0:
+		return 0.5
+	}
+	return 0.5 * share
+}
+
+func hostName(h int) string { return fmt.Sprint("h", h) }
+
+// passSlotMessage passes a message of host h on to another one.
+func (sim *Simulation) passSlotMessage(h int, a place.Action) {
+	sim.SlotMessages++
+	to := slices.IndexFunc(sim.hosts, func(x *host) bool { return x != nil && x.name == a.Host })
+	delay := linkLatency
+	if sim.hosts[h].zone != sim.hosts[to].zone {
+		delay += crossZoneLatency
+	}
+	receiver := sim.hosts[to]
+	sim.After(delay, func() {
+		if policy, ok := receiver.policy.(allocated); ok && sim.runs(to, receiver) {
+			sim.carryOut(to, policy.HandleSlotMessage(sim.now, hostName(h), a.Slot))
+		}
+	})
+}
+
 func (sim *Simulation) probe(h int, id string) {
-	u := sim.byID[id]
+	u, host := sim.byID[id], sim.hosts[h]
 	sim.After(sim.latency(h, u), func() {
 		res := route.ProbeResult{Upstream: id, OK: !u.Down, Load: u.report(), ColdFor: max(0, u.coldUntil-sim.now), ColdKnown: !u.Down}
 		if u.Down {
@@ -218,14 +293,18 @@
 		if u.Silent {
 			delay, res = probeTimeout, route.ProbeResult{Upstream: id}
 		}
-		sim.After(delay, func() { sim.carryOut(h, sim.hosts[h].policy.ProbeDone(sim.now, res)) })
+		sim.After(delay, func() {
+			if sim.runs(h, host) {
+				sim.carryOut(h, host.policy.ProbeDone(sim.now, res))
+			}
+		})
 	})
 }
 
 func (sim *Simulation) send(h int, a place.Action) {
 	r := sim.Requests[a.Request-1]
-	run := &run{request: r, attempt: a.Attempt, host: h, upstream: sim.byID[a.Upstream], remaining: r.work}
-	sim.hosts[h].runs[a.Attempt] = run
+	run := &run{request: r, attempt: a.Attempt, host: h, sender: sim.hosts[h], upstream: sim.byID[a.Upstream], remaining: r.work}
+	run.sender.runs[a.Attempt] = run
 	sim.After(sim.latency(h, run.upstream), func() { sim.arrive(run) })
 }
 
@@ -235,8 +314,10 @@
 		load = run.upstream.report()
 	}
 	sim.After(sim.latency(run.host, run.upstream), func() {
-		delete(sim.hosts[run.host].runs, run.attempt)
-		sim.carryOut(run.host, sim.hosts[run.host].policy.AttemptDone(sim.now, route.Result{Attempt: run.attempt, Status: status, Load: load}))
+		delete(run.sender.runs, run.attempt)
+		if sim.runs(run.host, run.sender) {
+			sim.carryOut(run.host, run.sender.policy.AttemptDone(sim.now, route.Result{Attempt: run.attempt, Status: status, Load: load}))
+		}
 	})
 }
 
@@ -244,6 +325,8 @@
 	run := sim.hosts[h].runs[id]
 	sim.After(sim.latency(h, run.upstream), func() { run.cancelled = true })
 	sim.After(1, func() {
-		sim.carryOut(h, sim.hosts[h].policy.AttemptDone(sim.now, route.Result{Attempt: id, Status: route.Cancelled}))
+		if sim.runs(h, run.sender) {
+			sim.carryOut(h, run.sender.policy.AttemptDone(sim.now, route.Result{Attempt: id, Status: route.Cancelled}))
+		}
 	})
 }
--- a/core/loadsim/tally.go
+++ b/core/loadsim/tally.go
@@ -11,6 +11,8 @@
 type Counts struct {
 	Offered, InTime, Late, Refused, Failed int
 	Refusals                               int // with those after which the caller came back
+	// WorkMs is the mean service time of the kind; 0 for other groups.
+	WorkMs float64
 }
 
 // InTimeShare returns the share of the requests answered in time.
--- a/core/loadsim/upstream.go
+++ b/core/loadsim/upstream.go
@@ -56,6 +56,7 @@
 	request   *Request
 	attempt   route.AttemptID
 	host      int
+	sender    *host // the start of the host that sent it
 	upstream  *Upstream
 	cancelled bool
 	remaining float64 // remaining work in ms at slowdown 1
@@ -86,9 +87,9 @@
 func (sim *Simulation) drawSpeed(u *Upstream) {
 	u.slowdown = 1
 	if sim.Rand.Float64() < cmp.Or(sim.cfg.SlowShare, slowShare) {
-		u.slowdown = slowFactor
+		u.slowdown = cmp.Or(sim.cfg.SlowFactor, slowFactor)
 	}
-	sim.After(clock.Millis(sim.Rand.ExpFloat64()*float64(meanSpeedPeriod))+1, func() { sim.drawSpeed(u) })
+	sim.After(clock.Millis(sim.Rand.ExpFloat64()*float64(cmp.Or(sim.cfg.SpeedPeriod, meanSpeedPeriod)))+1, func() { sim.drawSpeed(u) })
 }
 
 // slowdownNow returns the factor by which work at u takes longer now.
--- a/core/loadsim/workload.go
+++ b/core/loadsim/workload.go
@@ -43,6 +43,7 @@
 	retries      int
 	firstOffered clock.Millis
 	zone         string
+	host         *host // that has it; nil for none
 	organisation string
 	counts       []*Counts // of its kind and its organisation
 }
@@ -104,6 +105,7 @@
 func (sim *Simulation) Generate(k Workload) (stop func()) {
 	stopped := false
 	sim.addUsualDemand(k)
+	sim.Kinds.of(k.kind()).WorkMs = k.WorkMs
 	var next func()
 	next = func() {
 		if stopped {
@@ -116,6 +118,9 @@
 	return func() { stopped = true }
 }
 
+// kind returns the name by which outcomes are counted.
+func (k Workload) kind() string { return cmp.Or(k.Kind, fmt.Sprint("r", k.Priority)) }
+
 // rateAt returns the requests a second at a moment.
 func (k Workload) rateAt(now clock.Millis) float64 {
 	rate := k.PerSecond
@@ -133,12 +138,13 @@
 const minRate = 0.1
 
 func (sim *Simulation) generate(k Workload) {
-	kind := cmp.Or(k.Kind, fmt.Sprint("r", k.Priority))
+	kind := k.kind()
 	r := &Request{work: k.WorkMs * (0.7 + 0.6*sim.Rand.Float64()), firstOffered: sim.now, GiveUp: sim.now + k.Deadline, zone: k.Zone, in: place.Request{
 		ID: route.RequestID(len(sim.Requests) + 1), Route: kind, Priority: k.Priority, Target: k.Target,
 		GiveUp: sim.now + k.Deadline, Idempotent: k.Idempotent, MaxAttempts: 2,
 	}}
-	r.counts = append(r.counts, sim.Kinds.of(kind))
+	window := fmt.Sprintf("%02d", (sim.now-sim.start)/windowSpan)
+	r.counts = append(r.counts, sim.Kinds.of(kind), sim.Windows.of(window))
 	if name := sim.drawOrganisation(k.Organisations); name != "" {
 		r.counts = append(r.counts, sim.Organisations.of(name))
 		r.organisation = name
@@ -152,6 +158,11 @@
 func (sim *Simulation) offer(r *Request) {
 	r.runs, r.refused = 0, false
 	h := sim.drawHost(r.zone)
+	if sim.dark {
+		sim.connectLater(r)
+		return
+	}
+	r.host = sim.hosts[h]
 	r.in.Arrived = sim.now
 	r.in.OverUse = sim.use(r.organisation)
 	r.in.CameBack = r.retries > 0
@@ -202,8 +213,9 @@
 	case a.Kind == route.Finish:
 		sim.Outcomes.Late[p]++
 		r.count(func(c *Counts) { c.Late++ })
-	case a.Kind == route.Refuse && r.retries == 0 && sim.now+a.RetryAfter < r.in.GiveUp:
+	case a.Kind == route.Refuse && r.retries < max(1, sim.cfg.Retries) && sim.now+a.RetryAfter < r.in.GiveUp:
 		r.retries++
+		r.host = nil
 		sim.After(a.RetryAfter, func() { sim.offer(r) })
 		return
 	case a.Kind == route.Refuse:
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -59,9 +59,9 @@
 }
 
 // hasRoom reports whether u has a slot free for r's priority.
-func (p *Placer) hasRoom(r *request, u *upstream) bool {
+func (p *Placer) hasRoom(now clock.Millis, r *request, u *upstream) bool {
 	fill := p.Tuning.FillLimit
-	if r.Priority < p.Tuning.FirstNormalPriority {
+	if r.Priority < p.Tuning.FirstNormalPriority && !p.keepsFast(now, u) {
 		fill = p.Tuning.UrgentFillLimit
 	}
 	return float64(u.load()+1) <= max(1, fill*float64(u.Slots))
@@ -79,6 +79,9 @@
 
 // eligible is like inUse, but includes upstreams that have not answered a probe yet.
 func (p *Placer) eligible(now clock.Millis, r *request, u *upstream) bool {
+	if r.asker != nil && u.limited() { // each host has a share of its own of the limit
+		return false
+	}
 	return !u.Leaving && !u.gone && !u.notice.forbids(now) && now >= u.suspendedUntil && !slices.Contains(r.tried, u)
 }
 
@@ -139,7 +142,7 @@
 			continue
 		}
 		c := p.cost(now, r, u) * (1 + costJitter*p.Rand.Float64())
-		if !p.hasRoom(r, u) && now-u.loadAt < fullPenaltyPeriod {
+		if !p.hasRoom(now, r, u) && now-u.loadAt < fullPenaltyPeriod {
 			c *= 4
 		}
 		if best == nil || c < least {
@@ -231,7 +234,7 @@
 func (p *Placer) cheapestOf(now clock.Millis, r *request, list []*upstream) (best *upstream) {
 	var least float64
 	for _, u := range list {
-		if u.probing || !p.sendable(now, r, u) || !p.hasRoom(r, u) {
+		if u.probing || !p.sendable(now, r, u) || !p.hasRoom(now, r, u) {
 			continue
 		}
 		if c := p.cost(now, r, u); best == nil || c < least {
@@ -247,7 +250,7 @@
 func (p *Placer) cheapestKnown(now clock.Millis, r *request) (best *upstream) {
 	var least float64
 	for _, u := range p.upstreams {
-		if !p.sendable(now, r, u) || !u.reporting || !u.fresh(now, maxSendLoadAge) || !p.hasRoom(r, u) {
+		if !p.sendable(now, r, u) || !u.reporting || !u.fresh(now, maxSendLoadAge) || !p.hasRoom(now, r, u) {
 			continue
 		}
 		if c := p.cost(now, r, u); best == nil || c < least {
@@ -259,7 +262,7 @@
 	}
 	// For upstreams that report no load, this host's own requests in flight stand in.
 	for _, u := range p.upstreams {
-		if u.reporting || u.probing || !p.sendable(now, r, u) || !p.hasRoom(r, u) {
+		if u.reporting || u.probing || !p.sendable(now, r, u) || !p.hasRoom(now, r, u) {
 			continue
 		}
 		if c := p.cost(now, r, u) * (1 + costJitter*p.Rand.Float64()); best == nil || c < least {
@@ -277,7 +280,7 @@
 		return u
 	}
 	u := r.slow
-	if u == nil || u.probing || p.probes.Available(now, p.Service, "") >= 1 || !p.sendable(now, r, u) || !p.hasRoom(r, u) {
+	if u == nil || u.probing || p.probes.Available(now, p.Service, "") >= 1 || !p.sendable(now, r, u) || !p.hasRoom(now, r, u) {
 		return nil
 	}
 	return u
@@ -289,6 +292,10 @@
 
 // send starts an attempt of r at u.
 func (p *Placer) send(now clock.Millis, r *request, u *upstream) {
+	if r.asker != nil {
+		p.grant(now, r, u)
+		return
+	}
 	p.dequeue(r)
 	p.throughput.recordSend(now)
 	p.lastAttempt++
--- a/core/place/forward.go
+++ b/core/place/forward.go
@@ -114,7 +114,7 @@
 		return
 	}
 	r.waitUntil = max(r.waitUntil, now+p.Tuning.ProbeWait)
-	p.startProbing(now, r)
+	p.findSlot(now, r)
 }
 
 // probeForReach probes an upstream at random while this host is cut off.
--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -168,15 +168,20 @@
 	p.suspend(now, u, "unreachable", unreachablePeriod)
 }
 
-// recordResult updates the upstream's state from the result of an attempt.
-func (p *Placer) recordResult(now clock.Millis, a *attempt, res route.Result) {
-	u := a.upstream
+// endSend counts the end of a send from the load of u.
+func (u *upstream) endSend() {
 	u.inFlight--
 	if u.sentSinceReport > 0 {
 		u.sentSinceReport--
 	} else if u.report.InFlight > 0 {
 		u.report.InFlight--
 	}
+}
+
+// recordResult updates the upstream's state from the result of an attempt.
+func (p *Placer) recordResult(now clock.Millis, a *attempt, res route.Result) {
+	u := a.upstream
+	u.endSend()
 	p.recordLoad(now, u, res.Load, 0)
 	replied := res.Status == route.Succeeded || res.Status == route.Errored || res.Status == route.Refused
 	switch {
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -19,6 +19,7 @@
 	queued                    // waits for an upstream with room
 	sent                      // at least one attempt is in flight
 	hedgeProbing              // as sent, and probes that decide on a hedge are in flight
+	asking                    // an allocator has been asked for a slot
 	ended                     // it has its final answer, or its caller is gone
 )
 
@@ -43,6 +44,9 @@
 	coldWithheld bool         // counted by countWithheld
 	retryAfter   clock.Millis // the caller need not come back sooner
 	triedHosts   []string
+	ask          *ask           // in asking
+	denied       *RefusalDetail // the allocator's; nil if this host refuses
+	asker        *asker         // nil for a request of this host's callers
 }
 
 // attempt is one sending of a request to one upstream.
@@ -57,6 +61,8 @@
 	target   clock.Millis
 	route    string
 	callerID string
+	slot     slotKey // of the grant that it uses or, with an asker, is
+	asker    string  // the host that it was granted to; "" for this one
 }
 
 // Placer dispatches the requests of one service on one host. Set the exported fields
@@ -91,6 +97,16 @@
 	coldUpstreams int                // at the last event
 	coldWithheld  int                // see ColdWithheld
 	warmUpAt      clock.Millis       // when Tick must look at cold upstreams; 0 for never
+
+	asks              map[uint64]*request     // of this host, by number
+	lastAsk           uint64                  // number of the last ask
+	avoidedAllocators map[string]clock.Millis // until when a host is not asked
+	linked            map[string]bool         // allocators with a connection
+	askers            map[slotKey]*request    // requests of other hosts that wait here
+	grants            map[slotKey]*attempt    // slots that other hosts use
+	lastAskedAt       clock.Millis            // when another host has last asked this one
+	grantsSweptAt     clock.Millis
+	lastAskers        route.RequestID // number of the last request of another host
 }
 
 // probeBurst is the capacity of the probe budget, in seconds of its rate, for bursts
@@ -161,6 +177,7 @@
 	p.notices = map[string]*notice{}
 	p.shares = map[string]*share{}
 	p.avoidedHosts = map[string]clock.Millis{}
+	p.initSlots()
 	p.meanSlowdown = 1
 	p.retryDelay = admit.RetryDelay{Min: minRetryAfter, Max: maxRetryAfter}
 }
@@ -185,7 +202,7 @@
 	p.retryDelay.RecordRequest(now)
 	r.aboveFairUse = p.fairUse.record(in.OverUse) && p.cfg.Overload && !p.Tuning.NoFairUse
 	r.waitUntil = min(in.GiveUp, in.Arrived+clock.Millis(p.waitShare(now, r)*float64(in.Target)))
-	p.startProbing(now, r)
+	p.findSlot(now, r)
 	p.planWarmUp(now)
 	return p.takeActions()
 }
@@ -256,6 +273,7 @@
 			p.afterForward(now, r, a, res)
 		}
 	}
+	p.endGrant(a, res)
 	p.serveQueue(now)
 	if a.host == "" && a.upstream.ColdLimited {
 		p.probeForQueue(now, a.upstream)
@@ -315,6 +333,8 @@
 		return min(r.GiveUp, r.probeUntil)
 	case queued:
 		return min(r.GiveUp, r.waitUntil, r.reprobeAt)
+	case asking:
+		return min(r.GiveUp, r.ask.until)
 	}
 	if r.hedgeAt > 0 {
 		return min(r.GiveUp, r.hedgeAt)
@@ -333,6 +353,8 @@
 		p.choose(now, r)
 	case r.phase == hedgeProbing:
 		p.hedge(now, r)
+	case r.phase == asking:
+		p.askLost(now, r)
 	case r.phase == queued && now >= r.waitUntil:
 		if u := p.lastResort(now, r); u != nil && !p.betterRefused(now, r, u) {
 			p.send(now, r, u)
@@ -379,6 +401,10 @@
 	r.running = nil
 	r.phase = ended
 	p.dequeue(r)
+	p.withdrawAsk(r)
+	if r.asker != nil {
+		delete(p.askers, r.asker.slotKey)
+	}
 	delete(p.requests, r.ID)
 }
 
@@ -396,6 +422,10 @@
 		return
 	}
 	p.countWithheld(now, r)
+	if r.asker != nil {
+		p.deny(now, r, reason)
+		return
+	}
 	p.remove(r)
 	if r.mayHaveRun {
 		p.emit(route.Action{Kind: route.Unknown, Request: r.ID, Reason: reason})
@@ -424,6 +454,11 @@
 }
 
 func (p *Placer) refusalDetail(now clock.Millis, r *request) RefusalDetail {
+	if r.denied != nil {
+		c := *r.denied
+		c.Waited = now - r.Arrived
+		return c
+	}
 	c := RefusalDetail{Waited: now - r.Arrived, Probed: len(r.probed), Upstreams: len(p.upstreams), Queued: len(p.queue), OutOfReach: p.outOfReach()}
 	for _, u := range p.upstreams {
 		if !p.usable(now, r, u) {
@@ -433,7 +468,7 @@
 			continue
 		}
 		c.Usable++
-		if p.hasRoom(r, u) {
+		if p.hasRoom(now, r, u) {
 			c.WithRoom++
 		}
 	}
--- a/core/place/queue.go
+++ b/core/place/queue.go
@@ -31,6 +31,7 @@
 	if slices.Contains(p.queue, r) {
 		return
 	}
+	p.tellQueued(r)
 	at, _ := slices.BinarySearchFunc(p.queue, r, byPriority)
 	p.queue = slices.Insert(p.queue, at, r)
 	p.refuseLast(now)
@@ -42,7 +43,7 @@
 func (p *Placer) refuseLast(now clock.Millis) {
 	before := len(p.queue) - 1
 	last := p.queue[before]
-	if !p.cfg.Overload || p.Tuning.NoEarlyRefusal || !p.throughput.short(now) {
+	if !p.cfg.Overload && !p.allocates(now) || p.Tuning.NoEarlyRefusal || !p.throughput.short(now) {
 		return
 	}
 	if float64(before) > queueShare*p.throughput.sendsWithin(now, last.waitUntil-now) {
--- a/core/place/retry.go
+++ b/core/place/retry.go
@@ -62,7 +62,7 @@
 		return
 	}
 	r.waitUntil = max(r.waitUntil, now+p.Tuning.ProbeWait)
-	p.startProbing(now, r)
+	p.findSlot(now, r)
 }
 
 // Withhold stops a request from being sent to further upstreams. If none runs it, it is
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -36,6 +36,11 @@
 	Upstreams        []Upstream
 	// Hosts are other hosts that requests may be passed to.
 	Hosts []Host
+	// Host is this host's ID, and Allocators the IDs of the hosts that allocate the slots of
+	// the service's upstreams, in the order in which they are asked. Empty for none: each
+	// host then decides by itself. See slot.go.
+	Host       string
+	Allocators []string
 	// ProbesPerSecond is this host's probe rate for each upstream. The sum over its
 	// upstreams is one budget.
 	ProbesPerSecond float64
@@ -107,6 +112,8 @@
 	// NoShedRules ejects upstreams that shed as those that fail, and gives retries to the
 	// first who ask.
 	NoShedRules bool
+	// NoAllocator lets each host decide by itself although there are allocators.
+	NoAllocator bool
 	// NoFairUse treats requests alike whatever their organisation uses of its quota.
 	NoFairUse bool
 }
@@ -133,6 +140,7 @@
 	Sent    SendDetail    // with route.Send: the data behind the choice
 	Forward ForwardDetail // with route.Forward
 	Refusal RefusalDetail // with route.Refuse: the state that led to it
+	Slot    SlotMessage   // with route.SlotMessage
 }
 
 // RefusalDetail is the state of the Placer when it refused a request.
--- a/core/route/types.go
+++ b/core/route/types.go
@@ -101,14 +101,15 @@
 
 // Kinds of Action.
 const (
-	Send       ActionKind = iota // send Request to Upstream as Attempt
-	Cancel                       // cancel Attempt: close its connection; a Result follows
-	Forward                      // pass Request to Host; a ForwardResult follows
-	Finish                       // answer Request with Attempt's answer
-	Refuse                       // refuse Request: it was not run
-	Unknown                      // end Request with an unknown outcome: it may have run
-	SendDigest                   // send Digest to the other owners
-	Probe                        // probe Upstream; a ProbeResult follows
+	Send        ActionKind = iota // send Request to Upstream as Attempt
+	Cancel                        // cancel Attempt: close its connection; a Result follows
+	Forward                       // pass Request to Host; a ForwardResult follows
+	Finish                        // answer Request with Attempt's answer
+	Refuse                        // refuse Request: it was not run
+	Unknown                       // end Request with an unknown outcome: it may have run
+	SendDigest                    // send Digest to the other owners
+	Probe                         // probe Upstream; a ProbeResult follows
+	SlotMessage                   // pass a message about slots to Host
 )
 
 // Reason is why a request was refused or ended unknown. Callers see it, so the
--- a/siskinpathd/entry/dispatcher.go
+++ b/siskinpathd/entry/dispatcher.go
@@ -25,6 +25,7 @@
 	Decisions *decisionLog
 	Crashes   *crashGuard
 	Forwarder *forwarder
+	Slots     *slotExchange
 
 	mu      sync.Mutex
 	placer  *place.Placer
@@ -120,6 +121,8 @@
 			go d.probe(a.Upstream)
 		case route.Send, route.Forward:
 			d.send(a)
+		case route.SlotMessage:
+			d.Slots.send(d.Service, a.Host, a.Slot)
 		case route.Cancel:
 			if cancel := d.cancels[a.Attempt]; cancel != nil {
 				cancel(context.Canceled)
--- a/siskinpathd/entry/drain.go
+++ b/siskinpathd/entry/drain.go
@@ -36,6 +36,7 @@
 	grace := n.cfg().Shutdown.GraceMs
 	n.Log.Info("leaving", "grace_ms", grace, "in_flight", n.InFlight())
 	n.relay.SetReady(false)
+	n.slots.leave()
 	n.server.DisableKeepAlive()
 	accepting := true
 	for {
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -79,6 +79,7 @@
 	crashes          *crashGuard
 	forwarder        *forwarder
 	forwardServer    *forward.Server // nil without an address for it
+	slots            *slotExchange
 	quotas           *quotas
 	bodies           *bodyBudget // bodies of requests of callers and of other hosts
 	keyFence         keyFenceState
@@ -143,6 +144,7 @@
 		n.forwardServer = &forward.Server{ListenAddress: address, Log: n.Log, Serve: n.serveForward}
 	}
 	n.initQuotas()
+	n.initSlots()
 	n.dispatchers = map[string]*Dispatcher{}
 	n.evacuations, n.unknownRows = map[string]*evacuation{}, map[string]bool{}
 	n.registerAgain = make(chan struct{}, 1)
@@ -285,12 +287,16 @@
 		func(service string) string { return cfg.Services[service].HealthPath },
 		func(service string) int { return connectionShare(cfg.Services[service].MaxConnections, n.budgetHosts) })
 	hosts := n.forwardHosts()
+	var followed []string
 	for name, d := range n.dispatchers {
 		upstreams := n.registry.Service(name)
 		placing := n.placeConfig(upstreams, cfg.Services[name].WarmUpPerSecond, hosts)
 		placing.Overload = cfg.KeysRequired || haveFewSlots(upstreams)
+		n.setAllocators(name, &placing)
+		followed = append(followed, placing.Allocators...)
 		d.Configure(placing)
 	}
+	n.slots.follow(followed)
 }
 
 // fewSlots is the number of slots of an upstream up to which a service counts as often short
@@ -360,11 +366,15 @@
 func (n *Node) newDispatcher(name string) *Dispatcher {
 	d := &Dispatcher{
 		Service: name, Clock: n.Clock, Pools: n.pools, Decisions: n.decisions, Crashes: n.crashes, Forwarder: n.forwarder,
+		Slots:   n.slots,
 		placer:  &place.Placer{Service: name, Tuning: place.DefaultTuning(), Rand: newRand()},
 		pending: map[route.RequestID]*pendingRequest{},
 		cancels: map[route.AttemptID]context.CancelCauseFunc{},
 	}
 	d.timer = time.AfterFunc(time.Hour, d.tick)
+	for _, host := range n.slots.linked() {
+		d.placer.HostLinked(host)
+	}
 	return d
 }
 
--- a/siskinpathd/forward/server.go
+++ b/siskinpathd/forward/server.go
@@ -35,6 +35,9 @@
 	// Grant returns the reply to a request for tokens. It must not block: such requests
 	// do not count towards maxConcurrent. Without it the host is no holder.
 	Grant func(*forwardpb.Tokens) *forwardpb.TokensReply
+	// Slots begins the exchange of messages about slots with another host. It returns what
+	// receives its messages and what is called at the end, or nil if this host takes none.
+	Slots func(host string, s *SlotStream) (receive func(*forwardpb.SlotMessage), ended func())
 
 	Timeouts Timeouts
 
@@ -84,13 +87,13 @@
 	}
 }
 
-// serveStream serves one request, or any number of messages for tokens. The other host
+// serveStream serves one request, or any number of messages for tokens or about slots. The other host
 // closes its side of the stream only after it has the reply or has given up.
 func (s *Server) serveStream(ctx context.Context, stream *yamux.Stream) {
 	defer func() { _ = stream.Close() }()
 	progress := &progressReader{stream: stream}
 	r := bufio.NewReader(progress)
-	for s.serveRequest(ctx, stream, r) {
+	for s.serveRequest(ctx, stream, progress, r) {
 		progress.idle = true
 		if _, err := r.Peek(1); err != nil {
 			return // the other host has no further messages
@@ -100,13 +103,18 @@
 }
 
 // serveRequest serves a request, and reports whether another may follow on the stream.
-func (s *Server) serveRequest(ctx context.Context, stream *yamux.Stream, r *bufio.Reader) (more bool) {
+func (s *Server) serveRequest(ctx context.Context, stream *yamux.Stream, progress *progressReader, r *bufio.Reader) (more bool) {
 	req := &forwardpb.Request{}
 	if err := read(r, req); err != nil {
 		s.Log.Warn("request of another host can't be read", "peer", stream.RemoteAddr().String(), "err", err)
 		return false
 	}
 	_ = stream.SetReadDeadline(time.Time{})
+	if req.GetSlots() != nil {
+		progress.idle = true
+		s.serveSlots(ctx, stream, r, req.GetSlots().GetHost())
+		return false
+	}
 	reply := s.reply(ctx, stream, req)
 	w := bufio.NewWriter(progressWriter{stream, s.Timeouts.write()})
 	_, err := protodelim.MarshalTo(w, reply)
