--- a/core/loadsim/scenario.go
+++ b/core/loadsim/scenario.go
@@ -181,7 +181,7 @@
 // threeSlots is a service of 20 upstreams with three slots, which slow down with the third
 // and do not answer what they can't queue.
 var threeSlots = Config{
-	Hosts: 20, Upstreams: 20, Slots: 3, Zones: 3, SlowShare: 0.25, SlowFactor: 5, SpeedPeriod: 150, QueueLength: 6, IgnoresOverflow: true, Retries: 2,
+	Hosts: 20, Upstreams: 20, Slots: 3, Zones: 3, SlowShare: 0.25, SlowFactor: 5, SpeedPeriod: 150, SpeedAtStart: true, QueueLength: 6, IgnoresOverflow: true, Retries: 2,
 }
 
 // RecordsWorkloads returns reads and orders of 120 and 160 ms.
--- a/core/loadsim/simulation.go
+++ b/core/loadsim/simulation.go
@@ -49,6 +49,9 @@
 	// between two changes of its speed; 0 for 300 ms.
 	SlowFactor  float64
 	SpeedPeriod clock.Millis
+	// SpeedAtStart makes the speed of an upstream at the start of a request count for all of
+	// it; else a request follows each change.
+	SpeedAtStart bool
 	// QueueLength is how many requests an upstream queues; 0 for 8.
 	QueueLength int
 	// IgnoresOverflow is set on all upstreams; see Upstream.
--- a/core/loadsim/upstream.go
+++ b/core/loadsim/upstream.go
@@ -60,6 +60,7 @@
 	upstream  *Upstream
 	cancelled bool
 	remaining float64 // remaining work in ms at slowdown 1
+	slowdown  float64 // at its start
 }
 
 func newUpstream(i, slots int) *Upstream {
@@ -138,6 +139,7 @@
 func (sim *Simulation) startRun(run *run) {
 	run.request.ran()
 	run.upstream.running++
+	run.slowdown = sim.slowdownNow(run.upstream)
 	sim.advance(run)
 }
 
@@ -152,7 +154,10 @@
 		sim.startQueued(u)
 		return
 	}
-	slowdown := sim.slowdownNow(u)
+	slowdown := run.slowdown
+	if !sim.cfg.SpeedAtStart {
+		slowdown = sim.slowdownNow(u)
+	}
 	part := min(float64(step), run.remaining*slowdown)
 	run.remaining -= part / slowdown
 	if run.remaining < 0.01 {
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -178,7 +178,7 @@
 		best = p.lastResort(now, r)
 	}
 	switch {
-	case best != nil && now < r.waitUntil && p.wouldMissTarget(now, r, best):
+	case best != nil && now < r.waitUntil && !r.late && p.wouldMissTarget(now, r, best):
 		r.slow = best
 		p.enqueue(now, r)
 	case best != nil && p.betterRefused(now, r, best):
@@ -234,7 +234,7 @@
 func (p *Placer) cheapestOf(now clock.Millis, r *request, list []*upstream) (best *upstream) {
 	var least float64
 	for _, u := range list {
-		if u.probing || !p.sendable(now, r, u) || !p.hasRoom(now, r, u) {
+		if u.probing || !p.sendable(now, r, u) || !p.hasRoom(now, r, u) || p.wastesSlot(now, r, u) {
 			continue
 		}
 		if c := p.cost(now, r, u); best == nil || c < least {
@@ -250,7 +250,7 @@
 func (p *Placer) cheapestKnown(now clock.Millis, r *request) (best *upstream) {
 	var least float64
 	for _, u := range p.upstreams {
-		if !p.sendable(now, r, u) || !u.reporting || !u.fresh(now, maxSendLoadAge) || !p.hasRoom(now, r, u) {
+		if !p.sendable(now, r, u) || !u.reporting || !u.fresh(now, maxSendLoadAge) || !p.hasRoom(now, r, u) || p.wastesSlot(now, r, u) {
 			continue
 		}
 		if c := p.cost(now, r, u); best == nil || c < least {
--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -270,7 +270,7 @@
 // and the others shed no less. The lower success rate makes u the last choice anyway.
 func (p *Placer) recordShed(now clock.Millis, u *upstream) {
 	p.lowerSuccess(now, u)
-	if !p.cfg.Overload || p.Tuning.NoShedRules || p.usedShare(now) > minUsedShare {
+	if !p.cfg.Overload && !p.allocates(now) || p.Tuning.NoShedRules || p.usedShare(now) > minUsedShare {
 		p.ejectIfFailing(now, u)
 	}
 }
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -29,6 +29,8 @@
 	phase        phase
 	probeUntil   clock.Millis // in probing and hedgeProbing: when to decide without the missing answers
 	waitUntil    clock.Millis // when it is refused if no upstream has room
+	lateFrom     clock.Millis // when it is late wherever it is sent; 0 where requests do not wait so long
+	late         bool         // lateFrom has passed
 	reprobeAt    clock.Millis // in queued: when to probe again
 	hedgeAt      clock.Millis // in sent: when to consider a hedge; 0 for never
 	probed       []*upstream
@@ -201,7 +203,7 @@
 	}
 	p.retryDelay.RecordRequest(now)
 	r.aboveFairUse = p.fairUse.record(in.OverUse) && p.cfg.Overload && !p.Tuning.NoFairUse
-	r.waitUntil = min(in.GiveUp, in.Arrived+clock.Millis(p.waitShare(now, r)*float64(in.Target)))
+	p.planWait(now, r)
 	p.findSlot(now, r)
 	p.planWarmUp(now)
 	return p.takeActions()
@@ -332,7 +334,11 @@
 	case probing, hedgeProbing:
 		return min(r.GiveUp, r.probeUntil)
 	case queued:
-		return min(r.GiveUp, r.waitUntil, r.reprobeAt)
+		at := min(r.GiveUp, r.waitUntil, r.reprobeAt)
+		if r.lateFrom > 0 && !r.late {
+			at = min(at, r.lateFrom)
+		}
+		return at
 	case asking:
 		return min(r.GiveUp, r.ask.until)
 	}
@@ -355,6 +361,8 @@
 		p.hedge(now, r)
 	case r.phase == asking:
 		p.askLost(now, r)
+	case r.phase == queued && r.lateFrom > 0 && !r.late && now >= r.lateFrom:
+		p.turnLate(now, r)
 	case r.phase == queued && now >= r.waitUntil:
 		if u := p.lastResort(now, r); u != nil && !p.betterRefused(now, r, u) {
 			p.send(now, r, u)
@@ -372,9 +380,9 @@
 	}
 }
 
-// byPriority orders by priority, then those within their fair use first, then by arrival.
+// byPriority orders those that can be in time first, then by priority, then those within their fair use first, then by arrival.
 func byPriority(a, b *request) int {
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), compareBool(a.aboveFairUse, b.aboveFairUse), cmp.Compare(a.Arrived, b.Arrived), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(compareBool(a.late, b.late), cmp.Compare(a.Priority, b.Priority), compareBool(a.aboveFairUse, b.aboveFairUse), cmp.Compare(a.Arrived, b.Arrived), cmp.Compare(a.ID, b.ID))
 }
 
 // compareBool orders false before true.
--- a/core/place/queue.go
+++ b/core/place/queue.go
@@ -27,11 +27,11 @@
 func (p *Placer) enqueue(now clock.Millis, r *request) {
 	r.phase = queued
 	p.countWithheld(now, r)
+	p.tellQueued(now, r)
 	r.reprobeAt = now + reprobeInterval
 	if slices.Contains(p.queue, r) {
 		return
 	}
-	p.tellQueued(r)
 	at, _ := slices.BinarySearchFunc(p.queue, r, byPriority)
 	p.queue = slices.Insert(p.queue, at, r)
 	p.refuseLast(now)
@@ -61,6 +61,7 @@
 // allows.
 func (p *Placer) reprobe(now clock.Millis, r *request) {
 	r.reprobeAt = now + reprobeInterval
+	p.tellQueued(now, r)
 	if slices.Index(p.queue, r) < maxReprobers && p.hasSpareProbes(now) {
 		p.startProbing(now, r)
 	}
@@ -83,7 +84,7 @@
 		if u == nil {
 			return
 		}
-		if now < r.waitUntil && p.wouldMissTarget(now, r, u) {
+		if now < r.waitUntil && !r.late && p.wouldMissTarget(now, r, u) {
 			r.slow = u
 			continue
 		}
--- a/core/place/slot.go
+++ b/core/place/slot.go
@@ -26,8 +26,10 @@
 	// askTimeout is how long an allocator may take to grant a slot or to queue a request. It
 	// covers two rounds of probes and the way between availability zones.
 	askTimeout = 45 * clock.Millisecond
-	// queuedMargin is how long after the end of a request's wait its answer may arrive.
-	queuedMargin = 40 * clock.Millisecond
+	// queuedInterval is how often an allocator tells that a request still waits, and
+	// queuedTimeout how long a host relies on that.
+	queuedInterval = 100 * clock.Millisecond
+	queuedTimeout  = 250 * clock.Millisecond
 	// allocatorAvoidPeriod is how long a host that has not answered is not asked.
 	allocatorAvoidPeriod = clock.Second
 	// maxAllocators is how many hosts are asked until a host decides by itself.
@@ -99,7 +101,7 @@
 // asker identifies the host that has a request, at the allocator.
 type asker struct {
 	slotKey
-	told bool // that the request is queued
+	toldAt clock.Millis // when the host was last told that the request is queued; 0 for never
 }
 
 func (p *Placer) initSlots() {
@@ -262,7 +264,7 @@
 	}
 	switch m.Kind {
 	case SlotQueued:
-		r.ask.until = max(r.ask.until, r.waitUntil+queuedMargin)
+		r.ask.until = now + queuedTimeout
 	case SlotDeny:
 		p.forgetAsk(r)
 		p.handleDeny(now, host, r, m)
@@ -319,7 +321,8 @@
 	p.requests[r.ID] = r
 	p.askers[r.asker.slotKey] = r
 	p.retryDelay.RecordRequest(now)
-	r.waitUntil = min(r.GiveUp, max(r.Arrived+clock.Millis(p.waitShare(now, r)*float64(r.Target)), now+2*p.Tuning.ProbeWait))
+	p.planWait(now, r)
+	r.waitUntil = min(r.GiveUp, max(r.waitUntil, now+2*p.Tuning.ProbeWait))
 	p.startProbing(now, r)
 }
 
@@ -327,9 +330,9 @@
 const askersBit = 1 << 62
 
 // tellQueued tells the host of r that it has to wait.
-func (p *Placer) tellQueued(r *request) {
-	if r.asker != nil && !r.asker.told {
-		r.asker.told = true
+func (p *Placer) tellQueued(now clock.Millis, r *request) {
+	if r.asker != nil && now-r.asker.toldAt >= queuedInterval {
+		r.asker.toldAt = now
 		p.tell(r.asker.host, SlotMessage{Kind: SlotQueued, ID: r.asker.id})
 	}
 }
