--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -60,8 +60,11 @@
 
 // hasRoom reports whether u has a slot free for r's priority.
 func (p *Placer) hasRoom(now clock.Millis, r *request, u *upstream) bool {
+	if r.lateFrom > 0 {
+		return p.hasSlot(now, r, u)
+	}
 	fill := p.Tuning.FillLimit
-	if r.Priority < p.Tuning.FirstNormalPriority && !p.keepsFast(now, u) {
+	if r.Priority < p.Tuning.FirstNormalPriority {
 		fill = p.Tuning.UrgentFillLimit
 	}
 	return float64(u.load()+1) <= max(1, fill*float64(u.Slots))
@@ -320,6 +323,7 @@
 	}
 	u.sentSinceReport++
 	u.sentSinceProbe++
+	a.full = float64(basis.Load+1) > highLoadShare*float64(u.Slots)
 	p.planHedge(r, a)
 	p.actions = append(p.actions, Action{
 		Action: route.Action{Kind: route.Send, Request: r.ID, Attempt: a.id, Upstream: u.ID},
--- a/core/place/slot.go
+++ b/core/place/slot.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 
 	"siskinpath/core/clock"
@@ -122,12 +121,6 @@
 	return p.cfg.Allocators[0] == p.cfg.Host || now-p.lastAskedAt < allocatorMemory
 }
 
-// keepsFast reports whether u is kept at the load at which it is not slowed down, whatever
-// the priority: it then completes more requests than with all slots occupied.
-func (p *Placer) keepsFast(now clock.Millis, u *upstream) bool {
-	return p.allocates(now) && math.Floor(p.Tuning.FillLimit*float64(u.Slots)) >= float64(u.Slots)/highLoadFactor
-}
-
 // findSlot asks an allocator for a slot for r, or looks for one by itself.
 func (p *Placer) findSlot(now clock.Millis, r *request) {
 	if !p.askSlot(now, r) {
@@ -347,6 +340,7 @@
 		slot: r.asker.slotKey, asker: r.asker.host,
 	}
 	p.grants[a.slot] = a
+	a.full = float64(u.load()+1) > highLoadShare*float64(u.Slots)
 	load := route.LoadReport{InFlight: u.load(), Slots: u.Slots, Slowdown: a.slowdown}
 	u.inFlight++
 	u.sentSinceReport++
@@ -378,7 +372,7 @@
 	p.recordLoad(now, u, m.Load, 0)
 	switch m.Status {
 	case route.Succeeded:
-		p.updateTypicalTime(a, now-a.started)
+		p.updateTypicalTime(now, a)
 		u.recordSuccess(now)
 	case route.Errored:
 		p.recordFailure(now, u)
--- a/core/place/wait.go
+++ b/core/place/wait.go
@@ -9,6 +9,7 @@
 // as long as it can be in time, and then behind those that still can, as an answer that is
 // late is worth more to its caller than none.
 func (p *Placer) planWait(now clock.Millis, r *request) {
+	r.waitingSince = now
 	r.waitUntil = min(r.GiveUp, r.Arrived+clock.Millis(p.waitShare(now, r)*float64(r.Target)))
 	if !p.allocates(now) {
 		return
