--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -58,6 +58,7 @@
 	reporting       bool // has reported its load at least once
 	loadAt          clock.Millis
 	sentSinceReport int // this host's sends since the report
+	foreign         foreignLoad
 
 	unansweredAt    clock.Millis // when it last did not answer; 0 if it has since
 	probing         bool
@@ -76,6 +77,9 @@
 // load returns the requests running or queued at u: the last report plus this host's
 // sends since, and at least this host's requests in flight.
 func (u *upstream) load() int {
+	if u.foreign.known {
+		return u.inFlight + u.foreign.requests()
+	}
 	if !u.reporting {
 		return u.inFlight
 	}
@@ -117,6 +121,7 @@
 	u.reporting = true
 	u.loadAt = now
 	u.sentSinceReport = sentSinceReport
+	u.foreign.record(p.allocates(now), report.InFlight+report.Queued-u.inFlight)
 	if report.Slots > 0 {
 		u.Slots = report.Slots
 	}
