--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -61,7 +61,7 @@
 // hasRoom reports whether u has a slot free for r's priority.
 func (p *Placer) hasRoom(now clock.Millis, r *request, u *upstream) bool {
 	if r.lateFrom > 0 {
-		return p.hasSlot(now, r, u)
+		return u.hasSlot()
 	}
 	fill := p.Tuning.FillLimit
 	if r.Priority < p.Tuning.FirstNormalPriority {
@@ -323,7 +323,6 @@
 	}
 	u.sentSinceReport++
 	u.sentSinceProbe++
-	a.full = float64(basis.Load+1) > highLoadShare*float64(u.Slots)
 	p.planHedge(r, a)
 	p.actions = append(p.actions, Action{
 		Action: route.Action{Kind: route.Send, Request: r.ID, Attempt: a.id, Upstream: u.ID},
--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -200,7 +200,7 @@
 	}
 	switch res.Status {
 	case route.Succeeded:
-		p.updateTypicalTime(now, a)
+		p.updateTypicalTime(a, now-a.started)
 		u.recordSuccess(now)
 	case route.Refused:
 		if res.AddressReassigned {
@@ -246,10 +246,9 @@
 }
 
 // updateTypicalTime updates the typical service time of the attempt's route.
-func (p *Placer) updateTypicalTime(now clock.Millis, a *attempt) {
-	normalised := float64(now-a.started) / max(1, a.slowdown)
+func (p *Placer) updateTypicalTime(a *attempt, took clock.Millis) {
+	normalised := float64(took) / max(1, a.slowdown)
 	typical := p.typicalTime(a.route, a.target)
-	p.fullLoad.record(now, a.route, a.full, normalised)
 	p.typicalTimes[a.route] = typical + typicalTimeWeight*(min(normalised, 3*typical)-typical)
 }
 
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -31,7 +31,6 @@
 	waitUntil    clock.Millis // when it is refused if no upstream has room
 	lateFrom     clock.Millis // when it is late wherever it is sent; 0 where requests do not wait so long
 	late         bool         // lateFrom has passed
-	waitingSince clock.Millis // when this host began to look for a slot for it
 	reprobeAt    clock.Millis // in queued: when to probe again
 	hedgeAt      clock.Millis // in sent: when to consider a hedge; 0 for never
 	probed       []*upstream
@@ -64,7 +63,6 @@
 	target   clock.Millis
 	route    string
 	callerID string
-	full     bool    // more than highLoadShare of the slots were occupied when it was sent
 	slot     slotKey // of the grant that it uses or, with an asker, is
 	asker    string  // the host that it was granted to; "" for this one
 }
@@ -95,7 +93,6 @@
 	reach         reach
 	avoidedHosts  map[string]clock.Millis // until when nothing is passed to a host
 	throughput    throughput
-	fullLoad      fullLoad
 	fairUse       fairUse
 	notices       map[string]*notice // by upstream; kept while service discovery does not list it
 	shares        map[string]*share  // by upstream; of the limits on cold upstreams
--- a/core/place/slot.go
+++ b/core/place/slot.go
@@ -340,7 +340,6 @@
 		slot: r.asker.slotKey, asker: r.asker.host,
 	}
 	p.grants[a.slot] = a
-	a.full = float64(u.load()+1) > highLoadShare*float64(u.Slots)
 	load := route.LoadReport{InFlight: u.load(), Slots: u.Slots, Slowdown: a.slowdown}
 	u.inFlight++
 	u.sentSinceReport++
@@ -372,7 +371,7 @@
 	p.recordLoad(now, u, m.Load, 0)
 	switch m.Status {
 	case route.Succeeded:
-		p.updateTypicalTime(now, a)
+		p.updateTypicalTime(a, now-a.started)
 		u.recordSuccess(now)
 	case route.Errored:
 		p.recordFailure(now, u)
--- a/core/place/wait.go
+++ b/core/place/wait.go
@@ -1,6 +1,10 @@
 package place
 
-import "siskinpath/core/clock"
+import (
+	"math"
+
+	"siskinpath/core/clock"
+)
 
 // planWait sets how long r may wait for a slot.
 //
@@ -9,7 +13,6 @@
 // as long as it can be in time, and then behind those that still can, as an answer that is
 // late is worth more to its caller than none.
 func (p *Placer) planWait(now clock.Millis, r *request) {
-	r.waitingSince = now
 	r.waitUntil = min(r.GiveUp, r.Arrived+clock.Millis(p.waitShare(now, r)*float64(r.Target)))
 	if !p.allocates(now) {
 		return
@@ -23,6 +26,16 @@
 // of the typical time of its route.
 const lastStart = 1.5
 
+// hasSlot reports whether u has a slot free at an allocator. u is kept at the load at which
+// it is not slowed down, if it completes more requests then than with all slots occupied.
+func (u *upstream) hasSlot() bool {
+	slots := float64(u.Slots)
+	if fast := math.Floor(highLoadShare * slots); fast >= slots/highLoadFactor {
+		slots = fast
+	}
+	return float64(u.load()+1) <= slots
+}
+
 // wastesSlot reports whether u is too slow for r at an allocator, although it has room. A
 // request keeps the speed with which it starts, and would occupy the slot for longer than
 // most slow spells last.
