--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -52,12 +52,20 @@
 	if over := float64(load+1) - slots; over > 0 {
 		work += over * work / slots
 	}
-	if u.AvailabilityZone != p.cfg.AvailabilityZone {
+	if u.AvailabilityZone != p.zoneOf(r) {
 		work += float64(crossZoneCost)
 	}
 	return work + (1-u.successAt(now))*failurePenalty*float64(r.Target)
 }
 
+// zoneOf returns the availability zone of the host that has r.
+func (p *Placer) zoneOf(r *request) string {
+	if r.asker != nil {
+		return r.asker.zone
+	}
+	return p.cfg.AvailabilityZone
+}
+
 // hasRoom reports whether u has a slot free for r's priority.
 func (p *Placer) hasRoom(now clock.Millis, r *request, u *upstream) bool {
 	if r.lateFrom > 0 {
--- a/core/place/slot.go
+++ b/core/place/slot.go
@@ -68,6 +68,7 @@
 	Target       clock.Millis // from its arrival
 	TimeLeft     clock.Millis // until its latest answer
 	AboveFairUse bool
+	Zone         string   // availability zone of the host that has the request
 	Except       []string // upstreams that do not come into question
 
 	// With SlotGrant.
@@ -100,6 +101,7 @@
 // asker identifies the host that has a request, at the allocator.
 type asker struct {
 	slotKey
+	zone   string
 	toldAt clock.Millis // when the host was last told that the request is queued; 0 for never
 }
 
@@ -153,7 +155,7 @@
 	p.asks[p.lastAsk] = r
 	m := SlotMessage{
 		Kind: SlotAsk, ID: p.lastAsk, Route: r.Route, Priority: r.Priority, Waited: now - r.Arrived, Target: r.Target,
-		TimeLeft: r.GiveUp - now, AboveFairUse: r.aboveFairUse,
+		TimeLeft: r.GiveUp - now, AboveFairUse: r.aboveFairUse, Zone: p.cfg.AvailabilityZone,
 	}
 	for _, u := range p.upstreams {
 		if !p.usable(now, r, u) {
@@ -304,7 +306,7 @@
 			ID: p.lastAskers | askersBit, Route: m.Route, Priority: m.Priority, Arrived: now - m.Waited, Target: m.Target,
 			GiveUp: now + m.TimeLeft, MaxAttempts: 1, Forwarded: true,
 		},
-		asker: &asker{slotKey: slotKey{host, m.ID}}, aboveFairUse: m.AboveFairUse,
+		asker: &asker{slotKey: slotKey{host, m.ID}, zone: m.Zone}, aboveFairUse: m.AboveFairUse,
 	}
 	for _, id := range m.Except {
 		if u := p.byID[id]; u != nil {
