--- a/core/loadsim/simulation.go
+++ b/core/loadsim/simulation.go
@@ -189,7 +189,8 @@
 		Overload: sim.cfg.Overload,
 		Host:     hostName(h), Allocators: allocators,
 		AvailabilityZone: zone, Upstreams: used, RepeatRatio: repeatRatio, RepeatBurst: 1 + repeatSlack/float64(sim.cfg.Hosts),
-		ProbesPerSecond: probesPerSecond * sim.probeShare(h) * float64(len(sim.list)) / float64(len(used)),
+		ProbesPerSecond:          probesPerSecond * (1 - sim.allocatorProbes()) * float64(len(sim.list)) / float64(sim.cfg.Hosts*len(used)),
+		AllocatorProbesPerSecond: probesPerSecond * sim.allocatorProbes(),
 	}))
 }
 
@@ -254,17 +255,12 @@
 	})
 }
 
-// probeShare returns the share of the probes that host h may send. An allocator has half of
-// them.
-func (sim *Simulation) probeShare(h int) float64 {
-	share := 1 / float64(sim.cfg.Hosts)
-	switch {
-	case !sim.cfg.Allocator:
-		return share
-	case h == 0:
+// allocatorProbes returns the share of the probes that an allocator may send.
+func (sim *Simulation) allocatorProbes() float64 {
+	if sim.cfg.Allocator {
 		return 0.5
 	}
-	return 0.5 * share
+	return 0
 }
 
 func hostName(h int) string { return fmt.Sprint("h", h) }
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -106,6 +106,7 @@
 	linked            map[string]bool         // allocators with a connection
 	askers            map[slotKey]*request    // requests of other hosts that wait here
 	grants            map[slotKey]*attempt    // slots that other hosts use
+	allocating        bool                    // see allocates, at the last event
 	lastAskedAt       clock.Millis            // when another host has last asked this one
 	grantsSweptAt     clock.Millis
 	lastAskers        route.RequestID // number of the last request of another host
@@ -153,6 +154,7 @@
 	}
 	p.pruneReach(now)
 	p.pruneShares(now)
+	p.allocating = p.allocates(now)
 	p.setProbeRate(now)
 	slices.SortFunc(p.upstreams, func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
 	p.refuseEvacuated(now)
@@ -164,7 +166,11 @@
 // setProbeRate sets the rate of this host's probes. All its upstreams but those that leave
 // share one budget, so that it can be spent on those where a probe is most useful.
 func (p *Placer) setProbeRate(now clock.Millis) {
-	perSecond := p.cfg.ProbesPerSecond * float64(p.staying())
+	perUpstream := p.cfg.ProbesPerSecond
+	if p.allocating {
+		perUpstream += p.cfg.AllocatorProbesPerSecond
+	}
+	perSecond := perUpstream * float64(p.staying())
 	p.probes.Burst, p.probes.StartFull = int(probeBurst*perSecond), true
 	p.probes.SetRate(now, p.Service, "", perSecond)
 }
@@ -203,6 +209,7 @@
 	}
 	p.retryDelay.RecordRequest(now)
 	r.aboveFairUse = p.fairUse.record(in.OverUse) && p.cfg.Overload && !p.Tuning.NoFairUse
+	p.updateRole(now)
 	p.planWait(now, r)
 	p.findSlot(now, r)
 	p.planWarmUp(now)
--- a/core/place/slot.go
+++ b/core/place/slot.go
@@ -31,8 +31,6 @@
 	queuedTimeout  = 250 * clock.Millisecond
 	// allocatorAvoidPeriod is how long a host that has not answered is not asked.
 	allocatorAvoidPeriod = clock.Second
-	// maxAllocators is how many hosts are asked until a host decides by itself.
-	maxAllocators = 2
 	// grantLifetime limits how long a granted slot counts as occupied if its host does not
 	// tell its end, as a multiple of the request's target. Later, the load that the upstream
 	// reports counts.
@@ -123,6 +121,14 @@
 	return p.cfg.Allocators[0] == p.cfg.Host || now-p.lastAskedAt < allocatorMemory
 }
 
+// updateRole sets the rate of this host's probes when it begins or ceases to allocate.
+func (p *Placer) updateRole(now clock.Millis) {
+	if allocates := p.allocates(now); allocates != p.allocating {
+		p.allocating = allocates
+		p.setProbeRate(now)
+	}
+}
+
 // findSlot asks an allocator for a slot for r, or looks for one by itself.
 func (p *Placer) findSlot(now clock.Millis, r *request) {
 	if !p.askSlot(now, r) {
@@ -132,8 +138,8 @@
 
 // allocator returns the host to ask, "" for none.
 func (p *Placer) allocator(now clock.Millis) string {
-	for i, id := range p.cfg.Allocators {
-		if id == p.cfg.Host || i >= maxAllocators || p.Tuning.NoAllocator {
+	for _, id := range p.cfg.Allocators {
+		if id == p.cfg.Host || p.Tuning.NoAllocator {
 			return ""
 		}
 		if p.linked[id] && now >= p.avoidedAllocators[id] {
@@ -300,6 +306,7 @@
 func (p *Placer) handleAsk(now clock.Millis, host string, m SlotMessage) {
 	p.sweepGrants(now)
 	p.lastAskedAt = now
+	p.updateRole(now)
 	p.lastAskers++
 	r := &request{
 		Request: Request{
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -41,6 +41,8 @@
 	// host then decides by itself. See slot.go.
 	Host       string
 	Allocators []string
+	// AllocatorProbesPerSecond is added to ProbesPerSecond while this host allocates.
+	AllocatorProbesPerSecond float64
 	// ProbesPerSecond is this host's probe rate for each upstream. The sum over its
 	// upstreams is one budget.
 	ProbesPerSecond float64
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -287,16 +287,16 @@
 		func(service string) string { return cfg.Services[service].HealthPath },
 		func(service string) int { return connectionShare(cfg.Services[service].MaxConnections, n.budgetHosts) })
 	hosts := n.forwardHosts()
-	var followed []string
+	var chains [][]string
 	for name, d := range n.dispatchers {
 		upstreams := n.registry.Service(name)
 		placing := n.placeConfig(upstreams, cfg.Services[name].WarmUpPerSecond, hosts)
 		placing.Overload = cfg.KeysRequired || haveFewSlots(upstreams)
 		n.setAllocators(name, &placing)
-		followed = append(followed, placing.Allocators...)
+		chains = append(chains, placing.Allocators)
 		d.Configure(placing)
 	}
-	n.slots.follow(followed)
+	n.slots.follow(chains)
 }
 
 // fewSlots is the number of slots of an upstream up to which a service counts as often short
--- a/siskinpathd/entry/slots.go
+++ b/siskinpathd/entry/slots.go
@@ -18,15 +18,14 @@
 
 const (
 	// allocatorsPerService is how many hosts are candidates for the allocation of a service's
-	// slots: the second takes over while the first does not answer.
-	allocatorsPerService = 2
+	// slots: each takes over while those before it can't be reached or are not ready.
+	allocatorsPerService = 5
 	// maxAllocatedUpstreams is the largest number of upstreams of a service whose slots are
 	// allocated: one host then uses them all.
 	maxAllocatedUpstreams = 40
-	// allocatorProbeShare is the share of the probes that the first allocator may send, and
-	// standInProbeShare that of the second. All hosts share the rest.
+	// allocatorProbeShare is the share of the probes that an allocator may send. All hosts
+	// share the rest.
 	allocatorProbeShare = 0.5
-	standInProbeShare   = 0.2
 	// minRedialDelay and maxRedialDelay bound the pause before an allocator is dialled again.
 	minRedialDelay = 100 * clock.Millisecond
 	maxRedialDelay = clock.Second
@@ -51,23 +50,51 @@
 	// Ready reports whether this host may allocate slots.
 	Ready func() bool
 
-	mu    sync.Mutex
-	links map[string]*slotLink           // to allocators, by host
-	peers map[string]*forward.SlotStream // of hosts that ask this one
+	mu     sync.Mutex
+	chains [][]string                     // allocators of the services, in the order in which they are asked
+	links  map[string]*slotLink           // to allocators, by host
+	peers  map[string]*forward.SlotStream // of hosts that ask this one
 }
 
 // slotLink is the connection to an allocator, which is opened again when it is lost.
 type slotLink struct {
 	cancel context.CancelFunc
 	stream *forward.SlotStream // nil while it is not open
+	failed bool                // it could not be opened, or was lost
 }
 
-// follow keeps connections to the hosts given and to no others.
-func (x *slotExchange) follow(hosts []string) {
+// follow sets the allocators of the services, each list in the order in which they are
+// asked.
+func (x *slotExchange) follow(chains [][]string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.chains = chains
+	x.updateLinks()
+}
+
+// wanted returns the hosts to which connections are needed: for each service the first
+// allocator that can be reached, and those before it.
+func (x *slotExchange) wanted() (hosts []string) {
+	for _, chain := range x.chains {
+		for _, host := range chain {
+			if host == x.Self {
+				break
+			}
+			hosts = append(hosts, host)
+			if l := x.links[host]; l == nil || !l.failed {
+				break
+			}
+		}
+	}
+	return hosts
+}
+
+// updateLinks opens the connections that are needed and closes the others. x.mu must be
+// held.
+func (x *slotExchange) updateLinks() {
+	hosts := x.wanted()
 	for _, host := range hosts {
-		if host == x.Self || x.links[host] != nil {
+		if x.links[host] != nil {
 			continue
 		}
 		ctx, cancel := context.WithCancel(context.Background())
@@ -90,17 +117,13 @@
 		if address := x.Address(host); address != "" {
 			opened := func(s *forward.SlotStream) {
 				delay = minRedialDelay
-				x.mu.Lock()
-				l.stream = s
-				x.mu.Unlock()
+				x.setLink(l, s)
 				for _, d := range x.Dispatchers() {
 					d.hostLinked(host)
 				}
 			}
 			_ = x.Client.OpenSlots(ctx, address, x.Self, opened, func(m *forwardpb.SlotMessage) { x.receive(host, m) })
-			x.mu.Lock()
-			l.stream = nil
-			x.mu.Unlock()
+			x.setLink(l, nil)
 			x.hostLost(host)
 		}
 		sleep(ctx, delay)
@@ -108,6 +131,14 @@
 	}
 }
 
+// setLink records that a connection has been opened, or with nil that it is lost.
+func (x *slotExchange) setLink(l *slotLink, s *forward.SlotStream) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	l.stream, l.failed = s, s == nil
+	x.updateLinks()
+}
+
 // linked returns the hosts to which a connection is open.
 func (x *slotExchange) linked() (hosts []string) {
 	x.mu.Lock()
@@ -273,14 +304,8 @@
 	if len(members) < 2 {
 		return
 	}
-	fleet := cfg.ProbesPerSecond * float64(n.budgetHosts)
-	cfg.ProbesPerSecond *= 1 - allocatorProbeShare - standInProbeShare
-	switch cfg.Host {
-	case cfg.Allocators[0]:
-		cfg.ProbesPerSecond += allocatorProbeShare * fleet
-	case cfg.Allocators[1]:
-		cfg.ProbesPerSecond += standInProbeShare * fleet
-	}
+	cfg.AllocatorProbesPerSecond = allocatorProbeShare * cfg.ProbesPerSecond * float64(n.budgetHosts)
+	cfg.ProbesPerSecond *= 1 - allocatorProbeShare
 }
 
 // hostLinked tells the placer of a new connection to an allocator.
