--- a/core/loadsim/workload.go
+++ b/core/loadsim/workload.go
@@ -163,7 +163,7 @@
 		return
 	}
 	r.host = sim.hosts[h]
-	r.in.Arrived = sim.now
+	r.in.Arrived, r.in.CallerLeft = sim.now, r.GiveUp-sim.now
 	r.in.OverUse = sim.use(r.organisation)
 	r.in.CameBack = r.retries > 0
 	sim.carryOut(h, sim.hosts[h].policy.Offer(sim.now, r.in))
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -170,6 +170,10 @@
 // choose sends r to the cheapest upstream whose load is known. It probes further
 // upstreams when those probed are slow or full, and otherwise queues or refuses r.
 func (p *Placer) choose(now clock.Millis, r *request) {
+	if p.waitsBehind(r) {
+		p.enqueue(now, r)
+		return
+	}
 	best := p.cheapestOf(now, r, r.probed)
 	if best != nil && best.slowdownAt(now, p.meanSlowdown) >= slowThreshold || best == nil && len(r.probed) > 0 {
 		if len(r.probed) < maxProbeRounds*p.Tuning.ProbesPerRequest && now < r.waitUntil {
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -93,6 +93,7 @@
 	reach         reach
 	avoidedHosts  map[string]clock.Millis // until when nothing is passed to a host
 	throughput    throughput
+	spentTime     spentTime
 	fairUse       fairUse
 	notices       map[string]*notice // by upstream; kept while service discovery does not list it
 	shares        map[string]*share  // by upstream; of the limits on cold upstreams
@@ -124,6 +125,7 @@
 	p.repeatBudget.Burst = max(1, cfg.RepeatBurst)
 	if !p.configured {
 		p.configured, p.configuredAt = true, now
+		p.spentTime.recordRefusal(now)
 		p.repeatBudget.Fill()
 	}
 	p.cfg = cfg
@@ -312,6 +314,9 @@
 	for _, r := range due {
 		p.wake(now, r)
 	}
+	if p.allocating {
+		p.serveQueue(now)
+	}
 	p.probeForReach(now)
 	p.wakeWarm(now)
 	p.planWarmUp(now)
@@ -436,6 +441,7 @@
 		p.finish(r, r.fallback)
 		return
 	}
+	p.spentTime.recordRefusal(now)
 	p.countWithheld(now, r)
 	if r.asker != nil {
 		p.deny(now, r, reason)
--- a/core/place/slot.go
+++ b/core/place/slot.go
@@ -65,6 +65,7 @@
 	Waited       clock.Millis // since the request arrived
 	Target       clock.Millis // from its arrival
 	TimeLeft     clock.Millis // until its latest answer
+	CallerLeft   clock.Millis // see Request
 	AboveFairUse bool
 	Zone         string   // availability zone of the host that has the request
 	Except       []string // upstreams that do not come into question
@@ -161,7 +162,7 @@
 	p.asks[p.lastAsk] = r
 	m := SlotMessage{
 		Kind: SlotAsk, ID: p.lastAsk, Route: r.Route, Priority: r.Priority, Waited: now - r.Arrived, Target: r.Target,
-		TimeLeft: r.GiveUp - now, AboveFairUse: r.aboveFairUse, Zone: p.cfg.AvailabilityZone,
+		TimeLeft: r.GiveUp - now, CallerLeft: r.CallerLeft, AboveFairUse: r.aboveFairUse, Zone: p.cfg.AvailabilityZone,
 	}
 	for _, u := range p.upstreams {
 		if !p.usable(now, r, u) {
@@ -311,7 +312,7 @@
 	r := &request{
 		Request: Request{
 			ID: p.lastAskers | askersBit, Route: m.Route, Priority: m.Priority, Arrived: now - m.Waited, Target: m.Target,
-			GiveUp: now + m.TimeLeft, MaxAttempts: 1, Forwarded: true,
+			GiveUp: now + m.TimeLeft, CallerLeft: m.CallerLeft, MaxAttempts: 1, Forwarded: true,
 		},
 		asker: &asker{slotKey: slotKey{host, m.ID}, zone: m.Zone}, aboveFairUse: m.AboveFairUse,
 	}
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -63,14 +63,17 @@
 
 // Request is a request to dispatch to an upstream.
 type Request struct {
-	ID          route.RequestID
-	CallerID    string       // the caller's own id of the request, for logs
-	Route       string       // requests of one route take about the same service time
-	Priority    int          // 0 is the most urgent
-	Arrived     clock.Millis // when the caller's request was read
-	Target      clock.Millis // time after Arrived within which an answer has its full value
-	GiveUp      clock.Millis // latest time of its final answer
-	Idempotent  bool
+	ID         route.RequestID
+	CallerID   string       // the caller's own id of the request, for logs
+	Route      string       // requests of one route take about the same service time
+	Priority   int          // 0 is the most urgent
+	Arrived    clock.Millis // when the caller's request was read
+	Target     clock.Millis // time after Arrived within which an answer has its full value
+	GiveUp     clock.Millis // latest time of its final answer
+	Idempotent bool
+	// CallerLeft is the time that the caller had left when the request arrived, 0 if that is
+	// not known. GiveUp may come sooner.
+	CallerLeft  clock.Millis
 	MaxAttempts int // most upstreams that it may be sent to, at least 1
 	// Forwarded is set if another host has passed it to this one. It is not passed on.
 	Forwarded bool
--- a/core/place/wait.go
+++ b/core/place/wait.go
@@ -18,7 +18,8 @@
 		return
 	}
 	typical := clock.Millis(p.typicalTime(r.Route, r.Target))
-	r.lateFrom = max(r.waitUntil, r.Arrived+r.Target-typical)
+	r.lateFrom = r.Arrived + r.Target - typical - p.spentTime.of(now, r.Route, r.CallerLeft)
+	r.late = r.lateFrom <= now
 	r.waitUntil = max(r.waitUntil, r.GiveUp-clock.Millis(lastStart*float64(typical)))
 }
 
@@ -26,6 +27,12 @@
 // of the typical time of its route.
 const lastStart = 1.5
 
+// waitsBehind reports whether requests that go before r wait at an allocator, so that a slot
+// that has been found is theirs.
+func (p *Placer) waitsBehind(r *request) bool {
+	return r.lateFrom > 0 && len(p.queue) > 0 && byPriority(p.queue[0], r) < 0
+}
+
 // hasSlot reports whether u has a slot free at an allocator. u is kept at the load at which
 // it is not slowed down, if it completes more requests then than with all slots occupied.
 func (u *upstream) hasSlot() bool {
--- a/siskinpathd/entry/request.go
+++ b/siskinpathd/entry/request.go
@@ -126,6 +126,7 @@
 		Target:      r.route.Target,
 		GiveUp:      min(r.deadline, r.arrived+r.route.Timeout),
 		Idempotent:  r.route.Idempotent,
+		CallerLeft:  r.deadline - r.arrived,
 		MaxAttempts: r.route.MaxAttempts,
 		Forwarded:   r.forwarded,
 		OverUse:     n.useOfQuota(r),
--- a/siskinpathd/entry/slots.go
+++ b/siskinpathd/entry/slots.go
@@ -231,7 +231,7 @@
 func encodeSlotMessage(service string, m place.SlotMessage) *forwardpb.SlotMessage {
 	w := &forwardpb.SlotMessage{
 		Kind: forwardpb.SlotMessageKind(m.Kind), Id: m.ID, Service: service, Route: m.Route, Priority: int32(m.Priority),
-		WaitedMs: uint32(max(0, m.Waited)), TargetMs: uint32(m.Target), TimeLeftMs: uint32(max(0, m.TimeLeft)), AboveFairUse: m.AboveFairUse, AvailabilityZone: m.Zone,
+		WaitedMs: uint32(max(0, m.Waited)), TargetMs: uint32(m.Target), TimeLeftMs: uint32(max(0, m.TimeLeft)), AboveFairUse: m.AboveFairUse, AvailabilityZone: m.Zone, CallerLeftMs: uint32(max(0, m.CallerLeft)),
 		Except: m.Except, Upstream: m.Upstream, Status: int32(m.Status), Reason: string(m.Reason), RetryAfterMs: uint32(m.RetryAfter),
 	}
 	if l := m.Load; l != nil {
@@ -253,7 +253,7 @@
 	m := place.SlotMessage{
 		Kind: place.SlotMessageKind(w.GetKind()), ID: w.GetId(), Route: w.GetRoute(), Priority: int(w.GetPriority()),
 		Waited: clock.Millis(w.GetWaitedMs()), Target: clock.Millis(w.GetTargetMs()), TimeLeft: clock.Millis(w.GetTimeLeftMs()),
-		AboveFairUse: w.GetAboveFairUse(), Zone: w.GetAvailabilityZone(), Except: w.GetExcept(), Upstream: w.GetUpstream(), Status: route.Status(w.GetStatus()),
+		AboveFairUse: w.GetAboveFairUse(), Zone: w.GetAvailabilityZone(), CallerLeft: clock.Millis(w.GetCallerLeftMs()), Except: w.GetExcept(), Upstream: w.GetUpstream(), Status: route.Status(w.GetStatus()),
 		Reason: route.Reason(w.GetReason()), RetryAfter: clock.Millis(w.GetRetryAfterMs()),
 	}
 	if l := w.GetLoad(); l != nil {
