place: callers that an upstream with room has refused come back at once

Cause: upstreams that shed refuse at random, but callers were told to come back after 40 to 120 ms, and met the same when their target was over.

--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -225,7 +225,7 @@
 // recordRefusal counts a refusal as a failure when the upstream reports room, or
 // reports no load. In the latter case it is assumed full.
 func (p *Placer) recordRefusal(now clock.Millis, u *upstream, res route.Result) {
-	if res.Load != nil && res.Load.InFlight+res.Load.Queued < u.Slots {
+	if res.Load != nil && u.reportsRoom(res.Load) {
 		p.recordShed(now, u)
 		return
 	}
@@ -236,6 +236,10 @@
 	}
 }
 
+func (u *upstream) reportsRoom(load *route.LoadReport) bool {
+	return load.InFlight+load.Queued < u.Slots
+}
+
 // recordTimeout counts an attempt without an answer as a failure, if it ran longer
 // than the request's target.
 func (p *Placer) recordTimeout(now clock.Millis, a *attempt) {
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -42,6 +42,7 @@
 	fallback     route.AttemptID // attempt with an upstream's error answer, passed on if no later attempt succeeds; 0 for none
 	lastReason   route.Reason
 	aboveFairUse bool         // its organisation sends much more of its quota than others
+	shed         bool         // the last upstream refused it although it reported room
 	withheld     bool         // it is sent to no further upstream
 	coldWithheld bool         // counted by countWithheld
 	retryAfter   clock.Millis // the caller need not come back sooner
@@ -278,6 +279,7 @@
 	}
 	if r := a.request; r != nil {
 		r.running = slices.DeleteFunc(r.running, func(x *attempt) bool { return x == a })
+		r.shed = a.host == "" && res.Status == route.Refused && res.Load != nil && a.upstream.reportsRoom(res.Load)
 		if a.host == "" {
 			p.afterAttempt(now, r, a, res.Status)
 		} else {
@@ -467,6 +469,9 @@
 	if reason == route.ReasonEvacuated {
 		return evacuatedRetryAfter
 	}
+	if r.shed && reason == route.ReasonUpstreamRefused && p.backPressureLeft(now, r) == 0 {
+		return max(r.retryAfter, shedRetryAfter/2+clock.Millis(p.Rand.Int64N(int64(shedRetryAfter))))
+	}
 	after := max(r.retryAfter, p.retryDelay.RecordRefusal(now, clock.Millis(p.typicalTime(r.Route, r.Target)/4), p.Rand))
 	if left := p.backPressureLeft(now, r); left > 0 {
 		after += left
--- a/core/place/queue.go
+++ b/core/place/queue.go
@@ -20,6 +20,9 @@
 	// minRetryAfter and maxRetryAfter bound the retry delay sent to a refused caller.
 	minRetryAfter = 40 * clock.Millisecond
 	maxRetryAfter = 2 * clock.Second
+	// shedRetryAfter is the mean retry delay after the refusal of an upstream that has room:
+	// such upstreams refuse at random, so that a caller fares no better later.
+	shedRetryAfter = 10 * clock.Millisecond
 )
 
 // enqueue adds r to the queue, or only schedules its next probe if it is queued
