--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -290,9 +290,8 @@
 	var chains [][]string
 	for name, d := range n.dispatchers {
 		upstreams := n.registry.Service(name)
-		placing := n.placeConfig(upstreams, cfg.Services[name].WarmUpPerSecond, hosts)
+		placing := n.placeConfig(name, upstreams, cfg.Services[name].WarmUpPerSecond, hosts)
 		placing.Overload = cfg.KeysRequired || haveFewSlots(upstreams)
-		n.setAllocators(name, &placing)
 		chains = append(chains, placing.Allocators)
 		d.Configure(placing)
 	}
@@ -318,7 +317,7 @@
 	return max(2, limit/(2*hosts))
 }
 
-func (n *Node) placeConfig(list []discovery.ActiveUpstream, warmUpPerSecond float64, hosts []place.Host) place.Config {
+func (n *Node) placeConfig(service string, list []discovery.ActiveUpstream, warmUpPerSecond float64, hosts []place.Host) place.Config {
 	b := n.cfg().Budgets
 	list, evacuated := n.markEvacuated(list)
 	cfg := place.Config{
@@ -338,7 +337,10 @@
 		cfg.Upstreams = append(cfg.Upstreams, u)
 	}
 	all := countStaying(cfg.Upstreams)
-	cfg.Upstreams = place.Subset(now, n.cfg().ID, cfg.AvailabilityZone, cfg.Upstreams)
+	n.setAllocators(service, &cfg)
+	if len(cfg.Allocators) == 0 {
+		cfg.Upstreams = place.Subset(now, n.cfg().ID, cfg.AvailabilityZone, cfg.Upstreams)
+	}
 	used := countStaying(cfg.Upstreams)
 	if all > used {
 		// The other upstreams are in the subsets of more hosts meanwhile.
@@ -350,6 +352,10 @@
 		cfg.LimitShare = min(1, float64(all)/float64(n.budgetHosts*used))
 		cfg.ProbesPerSecond = probeBudgetShare * b.ProbesPerSecond * float64(all) / float64(n.budgetHosts*used)
 	}
+	if len(cfg.Allocators) > 0 {
+		cfg.AllocatorProbesPerSecond = allocatorProbeShare * probeBudgetShare * b.ProbesPerSecond
+		cfg.ProbesPerSecond *= 1 - allocatorProbeShare
+	}
 	return cfg
 }
 
--- a/siskinpathd/entry/slots.go
+++ b/siskinpathd/entry/slots.go
@@ -20,9 +20,6 @@
 	// allocatorsPerService is how many hosts are candidates for the allocation of a service's
 	// slots: each takes over while those before it can't be reached or are not ready.
 	allocatorsPerService = 5
-	// maxAllocatedUpstreams is the largest number of upstreams of a service whose slots are
-	// allocated: one host then uses them all.
-	maxAllocatedUpstreams = 40
 	// allocatorProbeShare is the share of the probes that an allocator may send. All hosts
 	// share the rest.
 	allocatorProbeShare = 0.5
@@ -290,22 +287,19 @@
 	return maps.Clone(n.dispatchers)
 }
 
-// setAllocators sets the hosts that allocate the slots of a service, if any, and this host's
-// share of the probes. All hosts with the same list of hosts agree on the allocators.
+// setAllocators sets the hosts that allocate the slots of a service, if any, and the
+// upstreams of their group.
 func (n *Node) setAllocators(service string, cfg *place.Config) {
-	cfg.Host = n.cfg().ID
-	if n.cfg().Listen.Forward == "" || len(cfg.Upstreams) > maxAllocatedUpstreams || !place.MayAllocate(cfg.Upstreams) {
+	members, _ := n.relay.Holding()
+	if n.cfg().Listen.Forward == "" || len(members) < 2 || !place.MayAllocate(cfg.Upstreams) {
 		return
 	}
-	members, _ := n.relay.Holding()
-	for _, m := range fleetlimit.Spread(service, members, allocatorsPerService) {
+	cfg.Host = n.cfg().ID
+	group := place.GroupOf(service, cfg.Host, cfg.Upstreams, members)
+	cfg.Upstreams = group.Upstreams
+	for _, m := range fleetlimit.Spread(service, group.Hosts, allocatorsPerService) {
 		cfg.Allocators = append(cfg.Allocators, m.ID)
 	}
-	if len(members) < 2 {
-		return
-	}
-	cfg.AllocatorProbesPerSecond = allocatorProbeShare * cfg.ProbesPerSecond * float64(n.budgetHosts)
-	cfg.ProbesPerSecond *= 1 - allocatorProbeShare
 }
 
 // hostLinked tells the placer of a new connection to an allocator.
