--- a/core/place/slot.go
+++ b/core/place/slot.go
@@ -106,7 +106,6 @@
 
 func (p *Placer) initSlots() {
 	p.asks = map[uint64]*request{}
-	p.lastAsk = p.Rand.Uint64() // a host that restarts does not use the same numbers again
 	p.avoidedAllocators = map[string]clock.Millis{}
 	p.linked = map[string]bool{}
 	p.askers = map[slotKey]*request{}
@@ -156,6 +155,9 @@
 	if host == "" || p.cfg.Evacuated || p.reach.cutOff || now >= r.GiveUp {
 		return false
 	}
+	if p.lastAsk == 0 {
+		p.lastAsk = p.Rand.Uint64() // a host that restarts does not use the same numbers again
+	}
 	p.lastAsk++
 	r.phase = asking
 	r.ask = &ask{slotKey: slotKey{host: p.cfg.Host, id: p.lastAsk}, allocator: host, until: now + askTimeout}
