--- a/core/place/slot_test.go
+++ b/core/place/slot_test.go
@@ -252,14 +252,14 @@
 			f.perform(f.allocator, f.allocator.HandleSlotMessage(f.now, "h", place.SlotMessage{Kind: place.SlotWithdraw, ID: id}))
 		}
 		f.toHost = nil
-		ask(f, 100, 1400)
-		ask(f, 101, 2300)
 		free := func(id uint64) {
 			f.perform(f.allocator, f.allocator.HandleSlotMessage(f.now, "h", place.SlotMessage{
 				Kind: place.SlotEnd, ID: id, Status: route.Succeeded, Load: &route.LoadReport{InFlight: 1, Slots: 2, Slowdown: 1},
 			}))
 		}
 		Convey("gives the next one to a request that can be in time, and then to the one that came back", func() {
+			ask(f, 100, 1400)
+			ask(f, 101, 2300)
 			free(0)
 			So(granted(f), ShouldResemble, []uint64{101})
 			free(1)
