place: mechanisms can be switched off by name; logs name the allocator

[experiment] in the settings switches mechanisms of place.Mechanisms off for a comparison run; it is refused without a purpose. The lines of a send and of a refusal name the host that granted the slot or refused it.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -67,7 +67,7 @@
 }
 
 // hasRoom reports whether u has a slot free for r's priority.
-func (p *Placer) hasRoom(now clock.Millis, r *request, u *upstream) bool {
+func (p *Placer) hasRoom(r *request, u *upstream) bool {
 	if r.lateFrom > 0 {
 		return u.hasSlot()
 	}
@@ -153,7 +153,7 @@
 			continue
 		}
 		c := p.cost(now, r, u) * (1 + costJitter*p.Rand.Float64())
-		if !p.hasRoom(now, r, u) && now-u.loadAt < fullPenaltyPeriod {
+		if !p.hasRoom(r, u) && now-u.loadAt < fullPenaltyPeriod {
 			c *= 4
 		}
 		if best == nil || c < least {
@@ -249,7 +249,7 @@
 func (p *Placer) cheapestOf(now clock.Millis, r *request, list []*upstream) (best *upstream) {
 	var least float64
 	for _, u := range list {
-		if u.probing || !p.sendable(now, r, u) || !p.hasRoom(now, r, u) || p.wastesSlot(now, r, u) {
+		if u.probing || !p.sendable(now, r, u) || !p.hasRoom(r, u) || p.wastesSlot(now, r, u) {
 			continue
 		}
 		if c := p.cost(now, r, u); best == nil || c < least {
@@ -265,7 +265,7 @@
 func (p *Placer) cheapestKnown(now clock.Millis, r *request) (best *upstream) {
 	var least float64
 	for _, u := range p.upstreams {
-		if !p.sendable(now, r, u) || !u.reporting || !u.fresh(now, maxSendLoadAge) || !p.hasRoom(now, r, u) || p.wastesSlot(now, r, u) {
+		if !p.sendable(now, r, u) || !u.reporting || !u.fresh(now, maxSendLoadAge) || !p.hasRoom(r, u) || p.wastesSlot(now, r, u) {
 			continue
 		}
 		if c := p.cost(now, r, u); best == nil || c < least {
@@ -277,7 +277,7 @@
 	}
 	// For upstreams that report no load, this host's own requests in flight stand in.
 	for _, u := range p.upstreams {
-		if u.reporting || u.probing || !p.sendable(now, r, u) || !p.hasRoom(now, r, u) {
+		if u.reporting || u.probing || !p.sendable(now, r, u) || !p.hasRoom(r, u) {
 			continue
 		}
 		if c := p.cost(now, r, u) * (1 + costJitter*p.Rand.Float64()); best == nil || c < least {
@@ -295,7 +295,7 @@
 		return u
 	}
 	u := r.slow
-	if u == nil || u.probing || p.probes.Available(now, p.Service, "") >= 1 || !p.sendable(now, r, u) || !p.hasRoom(now, r, u) {
+	if u == nil || u.probing || p.probes.Available(now, p.Service, "") >= 1 || !p.sendable(now, r, u) || !p.hasRoom(r, u) {
 		return nil
 	}
 	return u
--- a/core/place/doubt.go
+++ b/core/place/doubt.go
@@ -17,7 +17,7 @@
 // should wait for the results of their probes. A host with evidence that it is cut off
 // passes requests on instead.
 func (p *Placer) allInDoubt(now clock.Millis, r *request) bool {
-	if p.outOfReach() || p.farFromMost(now) {
+	if p.Tuning.NoDoubt || p.outOfReach() || p.farFromMost(now) {
 		return false
 	}
 	return !slices.ContainsFunc(p.upstreams, func(u *upstream) bool { return p.usable(now, r, u) }) &&
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -49,7 +49,8 @@
 	triedHosts   []string
 	ask          *ask           // in asking
 	denied       *RefusalDetail // the allocator's; nil if this host refuses
-	asker        *asker         // nil for a request of this host's callers
+	deniedBy     string
+	asker        *asker // nil for a request of this host's callers
 }
 
 // attempt is one sending of a request to one upstream.
@@ -469,7 +470,7 @@
 	if reason == route.ReasonEvacuated {
 		return evacuatedRetryAfter
 	}
-	if r.shed && reason == route.ReasonUpstreamRefused && p.backPressureLeft(now, r) == 0 {
+	if r.shed && !p.Tuning.NoPromptReturn && reason == route.ReasonUpstreamRefused && p.backPressureLeft(now, r) == 0 {
 		return max(r.retryAfter, shedRetryAfter/2+clock.Millis(p.Rand.Int64N(int64(shedRetryAfter))))
 	}
 	after := max(r.retryAfter, p.retryDelay.RecordRefusal(now, clock.Millis(p.typicalTime(r.Route, r.Target)/4), p.Rand))
@@ -482,7 +483,7 @@
 func (p *Placer) refusalDetail(now clock.Millis, r *request) RefusalDetail {
 	if r.denied != nil {
 		c := *r.denied
-		c.Waited = now - r.Arrived
+		c.Waited, c.Allocator = now-r.Arrived, r.deniedBy
 		return c
 	}
 	c := RefusalDetail{Waited: now - r.Arrived, Probed: len(r.probed), Upstreams: len(p.upstreams), Queued: len(p.queue), OutOfReach: p.outOfReach()}
@@ -494,7 +495,7 @@
 			continue
 		}
 		c.Usable++
-		if p.hasRoom(now, r, u) {
+		if p.hasRoom(r, u) {
 			c.WithRoom++
 		}
 	}
--- a/core/place/slot.go
+++ b/core/place/slot.go
@@ -283,6 +283,7 @@
 		p.recordLoad(now, u, m.Load, 0)
 		p.send(now, r, u)
 		r.running[len(r.running)-1].slot = slotKey{host: host, id: m.ID}
+		p.actions[len(p.actions)-1].Sent.Allocator = host
 	}
 }
 
@@ -294,7 +295,7 @@
 		return
 	}
 	r.retryAfter = max(r.retryAfter, m.RetryAfter)
-	r.denied = &m.Detail
+	r.denied, r.deniedBy = &m.Detail, host
 	p.refuse(now, r, m.Reason)
 }
 
--- a/core/place/types.go
+++ b/core/place/types.go
@@ -119,6 +119,14 @@
 	NoShedRules bool
 	// NoAllocator lets each host decide by itself although there are allocators.
 	NoAllocator bool
+	// NoPatience makes requests wait at an allocator only as long as elsewhere.
+	NoPatience bool
+	// NoReturnOrder treats callers that have come back too late like others.
+	NoReturnOrder bool
+	// NoPromptReturn gives the callers that an upstream with room has refused the usual delay.
+	NoPromptReturn bool
+	// NoDoubt refuses a request at once if no upstream has answered its probe in time.
+	NoDoubt bool
 	// NoFairUse treats requests alike whatever their organisation uses of its quota.
 	NoFairUse bool
 }
@@ -156,7 +164,8 @@
 	Usable    int          // upstreams that the request might be sent to
 	Cold      int          // upstreams that would be usable if they had warmed up
 	WithRoom  int          // usable upstreams with room, by the latest load reports
-	Queued    int          // requests queued on this host
+	Queued    int          // requests queued on the host that decided
+	Allocator string       // the host that decided; "" for this one
 	// OutOfReach is set if this host reaches no upstream, so that another one may.
 	OutOfReach bool
 }
@@ -174,6 +183,8 @@
 	Slowdown float64
 	Attempt  int // 1 for the first attempt of the request
 	Hedge    bool
+	// Allocator is the host that granted the slot; "" if this host has decided by itself.
+	Allocator string
 	// Limited is set if the upstream's requests are limited while it is cold, and Cold if
 	// it is cold.
 	Limited, Cold bool
--- a/core/place/wait.go
+++ b/core/place/wait.go
@@ -14,11 +14,14 @@
 // late is worth more to its caller than none.
 func (p *Placer) planWait(now clock.Millis, r *request) {
 	r.waitUntil = min(r.GiveUp, r.Arrived+clock.Millis(p.waitShare(now, r)*float64(r.Target)))
-	if !p.allocates(now) {
+	if !p.allocates(now) || p.Tuning.NoPatience {
 		return
 	}
 	typical := clock.Millis(p.typicalTime(r.Route, r.Target))
-	r.lateFrom = r.Arrived + r.Target - typical - p.spentTime.of(now, r.Route, r.CallerLeft)
+	r.lateFrom = r.Arrived + r.Target - typical
+	if !p.Tuning.NoReturnOrder {
+		r.lateFrom -= p.spentTime.of(now, r.Route, r.CallerLeft)
+	}
 	r.late = r.lateFrom <= now
 	r.waitUntil = max(r.waitUntil, r.GiveUp-clock.Millis(lastStart*float64(typical)))
 }
--- a/siskinpathd/entry/decision_log.go
+++ b/siskinpathd/entry/decision_log.go
@@ -47,7 +47,7 @@
 	s := a.Sent
 	d.log.Info(msgSent, "id", p.id, "service", service, "upstream", a.Upstream, "attempt", s.Attempt, "hedge", s.Hedge,
 		"waited_ms", s.Waited, "asked", s.Probed, "reported", s.Reported, "age_ms", s.Age, "load", s.Load, "slots", s.Slots,
-		"slowdown", s.Slowdown)
+		"slowdown", s.Slowdown, "allocator", s.Allocator)
 }
 
 // logAttemptEnd logs the end of an attempt that was not answered.
@@ -147,6 +147,7 @@
 	if c := end.action.Refusal; end.action.Kind == route.Refuse {
 		d.of(r).Info(msgAnsweredByHost, "id", r.id, "route", r.route.Name, "service", r.service, "reason", resp.Reason, "status", resp.Status,
 			"after_ms", c.Waited, "asked", c.Probed, "upstreams", c.Upstreams, "usable", c.Usable, "cold", c.Cold, "room", c.WithRoom, "queued", c.Queued,
+			"allocator", c.Allocator,
 			"trail", end.trail, "retry_after_ms", resp.RetryAfter)
 		return resp
 	}
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -370,10 +370,11 @@
 }
 
 func (n *Node) newDispatcher(name string) *Dispatcher {
+	tuning, _ := n.cfg().Experiment.tuning() // checked with the settings
 	d := &Dispatcher{
 		Service: name, Clock: n.Clock, Pools: n.pools, Decisions: n.decisions, Crashes: n.crashes, Forwarder: n.forwarder,
 		Slots:   n.slots,
-		placer:  &place.Placer{Service: name, Tuning: place.DefaultTuning(), Rand: newRand()},
+		placer:  &place.Placer{Service: name, Tuning: tuning, Rand: newRand()},
 		pending: map[route.RequestID]*pendingRequest{},
 		cancels: map[route.AttemptID]context.CancelCauseFunc{},
 	}
--- a/siskinpathd/entry/settings.go
+++ b/siskinpathd/entry/settings.go
@@ -8,24 +8,26 @@
 
 	"siskinpath/core/clock"
 	"siskinpath/core/overlay"
+	"siskinpath/core/place"
 )
 
 // Settings holds the settings of a host. Times are in milliseconds.
 type Settings struct {
-	ID               string   `toml:"id"`
-	AvailabilityZone string   `toml:"availability_zone"`
-	LinkMbps         float64  `toml:"link_mbps"`   // speed of this host's network link; 0 counts as fast enough
-	FirstStart       bool     `toml:"first_start"` // set when the whole fleet starts for the first time
-	Listen           Listen   `toml:"listen"`
-	Platform         Platform `toml:"platform"`
-	Budgets          Budgets  `toml:"budgets"`
-	Bounds           Bounds   `toml:"bounds"`
-	Quotas           Quotas   `toml:"quotas"`
-	WarmUp           WarmUp   `toml:"warm_up"`
-	Shutdown         Shutdown `toml:"shutdown"`
-	Log              LogLimit `toml:"log"`
-	MemoryMB         int      `toml:"memory_mb"` // memory limit of the process
-	Cores            float64  `toml:"cores"`     // number of cores that the process may use
+	ID               string     `toml:"id"`
+	AvailabilityZone string     `toml:"availability_zone"`
+	LinkMbps         float64    `toml:"link_mbps"`   // speed of this host's network link; 0 counts as fast enough
+	FirstStart       bool       `toml:"first_start"` // set when the whole fleet starts for the first time
+	Listen           Listen     `toml:"listen"`
+	Platform         Platform   `toml:"platform"`
+	Budgets          Budgets    `toml:"budgets"`
+	Bounds           Bounds     `toml:"bounds"`
+	Quotas           Quotas     `toml:"quotas"`
+	WarmUp           WarmUp     `toml:"warm_up"`
+	Shutdown         Shutdown   `toml:"shutdown"`
+	Log              LogLimit   `toml:"log"`
+	Experiment       Experiment `toml:"experiment"`
+	MemoryMB         int        `toml:"memory_mb"` // memory limit of the process
+	Cores            float64    `toml:"cores"`     // number of cores that the process may use
 }
 
 // Listen holds the addresses that the host listens on, as ip:port.
@@ -82,6 +84,22 @@
 	Slack   float64 `toml:"slack"`
 }
 
+// Experiment holds what is changed for a comparison run. It is refused without a purpose,
+// so that it does not end up in production by mistake.
+type Experiment struct {
+	Purpose string   `toml:"purpose"`
+	Disable []string `toml:"disable"` // mechanisms of place.Mechanisms
+}
+
+// tuning returns the parameters of the dispatch decisions.
+func (e Experiment) tuning() (t place.Tuning, err error) {
+	t = place.DefaultTuning()
+	if len(e.Disable) > 0 && e.Purpose == "" {
+		return t, errors.New("experiment.purpose is missing: disable is only for experiments")
+	}
+	return t, errors.WithMessage(t.Disable(e.Disable...), "experiment.disable")
+}
+
 // defaultChangeBound is the bound for changes if the settings give none.
 const defaultChangeBound = 2 * clock.Second
 
@@ -146,5 +164,6 @@
 	case s.Shutdown.GraceMs <= 0:
 		return errors.Errorf("shutdown.grace_ms is %d: must be greater than 0", s.Shutdown.GraceMs)
 	}
-	return nil
+	_, err := s.Experiment.tuning()
+	return err
 }
