--- a/bench/main.go
+++ b/bench/main.go
@@ -10,6 +10,7 @@
 type commands struct {
 	Policies policiesCommand `cmd:"" help:"Compare policies on the same seeds."`
 	Heavy    heavyCommand    `cmd:"" help:"Simulate peak load on a service whose hosts choose upstreams independently."`
+	Ablation ablationCommand `cmd:"" help:"Switch off each mechanism of the hosts' decisions in turn."`
 	Failures failuresCommand `cmd:"" help:"Simulate failures with siskinpath's own policy, its ablations, random and power of two."`
 }
 
