place: the loss of a host that asks is no loss of an allocator

Cause, found by reading: where two hosts ask each other, for different services, the end of one connection made the other side forget that its own connection is open, and decide by itself until it was opened again.

TestSlots plays it; with AskerLost handling the loss of the allocator too, as before, the request is not passed to the allocator.

--- a/core/loadsim/simulation.go
+++ b/core/loadsim/simulation.go
@@ -28,7 +28,7 @@
 
 // allocated is implemented by policies that pass messages about slots.
 type allocated interface {
-	HostLinked(host string)
+	AllocatorLinked(host string)
 	HandleSlotMessage(now clock.Millis, host string, m place.SlotMessage) []place.Action
 }
 
@@ -183,7 +183,7 @@
 	}
 	used := place.Subset(sim.now, fmt.Sprint("h", h), zone, sim.list)
 	if p, ok := p.(allocated); ok && sim.cfg.Allocator {
-		p.HostLinked(hostName(0))
+		p.AllocatorLinked(hostName(0))
 	}
 	sim.carryOut(h, p.Configure(sim.now, place.Config{
 		Overload: sim.cfg.Overload,
--- a/core/place/slot.go
+++ b/core/place/slot.go
@@ -222,25 +222,21 @@
 	return p.takeActions()
 }
 
-// HostLinked handles a new connection to an allocator. Only such hosts are asked.
-func (p *Placer) HostLinked(host string) {
+// AllocatorLinked handles a new connection to an allocator. Only such hosts are asked.
+func (p *Placer) AllocatorLinked(host string) {
 	p.init()
 	p.linked[host] = true
 	delete(p.avoidedAllocators, host)
 }
 
-// HostLost handles the loss of the connection to another host. Requests that wait for its
-// answer are decided here, and those of its own are forgotten. Slots that it uses are taken
-// as free, as their end will not be told.
-func (p *Placer) HostLost(now clock.Millis, host string) []Action {
+// AllocatorLost handles the loss of the connection to an allocator. Requests that wait for
+// its answer are decided here.
+func (p *Placer) AllocatorLost(now clock.Millis, host string) []Action {
 	p.init()
 	delete(p.linked, host)
 	var waiting []*request
 	for _, r := range p.requests {
-		switch {
-		case r.asker != nil && r.asker.host == host:
-			p.remove(r)
-		case r.ask != nil && r.ask.allocator == host:
+		if r.ask != nil && r.ask.allocator == host {
 			waiting = append(waiting, r)
 		}
 	}
@@ -248,6 +244,19 @@
 	for _, r := range waiting {
 		p.askLost(now, r)
 	}
+	p.serveQueue(now)
+	return p.takeActions()
+}
+
+// AskerLost handles the loss of the connection of a host that asks this one. Its requests
+// are forgotten. Slots that it uses are taken as free, as their end will not be told.
+func (p *Placer) AskerLost(now clock.Millis, host string) []Action {
+	p.init()
+	for _, r := range maps.Clone(p.askers) {
+		if r.asker.host == host {
+			p.remove(r)
+		}
+	}
 	for key := range maps.Clone(p.grants) {
 		if key.host == host {
 			p.handleEnd(now, key, SlotMessage{Status: route.NotSent})
--- a/core/place/slot_test.go
+++ b/core/place/slot_test.go
@@ -27,7 +27,7 @@
 func newSlotFleet() *slotFleet {
 	f := &slotFleet{now: clock.Hour}
 	f.host, f.allocator = f.start("h"), f.start("a")
-	f.host.HostLinked("a")
+	f.host.AllocatorLinked("a")
 	return f
 }
 
@@ -158,13 +158,22 @@
 		})
 		Convey("decides by itself when the connection is lost", func() {
 			f.offer()
-			f.perform(f.host, f.host.HostLost(f.now, "a"))
+			f.perform(f.host, f.host.AllocatorLost(f.now, "a"))
 			So(f.sent, ShouldHaveLength, 1)
 			f.toAlloc = nil
 			f.offer()
 			So(f.sent, ShouldHaveLength, 2)
 			So(f.toAlloc, ShouldBeEmpty)
 		})
+		Convey("goes on asking it when the allocator, as a host that asks this one, is lost", func() {
+			f.offer()
+			f.perform(f.host, f.host.AskerLost(f.now, "a"))
+			So(f.sent, ShouldBeEmpty)
+			f.pass()
+			So(f.sent, ShouldHaveLength, 1)
+			f.offer()
+			So(f.toAlloc, ShouldHaveLength, 1)
+		})
 		Convey("does not rely on an allocator that no longer tells that a request waits", func() {
 			for range 7 {
 				f.offer()
@@ -205,7 +214,7 @@
 		f.pass()
 		So(f.use(), ShouldEqual, 3)
 		Convey("is lost", func() {
-			f.perform(f.allocator, f.allocator.HostLost(f.now, "h"))
+			f.perform(f.allocator, f.allocator.AskerLost(f.now, "h"))
 			So(f.use(), ShouldEqual, 0)
 		})
 		Convey("has lost its power, after twice the target", func() {
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -380,7 +380,7 @@
 	}
 	d.timer = time.AfterFunc(time.Hour, d.tick)
 	for _, host := range n.slots.linked() {
-		d.placer.HostLinked(host)
+		d.placer.AllocatorLinked(host)
 	}
 	return d
 }
--- a/siskinpathd/entry/slots.go
+++ b/siskinpathd/entry/slots.go
@@ -116,12 +116,14 @@
 				delay = minRedialDelay
 				x.setLink(l, s)
 				for _, d := range x.Dispatchers() {
-					d.hostLinked(host)
+					d.allocatorLinked(host)
 				}
 			}
 			_ = x.Client.OpenSlots(ctx, address, x.Self, opened, func(m *forwardpb.SlotMessage) { x.receive(host, m) })
 			x.setLink(l, nil)
-			x.hostLost(host)
+			for _, d := range x.Dispatchers() {
+				d.allocatorLost(host)
+			}
 		}
 		sleep(ctx, delay)
 		delay = min(2*delay, maxRedialDelay)
@@ -148,9 +150,9 @@
 	return hosts
 }
 
-func (x *slotExchange) hostLost(host string) {
+func (x *slotExchange) askerLost(host string) {
 	for _, d := range x.Dispatchers() {
-		d.hostLost(host)
+		d.askerLost(host)
 	}
 }
 
@@ -165,7 +167,7 @@
 	x.mu.Unlock()
 	if old != nil { // of an earlier start of the host
 		old.Close()
-		x.hostLost(host)
+		x.askerLost(host)
 	}
 	return func(m *forwardpb.SlotMessage) { x.receive(host, m) }, func() {
 		x.mu.Lock()
@@ -175,7 +177,7 @@
 		}
 		x.mu.Unlock()
 		if current {
-			x.hostLost(host)
+			x.askerLost(host)
 		}
 	}
 }
@@ -302,18 +304,25 @@
 	}
 }
 
-// hostLinked tells the placer of a new connection to an allocator.
-func (d *Dispatcher) hostLinked(host string) {
+// allocatorLinked tells the placer of a new connection to an allocator.
+func (d *Dispatcher) allocatorLinked(host string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.placer.AllocatorLinked(host)
+}
+
+// allocatorLost tells the placer that the connection to an allocator is lost.
+func (d *Dispatcher) allocatorLost(host string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.placer.HostLinked(host)
+	d.execute(d.placer.AllocatorLost(d.Clock.Now(), host))
 }
 
-// hostLost tells the placer that the connection to another host is lost.
-func (d *Dispatcher) hostLost(host string) {
+// askerLost tells the placer that a host which asks this one is lost.
+func (d *Dispatcher) askerLost(host string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.execute(d.placer.HostLost(d.Clock.Now(), host))
+	d.execute(d.placer.AskerLost(d.Clock.Now(), host))
 }
 
 func (d *Dispatcher) handleSlotMessage(host string, m place.SlotMessage) {
