--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -69,8 +69,17 @@
 	asker    string  // the host that it was granted to; "" for this one
 }
 
-// Placer dispatches the requests of one service on one host. Set the exported fields
-// before the first event. Not safe for concurrent use.
+// Placer dispatches the requests of one service on one host. A request takes these steps:
+//
+//   - Offer: it arrives, and planWait (wait.go) sets how long it may wait;
+//   - findSlot (slot.go): an allocator is asked for a slot, or this host looks for one:
+//   - startProbing and choose (choose.go): candidate upstreams are probed, the best is chosen,
+//     or the request is queued (queue.go) or refused (refuse.go);
+//   - send (choose.go), or grant (slot.go) for a request of another host;
+//   - AttemptDone: recordResult (learn.go) and afterAttempt (retry.go), which finishes,
+//     retries or refuses it. Hedges are decided in retry.go, timers in timer.go.
+//
+// Set the exported fields before the first event. Not safe for concurrent use.
 type Placer struct {
 	Service string
 	Tuning  Tuning
@@ -102,17 +111,7 @@
 	coldUpstreams int                // at the last event
 	coldWithheld  int                // see ColdWithheld
 	warmUpAt      clock.Millis       // when Tick must look at cold upstreams; 0 for never
-
-	asks              map[uint64]*request     // of this host, by number
-	lastAsk           uint64                  // number of the last ask
-	avoidedAllocators map[string]clock.Millis // until when a host is not asked
-	linked            map[string]bool         // allocators with a connection
-	askers            map[slotKey]*request    // requests of other hosts that wait here
-	grants            map[slotKey]*attempt    // slots that other hosts use
-	allocating        bool                    // see allocates, at the last event
-	lastAskedAt       clock.Millis            // when another host has last asked this one
-	grantsSweptAt     clock.Millis
-	lastAskers        route.RequestID // number of the last request of another host
+	slotState
 }
 
 // probeBurst is the capacity of the probe budget, in seconds of its rate, for bursts
@@ -189,7 +188,7 @@
 	p.notices = map[string]*notice{}
 	p.shares = map[string]*share{}
 	p.avoidedHosts = map[string]clock.Millis{}
-	p.initSlots()
+	p.slotState = newSlotState()
 	p.meanSlowdown = 1
 	p.retryDelay = admit.RetryDelay{Min: minRetryAfter, Max: maxRetryAfter}
 }
@@ -305,96 +304,6 @@
 	return p.takeActions()
 }
 
-// Tick handles the timers that have expired.
-func (p *Placer) Tick(now clock.Millis) []Action {
-	var due []*request
-	for _, r := range p.requests {
-		if r.wakeAt() <= now {
-			due = append(due, r)
-		}
-	}
-	slices.SortFunc(due, byPriority)
-	for _, r := range due {
-		p.wake(now, r)
-	}
-	if p.allocating {
-		p.serveQueue(now)
-	}
-	p.probeForReach(now)
-	p.wakeWarm(now)
-	p.planWarmUp(now)
-	return p.takeActions()
-}
-
-// NextTick returns when Tick is due, 0 for never.
-func (p *Placer) NextTick() clock.Millis {
-	var next clock.Millis
-	for _, r := range p.requests {
-		if at := r.wakeAt(); next == 0 || at < next {
-			next = at
-		}
-	}
-	if p.warmUpAt > 0 && (next == 0 || p.warmUpAt < next) {
-		next = p.warmUpAt
-	}
-	if p.reach.cutOff && (next == 0 || p.reach.probeAt < next) {
-		next = p.reach.probeAt
-	}
-	return next
-}
-
-// wakeAt returns when the next timer of r expires.
-func (r *request) wakeAt() clock.Millis {
-	switch r.phase {
-	case probing, hedgeProbing:
-		return min(r.GiveUp, r.probeUntil)
-	case queued:
-		at := min(r.GiveUp, r.waitUntil, r.reprobeAt)
-		if r.lateFrom > 0 && !r.late {
-			at = min(at, r.lateFrom)
-		}
-		return at
-	case asking:
-		return min(r.GiveUp, r.ask.until)
-	}
-	if r.hedgeAt > 0 {
-		return min(r.GiveUp, r.hedgeAt)
-	}
-	return r.GiveUp
-}
-
-func (p *Placer) wake(now clock.Millis, r *request) {
-	if r.phase == ended {
-		return // completed by an earlier request of this Tick
-	}
-	switch {
-	case now >= r.GiveUp:
-		p.giveUp(now, r)
-	case r.phase == probing:
-		p.choose(now, r)
-	case r.phase == hedgeProbing:
-		p.hedge(now, r)
-	case r.phase == asking:
-		p.askLost(now, r)
-	case r.phase == queued && r.lateFrom > 0 && !r.late && now >= r.lateFrom:
-		p.turnLate(now, r)
-	case r.phase == queued && now >= r.waitUntil:
-		if u := p.lastResort(now, r); u != nil && !p.betterRefused(now, r, u) {
-			p.send(now, r, u)
-			return
-		}
-		if p.allInDoubt(now, r) {
-			p.awaitProbes(now, r)
-			return
-		}
-		p.turnAway(now, r, cmp.Or(r.lastReason, route.ReasonOverloaded))
-	case r.phase == queued:
-		p.reprobe(now, r)
-	case r.hedgeAt > 0 && now >= r.hedgeAt:
-		p.probeForHedge(now, r)
-	}
-}
-
 // byPriority orders those that can be in time first, then by priority, then those within their fair use first, then by arrival.
 func byPriority(a, b *request) int {
 	return cmp.Or(compareBool(a.late, b.late), cmp.Compare(a.Priority, b.Priority), compareBool(a.aboveFairUse, b.aboveFairUse), cmp.Compare(a.Arrived, b.Arrived), cmp.Compare(a.ID, b.ID))
@@ -435,86 +344,3 @@
 	p.remove(r)
 	p.emit(route.Action{Kind: route.Finish, Request: r.ID, Attempt: id})
 }
-
-// refuse ends r without success: with an upstream's error answer if there is one, with
-// Unknown if an attempt may have run, and else with Refuse, which promises that it did
-// not run.
-func (p *Placer) refuse(now clock.Millis, r *request, reason route.Reason) {
-	if r.fallback != 0 {
-		p.finish(r, r.fallback)
-		return
-	}
-	p.spentTime.recordRefusal(now)
-	p.countWithheld(now, r)
-	if r.asker != nil {
-		p.deny(now, r, reason)
-		return
-	}
-	p.remove(r)
-	if r.mayHaveRun {
-		p.emit(route.Action{Kind: route.Unknown, Request: r.ID, Reason: reason})
-		return
-	}
-	if reason == route.ReasonOverloaded {
-		p.throughput.recordRefusal(now)
-	}
-	after := p.retryAfter(now, r, reason)
-	p.actions = append(p.actions, Action{
-		Action:  route.Action{Kind: route.Refuse, Request: r.ID, Reason: reason, RetryAfter: after},
-		Refusal: p.refusalDetail(now, r),
-	})
-}
-
-// retryAfter returns when the caller of a refused request may come back.
-func (p *Placer) retryAfter(now clock.Millis, r *request, reason route.Reason) clock.Millis {
-	if reason == route.ReasonEvacuated {
-		return evacuatedRetryAfter
-	}
-	if r.shed && !p.Tuning.NoPromptReturn && reason == route.ReasonUpstreamRefused && p.backPressureLeft(now, r) == 0 {
-		return max(r.retryAfter, shedRetryAfter/2+clock.Millis(p.Rand.Int64N(int64(shedRetryAfter))))
-	}
-	after := max(r.retryAfter, p.retryDelay.RecordRefusal(now, clock.Millis(p.typicalTime(r.Route, r.Target)/4), p.Rand))
-	if left := p.backPressureLeft(now, r); left > 0 {
-		after += left
-	}
-	return after
-}
-
-func (p *Placer) refusalDetail(now clock.Millis, r *request) RefusalDetail {
-	if r.denied != nil {
-		c := *r.denied
-		c.Waited, c.Allocator = now-r.Arrived, r.deniedBy
-		return c
-	}
-	c := RefusalDetail{Waited: now - r.Arrived, Probed: len(r.probed), Upstreams: len(p.upstreams), Queued: len(p.queue), OutOfReach: p.outOfReach()}
-	for _, u := range p.upstreams {
-		if !p.usable(now, r, u) {
-			if p.inUse(now, r, u) {
-				c.Cold++
-			}
-			continue
-		}
-		c.Usable++
-		if p.hasRoom(r, u) {
-			c.WithRoom++
-		}
-	}
-	return c
-}
-
-// giveUp ends a request that has reached its deadline.
-func (p *Placer) giveUp(now clock.Millis, r *request) {
-	if len(r.running) > 0 {
-		for _, a := range r.running {
-			if a.host != "" {
-				p.avoidHost(now, a.host)
-				continue
-			}
-			p.recordTimeout(now, a)
-		}
-		r.mayHaveRun = true
-		p.refuse(now, r, route.ReasonTimeout)
-		return
-	}
-	p.refuse(now, r, route.ReasonDeadline)
-}
--- a/core/place/slot.go
+++ b/core/place/slot.go
@@ -104,12 +104,25 @@
 	toldAt clock.Millis // when the host was last told that the request is queued; 0 for never
 }
 
-func (p *Placer) initSlots() {
-	p.asks = map[uint64]*request{}
-	p.avoidedAllocators = map[string]clock.Millis{}
-	p.linked = map[string]bool{}
-	p.askers = map[slotKey]*request{}
-	p.grants = map[slotKey]*attempt{}
+// slotState is a Placer's state of the allocation of slots.
+type slotState struct {
+	asks              map[uint64]*request     // of this host, by number
+	lastAsk           uint64                  // number of the last ask
+	avoidedAllocators map[string]clock.Millis // until when a host is not asked
+	linked            map[string]bool         // allocators with a connection
+	askers            map[slotKey]*request    // requests of other hosts that wait here
+	grants            map[slotKey]*attempt    // slots that other hosts use
+	allocating        bool                    // see allocates, at the last event
+	lastAskedAt       clock.Millis            // when another host has last asked this one
+	grantsSweptAt     clock.Millis
+	lastAskers        route.RequestID // number of the last request of another host
+}
+
+func newSlotState() slotState {
+	return slotState{
+		asks: map[uint64]*request{}, avoidedAllocators: map[string]clock.Millis{}, linked: map[string]bool{},
+		askers: map[slotKey]*request{}, grants: map[slotKey]*attempt{},
+	}
 }
 
 // allocates reports whether this host allocates the slots of the service: it is the first
