entry: an allocator without an address does not keep the next one from being asked; its connections are logged

Cause, found by reading: a candidate whose address is not known was never counted as failed, so that none of those after it was asked, and why a connection ended was not logged. TestSlotExchange plays it.

--- a/siskinpathd/entry/slots.go
+++ b/siskinpathd/entry/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"maps"
 	"slices"
 	"sync"
@@ -14,6 +15,7 @@
 	"siskinpath/core/route"
 	"siskinpath/siskinpathd/forward"
 	"siskinpath/siskinpathd/forward/forwardpb"
+	"siskinpath/siskinpathd/logs"
 )
 
 const (
@@ -28,6 +30,12 @@
 	maxRedialDelay = clock.Second
 )
 
+// Messages of the log lines about connections to allocators.
+const (
+	msgAllocatorConnected = "allocator connected"
+	msgNoAllocator        = "allocator not connected"
+)
+
 var (
 	slotAsks   = metrics.NewCounter("slot_asks_total")   // slots asked for by this host
 	slotGrants = metrics.NewCounter("slot_grants_total") // slots granted to other hosts
@@ -38,6 +46,8 @@
 type slotExchange struct {
 	Clock clock.Clock
 	Self  string
+	Log   *slog.Logger
+	Limit *logs.Limiter // of the lines of Log; nil for none
 	// Client opens streams to allocators.
 	Client *forward.Client
 	// Address returns the address of another host, "" if it is not known.
@@ -111,25 +121,42 @@
 func (x *slotExchange) keepOpen(ctx context.Context, host string, l *slotLink) {
 	delay := minRedialDelay
 	for ctx.Err() == nil {
-		if address := x.Address(host); address != "" {
-			opened := func(s *forward.SlotStream) {
-				delay = minRedialDelay
-				x.setLink(l, s)
-				for _, d := range x.Dispatchers() {
-					d.allocatorLinked(host)
-				}
-			}
-			_ = x.Client.OpenSlots(ctx, address, x.Self, opened, func(m *forwardpb.SlotMessage) { x.receive(host, m) })
-			x.setLink(l, nil)
+		opened := func(s *forward.SlotStream) {
+			delay = minRedialDelay
+			x.setLink(l, s)
+			x.log(msgAllocatorConnected, "host", host)
 			for _, d := range x.Dispatchers() {
-				d.allocatorLost(host)
+				d.allocatorLinked(host)
 			}
 		}
+		err := x.open(ctx, host, opened)
+		x.setLink(l, nil)
+		if ctx.Err() == nil {
+			x.log(msgNoAllocator, "host", host, "err", err)
+		}
+		for _, d := range x.Dispatchers() {
+			d.allocatorLost(host)
+		}
 		sleep(ctx, delay)
 		delay = min(2*delay, maxRedialDelay)
 	}
 }
 
+// open opens a connection to an allocator and returns when it has ended.
+func (x *slotExchange) open(ctx context.Context, host string, opened func(*forward.SlotStream)) error {
+	address := x.Address(host)
+	if address == "" {
+		return errHostUnknown
+	}
+	return x.Client.OpenSlots(ctx, address, x.Self, opened, func(m *forwardpb.SlotMessage) { x.receive(host, m) })
+}
+
+func (x *slotExchange) log(message string, attributes ...any) {
+	if x.Limit == nil || x.Limit.Allow(message) {
+		x.Log.Info(message, attributes...)
+	}
+}
+
 // setLink records that a connection has been opened, or with nil that it is lost.
 func (x *slotExchange) setLink(l *slotLink, s *forward.SlotStream) {
 	x.mu.Lock()
@@ -272,7 +299,7 @@
 // initSlots prepares the exchange of messages about slots.
 func (n *Node) initSlots() {
 	n.slots = &slotExchange{
-		Clock: n.Clock, Self: n.cfg().ID, Client: &n.forwarder.client, Dispatchers: n.allDispatchers,
+		Clock: n.Clock, Self: n.cfg().ID, Log: n.Log, Limit: n.LogLimiter, Client: &n.forwarder.client, Dispatchers: n.allDispatchers,
 		Address: func(host string) string { return n.relay.ForwardAddresses()[host] },
 		Ready:   func() bool { return n.Ready() == nil },
 		links:   map[string]*slotLink{}, peers: map[string]*forward.SlotStream{},
--- a/siskinpathd/entry/slots_test.go
+++ b/siskinpathd/entry/slots_test.go
@@ -41,7 +41,7 @@
 func newSlotNode(id string, addresses map[string]string) *slotNode {
 	n := &slotNode{ready: true}
 	n.slotExchange = &slotExchange{
-		Clock: clock.NewSystem(), Self: id, Client: &forward.Client{}, Address: func(host string) string { return addresses[host] },
+		Clock: clock.NewSystem(), Self: id, Log: slog.New(slog.DiscardHandler), Client: &forward.Client{}, Address: func(host string) string { return addresses[host] },
 		Ready: n.isReady, links: map[string]*slotLink{}, peers: map[string]*forward.SlotStream{},
 	}
 	log := slog.New(slog.DiscardHandler)
@@ -136,6 +136,11 @@
 			cancel()
 			So(eventually(used(0)), ShouldBeTrue)
 		})
+		Convey("is connected to the second when it knows no address of the first", func() {
+			delete(addresses, "a")
+			h.follow([][]string{{"a", "b"}})
+			So(eventually(linkedTo("b")), ShouldBeTrue)
+		})
 		Convey("is connected to none when it is the first itself", func() {
 			a.follow([][]string{{"a", "b"}})
 			So(a.linked(), ShouldBeEmpty)
