--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -90,9 +90,6 @@
 
 // eligible is like inUse, but includes upstreams that have not answered a probe yet.
 func (p *Placer) eligible(now clock.Millis, r *request, u *upstream) bool {
-	if r.asker != nil && u.limited() { // each host has a share of its own of the limit
-		return false
-	}
 	return !u.Leaving && !u.gone && !u.notice.forbids(now) && now >= u.suspendedUntil && !slices.Contains(r.tried, u)
 }
 
--- a/core/place/slot.go
+++ b/core/place/slot.go
@@ -128,12 +128,18 @@
 // allocates reports whether this host allocates the slots of the service: it is the first
 // of the allocators, or others ask it as they do not reach the first.
 func (p *Placer) allocates(now clock.Millis) bool {
-	if p.Tuning.NoAllocator || len(p.cfg.Allocators) == 0 {
+	if p.Tuning.NoAllocator || len(p.cfg.Allocators) == 0 || p.knowsLimit() {
 		return false
 	}
 	return p.cfg.Allocators[0] == p.cfg.Host || now-p.lastAskedAt < allocatorMemory
 }
 
+// knowsLimit reports whether an upstream has named a limit. Each host has a share of its own
+// of such a limit, so that hosts decide by themselves then.
+func (p *Placer) knowsLimit() bool {
+	return slices.ContainsFunc(p.upstreams, func(u *upstream) bool { return u.limited() && !u.Leaving })
+}
+
 // updateRole sets the rate of this host's probes when it begins or ceases to allocate.
 func (p *Placer) updateRole(now clock.Millis) {
 	if allocates := p.allocates(now); allocates != p.allocating {
@@ -165,7 +171,7 @@
 // askSlot asks an allocator for a slot for r. It returns false if there is none.
 func (p *Placer) askSlot(now clock.Millis, r *request) bool {
 	host := p.allocator(now)
-	if host == "" || p.cfg.Evacuated || p.reach.cutOff || now >= r.GiveUp {
+	if host == "" || p.knowsLimit() || p.cfg.Evacuated || p.reach.cutOff || now >= r.GiveUp {
 		return false
 	}
 	if p.lastAsk == 0 {
@@ -331,6 +337,10 @@
 // handleAsk looks for a slot for a request of another host.
 func (p *Placer) handleAsk(now clock.Millis, host string, m SlotMessage) {
 	p.sweepGrants(now)
+	if p.knowsLimit() {
+		p.tell(host, SlotMessage{Kind: SlotDeny, ID: m.ID, Reason: route.ReasonNoUpstream})
+		return
+	}
 	p.lastAskedAt = now
 	p.updateRole(now)
 	p.lastAskers++
--- a/core/place/slot_test.go
+++ b/core/place/slot_test.go
@@ -174,6 +174,16 @@
 			f.offer()
 			So(f.toAlloc, ShouldHaveLength, 1)
 		})
+		Convey("decides by itself when the allocator knows an upstream that names a limit", func() {
+			f.perform(f.allocator, f.allocator.Offer(f.now, place.Request{ID: 1, Route: "r", Arrived: f.now, Target: 300, GiveUp: f.now + 1200, MaxAttempts: 2}))
+			limited := f.sent[0]
+			f.perform(f.allocator, f.allocator.AttemptDone(f.now, route.Result{Attempt: limited.Attempt, Status: route.Succeeded, Notice: route.Notice{PerSecond: 1}}))
+			f.offer()
+			f.pass()
+			So(f.sent, ShouldHaveLength, 2)
+			So(f.sent[1].Sent.Allocator, ShouldBeEmpty)
+			So(f.use(), ShouldEqual, 0)
+		})
 		Convey("does not rely on an allocator that no longer tells that a request waits", func() {
 			for range 7 {
 				f.offer()
