entry: limits of the configuration in force hold on open connections too

Callers saw 431 and 413 on a connection that was opened before a configuration raised the limits, or before a host that had just started had read any, for as long as they kept it; a header whose fields had exactly max_header_bytes was refused with 431 on any connection, as the buffer also had to hold the request line.

Cause: the limits were read once, when a connection was accepted, and sized its buffer.

Evidence: TestLimitsOfOldConfigurationOnOpenConnection got 431 and 413 before, 200 after. The limits are read for each request now, and the buffer grows with them, with 2 KiB more for the request line. Empty lines between requests are skipped while waiting, so that they start no header time-out.

--- a/siskinpathd/entry/conn.go
+++ b/siskinpathd/entry/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -28,6 +29,9 @@
 	idleMargin = 2 * clock.Second
 	// writeBufferBytes is the size of a connection's write buffer.
 	writeBufferBytes = 4096
+	// requestLineBytes is the size of the read buffer beyond the limit on header fields, for
+	// the request line.
+	requestLineBytes = 2048
 )
 
 // conn is a caller's connection. One goroutine reads requests, so that a closed
@@ -51,19 +55,31 @@
 }
 
 func (s *Server) serveConn(nc net.Conn) {
-	limits := s.Limits()
 	c := &conn{Conn: nc, server: s, caller: callerAddress(nc), requests: make(chan *heldRequest, maxPipelined)}
-	c.r = bufio.NewReaderSize(nc, limits.MaxHeaderBytes)
+	c.r = bufio.NewReaderSize(nc, headerBufferBytes(s.Limits()))
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	if !s.addConn(c) {
 		_ = nc.Close()
 		return
 	}
 	go c.writeResponses()
-	err := c.readRequests(limits)
+	err := c.readRequests()
 	c.handleReadEnd(err)
 }
 
+// headerBufferBytes returns the size of the read buffer, which must hold a whole header.
+func headerBufferBytes(limits config.Limits) int { return limits.MaxHeaderBytes + requestLineBytes }
+
+// fitBuffer enlarges the read buffer to what a header may have by now.
+func (c *conn) fitBuffer(limits config.Limits) {
+	size := headerBufferBytes(limits)
+	if c.r.Size() >= size {
+		return
+	}
+	buffered, _ := c.r.Peek(c.r.Buffered())
+	c.r = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.Conn), size)
+}
+
 // callerAddress returns the address of the peer of a connection without its port.
 func callerAddress(nc net.Conn) string {
 	if a, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
@@ -87,12 +103,15 @@
 	close(c.requests)
 }
 
-// readRequests reads requests until the connection ends, and returns the reason.
-func (c *conn) readRequests(limits config.Limits) (err error) {
+// readRequests reads requests until the connection ends, and returns the reason. Each is
+// subject to the limits in force when it begins.
+func (c *conn) readRequests() (err error) {
 	for {
-		if err = c.awaitRequest(limits); err != nil {
+		if err = c.awaitRequest(c.server.Limits()); err != nil {
 			return err
 		}
+		limits := c.server.Limits()
+		c.fitBuffer(limits)
 		req, err := c.readRequest(limits)
 		if err != nil {
 			return err
@@ -127,8 +146,7 @@
 		if !c.markIdle() {
 			return net.ErrClosed
 		}
-		_, err = c.r.Peek(1)
-		if err == nil {
+		if err = c.skipEmptyLines(); err == nil {
 			c.markReading()
 			return nil
 		}
@@ -143,6 +161,28 @@
 	}
 }
 
+// skipEmptyLines discards empty lines before a request (RFC 9112, section 2.2), and returns
+// when another byte can be read.
+func (c *conn) skipEmptyLines() error {
+	for {
+		b, err := c.r.Peek(1)
+		if err != nil {
+			return err
+		}
+		if b[0] == '\n' {
+			_, _ = c.r.Discard(1)
+			continue
+		}
+		if b[0] != '\r' {
+			return nil
+		}
+		if b, err = c.r.Peek(2); err != nil || b[1] != '\n' {
+			return err
+		}
+		_, _ = c.r.Discard(2)
+	}
+}
+
 // awaitClose waits until the caller closes a connection on which no further request
 // is read.
 func (c *conn) awaitClose() (err error) {
