entry: a target in absolute form and a host name with a final dot find their route

Callers that name the whole URL in the request line, as clients of proxies do, or a fully qualified host name, got 404 for a route that is there.

Cause: routes were looked up by the target as it was sent and by the Host header's exact name.

RFC 9112, section 3.2.2, has servers accept the absolute form, with its authority in place of the Host header; upstreams get the path and query as before.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -78,7 +78,7 @@
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		host := strings.ToLower(r.Host)
+		host := strings.ToLower(strings.TrimSuffix(r.Host, "."))
 		c.byHost[host] = append(c.byHost[host], r)
 	}
 	for _, routes := range c.byHost {
@@ -98,10 +98,11 @@
 	return nil
 }
 
-// canonicalHost strips the port from a Host header and converts it to lower case.
+// canonicalHost strips the port and the final dot of a fully qualified name from a Host
+// header and converts it to lower case.
 func canonicalHost(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:i]
 	}
-	return strings.ToLower(host)
+	return strings.ToLower(strings.TrimSuffix(host, "."))
 }
--- a/siskinpathd/entry/conn.go
+++ b/siskinpathd/entry/conn.go
@@ -261,6 +261,7 @@
 	if err = req.Header.Read(c.r); err != nil {
 		return nil, classifyHeaderError(err)
 	}
+	toOriginForm(&req.Header)
 	if len(req.Header.Peek("Transfer-Encoding")) > 0 && len(req.Header.Peek("Content-Length")) > 0 && req.Header.ContentLength() < 0 {
 		return nil, &readError{status: fasthttp.StatusBadRequest, reason: "both a length and chunks"}
 	}
