entry: a host whose configuration may be old does not deny a route for good

Callers of a route that was just added got 404 from a host that had not heard of it, for as long as the host was cut from the store or its relays were slow. No client repeats a request after a 404. The same held for 401 where the platform sets no bound on revocations.

Cause: what the configuration lacks was refused for good, however old the configuration was.

Hosts keep the age of their tables below the bound on configurations as long as anything reaches them, so in calm the answer stays 404. The log line has the host name and the version of the configuration.

--- a/siskinpathd/entry/key_fence.go
+++ b/siskinpathd/entry/key_fence.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -42,19 +41,25 @@
 // keysTrusted reports whether this host knows its configuration well enough to accept keys
 // now: trusted is false if a key may have been removed for longer than the bound on
 // revocations, current is false if a key may have been added for longer than the bound on
-// configurations. Without a bound on revocations both are true.
+// configurations. Without a bound on revocations keys are always trusted.
 //
 // The caller must read the configuration in force after the call: the process may be paused
 // between both.
 func (n *Node) keysTrusted(now clock.Millis) (trusted, current bool) {
 	b := n.cfg().Bounds
 	if b.RevocationMs <= 0 {
-		return true, true
+		return true, n.configCurrent()
 	}
 	age := n.relay.ProvenAge(tableConfig)
 	trusted = age <= clock.Millis(b.RevocationMs)-fenceMargin
 	n.recordFence(now, !trusted, age)
-	return trusted, age <= cmp.Or(clock.Millis(b.ConfigurationMs), defaultChangeBound)
+	return trusted, age <= b.configuration()
+}
+
+// configCurrent reports whether this host has every configuration that was accepted longer
+// ago than the bound on configurations.
+func (n *Node) configCurrent() bool {
+	return n.relay.TableAge(tableConfig) <= n.cfg().Bounds.configuration()
 }
 
 // recordFence logs a change of the fence.
--- a/siskinpathd/entry/organisation.go
+++ b/siskinpathd/entry/organisation.go
@@ -24,14 +24,13 @@
 // bearerScheme is the authentication scheme of keys, in any case of letters.
 const bearerScheme = "Bearer"
 
-// keyAge tells how far the keys of the configuration in force may decide; see
-// Node.keysTrusted.
-type keyAge struct {
-	trusted bool
-	current bool
+// configAge tells how far the configuration in force may decide; see Node.keysTrusted.
+type configAge struct {
+	trusted bool // its keys may be accepted
+	current bool // what it lacks may be refused for good
 }
 
-func (n *Node) readKeyAge() (age keyAge) {
+func (n *Node) readConfigAge() (age configAge) {
 	age.trusted, age.current = n.keysTrusted(n.Clock.Now())
 	return age
 }
@@ -41,7 +40,7 @@
 // Public routes need no key, unless the path could mean another route. With
 // a refusal, digest is the short digest of the key that the request carries, "" without
 // one.
-func (n *Node) authenticate(cfg *config.Config, age keyAge, h *fasthttp.RequestHeader, path string, r *request) (refusal *Response, digest string) {
+func (n *Node) authenticate(cfg *config.Config, age configAge, h *fasthttp.RequestHeader, path string, r *request) (refusal *Response, digest string) {
 	r.keysRequired = cfg.KeysRequired
 	if !cfg.KeysRequired || r.route.Public && !hasDotSegment(path) {
 		return nil, ""
--- a/siskinpathd/entry/organisation_test.go
+++ b/siskinpathd/entry/organisation_test.go
@@ -16,6 +16,7 @@
 	"siskinpath/core/place"
 	"siskinpath/core/route"
 	"siskinpath/siskinpathd/logs"
+	"siskinpath/siskinpathd/relay"
 	"siskinpath/siskinpathd/upstream"
 )
 
@@ -37,6 +38,7 @@
 	n := &Node{
 		Settings: &Settings{}, Log: log, Clock: clk, UpstreamDialect: &upstream.Dialect{Instance: "Siskin-Instance"},
 		CallerHeaders: CallerHeaders{RequestID: "Siskin-Request", Deadline: "Siskin-Deadline", Organisation: "Siskin-Organisation"},
+		relay:         &relay.Relay{Clock: clk, Boot: clk},
 	}
 	n.splitter.Rand = rand.New(rand.NewPCG(1, 2))
 	n.hostHeaders = map[string]bool{n.UpstreamDialect.Instance: true}
@@ -69,7 +71,7 @@
 	cfg := n.config.Load()
 	r = &request{arrived: n.Clock.Now()}
 	r.route = cfg.Lookup(string(req.Header.Host()), string(req.Header.RequestURI()))
-	refusal, _ = n.authenticate(cfg, n.readKeyAge(), &req.Header, "/read/1", r)
+	refusal, _ = n.authenticate(cfg, configAge{trusted: true, current: true}, &req.Header, "/read/1", r)
 	return r, refusal
 }
 
@@ -111,7 +113,7 @@
 		})
 		Convey("refuses an unknown key with 401 and its short digest for the log, which is final", func() {
 			cfg, req := n.config.Load(), parseRequest(t, requestText("/read/1", "Authorization: Bearer abc"))
-			refusal, digest := n.authenticate(cfg, n.readKeyAge(), &req.Header, "/read/1", &request{route: cfg.Lookup("shop.example", "/read/1")})
+			refusal, digest := n.authenticate(cfg, configAge{trusted: true, current: true}, &req.Header, "/read/1", &request{route: cfg.Lookup("shop.example", "/read/1")})
 			So(refusal.Status, ShouldEqual, 401)
 			So(refusal.Reason, ShouldEqual, reasonUnknownKey)
 			So(refusal.RetryAfter, ShouldEqual, 0)
@@ -133,7 +135,7 @@
 			cfg, known := n.config.Load(), parseRequest(t, requestText("/read/1", "Authorization: Bearer north-key"))
 			unknown := parseRequest(t, requestText("/read/1", "Authorization: Bearer new-key"))
 			public := parseRequest(t, requestText("/status/1"))
-			answer := func(age keyAge, req *fasthttp.Request) *Response {
+			answer := func(age configAge, req *fasthttp.Request) *Response {
 				r := &request{route: cfg.Lookup("shop.example", string(req.Header.RequestURI()))}
 				refusal, _ := n.authenticate(cfg, age, &req.Header, "/read/1", r)
 				return refusal
@@ -143,11 +145,11 @@
 				So(resp.Reason, ShouldEqual, reasonStaleKeys)
 				So(resp.RetryAfter, ShouldEqual, 300)
 			}
-			shouldBeStale(answer(keyAge{trusted: false, current: false}, known))
-			shouldBeStale(answer(keyAge{trusted: false, current: false}, unknown))
-			shouldBeStale(answer(keyAge{trusted: true, current: false}, unknown))
-			So(answer(keyAge{trusted: true, current: false}, known), ShouldBeNil)
-			So(answer(keyAge{trusted: false, current: false}, public), ShouldBeNil)
+			shouldBeStale(answer(configAge{trusted: false, current: false}, known))
+			shouldBeStale(answer(configAge{trusted: false, current: false}, unknown))
+			shouldBeStale(answer(configAge{trusted: true, current: false}, unknown))
+			So(answer(configAge{trusted: true, current: false}, known), ShouldBeNil)
+			So(answer(configAge{trusted: false, current: false}, public), ShouldBeNil)
 		})
 		Convey("passes the name to another host as a header, and neither key nor digest", func() {
 			req := parseRequest(t, requestText("/read/1", "Authorization: Bearer north-key"))
@@ -257,7 +259,7 @@
 		r := &request{route: cfg.Lookup("shop.example", "/read/1")}
 		refused := false
 		allocations := testing.AllocsPerRun(1000, func() {
-			refusal, _ := n.authenticate(cfg, n.readKeyAge(), &req.Header, "/read/1", r)
+			refusal, _ := n.authenticate(cfg, configAge{trusted: true, current: true}, &req.Header, "/read/1", r)
 			refused = refused || refusal != nil || n.isKeyHeader(r, "Authorization")
 		})
 		So(refused, ShouldBeFalse)
--- a/siskinpathd/entry/request.go
+++ b/siskinpathd/entry/request.go
@@ -30,11 +30,15 @@
 const (
 	reasonNoConfig  = "no_configuration"
 	reasonNoRoute   = "no_route"
+	reasonOldConfig = "stale_configuration" // no route, but one may have been added
 	reasonNoService = "no_service"
 	reasonStopping  = "stopping"
 )
 
 const (
+	// oldConfigRetryAfter is the retry delay given by a host that may not know the present
+	// routes. Another host may serve the request at once.
+	oldConfigRetryAfter = 300 * clock.Millisecond
 	// startRetryAfter is the retry delay given by a host that has just started: the
 	// store answers within some tens of milliseconds.
 	startRetryAfter = 200 * clock.Millisecond
@@ -77,9 +81,9 @@
 }
 
 func (n *Node) respond(ctx context.Context, req *fasthttp.Request, r *request) *Response {
-	// The age of the keys is read before the configuration: a configuration that replaces
-	// this one in between can only be newer than the age says.
-	age := n.readKeyAge()
+	// The age is read before the configuration: a configuration that replaces this one in
+	// between can only be newer than the age says.
+	age := n.readConfigAge()
 	cfg := n.config.Load()
 	if cfg == nil {
 		return n.decisions.logRefusal(r, reasonNoConfig, notRunResponse(reasonNoConfig, startRetryAfter))
@@ -87,7 +91,8 @@
 	path, _, _ := bytes.Cut(req.Header.RequestURI(), []byte("?"))
 	r.route = cfg.Lookup(string(req.Header.Host()), string(path))
 	if r.route == nil {
-		return n.decisions.logRefusal(r, reasonNoRoute, &Response{Status: fasthttp.StatusNotFound, Reason: reasonNoRoute})
+		resp := noRouteResponse(age)
+		return n.decisions.logRefusal(r, resp.Reason, resp, "host", string(req.Header.Host()), "version", cfg.Version)
 	}
 	if resp, key := n.authenticate(cfg, age, &req.Header, string(path), r); resp != nil {
 		return n.decisions.logRefusal(r, resp.Reason, resp, "route", r.route.Name, "key_digest", key)
@@ -135,6 +140,15 @@
 	return end, n.decisions.logEnd(r, end, responseFor(end))
 }
 
+// noRouteResponse returns the response to a request that no route matches. It is final only
+// if the configuration is known to have every route.
+func noRouteResponse(age configAge) *Response {
+	if !age.current {
+		return notRunResponse(reasonOldConfig, oldConfigRetryAfter)
+	}
+	return &Response{Status: fasthttp.StatusNotFound, Reason: reasonNoRoute}
+}
+
 // useOfQuota returns the fraction of its quota that the organisation of a request has used
 // lately; 0 if it has none or that is not known.
 func (n *Node) useOfQuota(r *request) float64 {
--- a/siskinpathd/entry/settings.go
+++ b/siskinpathd/entry/settings.go
@@ -103,10 +103,14 @@
 // defaultChangeBound is the bound for changes if the settings give none.
 const defaultChangeBound = 2 * clock.Second
 
+// configuration returns the bound for configurations.
+func (b Bounds) configuration() clock.Millis {
+	return cmp.Or(clock.Millis(b.ConfigurationMs), defaultChangeBound)
+}
+
 // change returns the bound for changes of any table.
 func (b Bounds) change() clock.Millis {
-	or := func(ms float64) clock.Millis { return cmp.Or(clock.Millis(ms), defaultChangeBound) }
-	return min(or(b.ConfigurationMs), or(b.LeavingMs))
+	return min(b.configuration(), cmp.Or(clock.Millis(b.LeavingMs), defaultChangeBound))
 }
 
 // Shutdown holds the settings of a shutdown.
--- a/siskinpathd/relay/subscriber.go
+++ b/siskinpathd/relay/subscriber.go
@@ -199,6 +199,10 @@
 	return r.overlay.ProvenAge(r.Boot.Now(), table)
 }
 
+// TableAge returns the age of this host's copy of a table, overlay.UnknownAge for none. It
+// takes the arrival of a message for the time at which it was sent.
+func (r *Relay) TableAge(table string) clock.Millis { return r.tableAge(table).age }
+
 // ConfirmTable records that the store has told this host every change of a table up to a
 // time, and announces it to all subscribers. started is when the call to the store began,
 // by the boot clock.
