--- a/siskinpathd/entry/conn.go
+++ b/siskinpathd/entry/conn.go
@@ -252,7 +252,7 @@
 	defer func() {
 		if err != nil {
 			held.release()
-			c.server.recordMalformed(c, err)
+			c.server.recordMalformed(c, &held.Header, err)
 		}
 	}()
 	if err = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout.Duration())); err != nil {
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -153,7 +153,7 @@
 	n.hostHeaders = map[string]bool{n.UpstreamDialect.Instance: true}
 	n.initRelay()
 	n.initWatchers()
-	n.server = &Server{ListenAddress: n.cfg().Listen.Caller, Log: n.Log, Limits: n.limits, Bodies: n.bodies, Handle: n.handle}
+	n.server = &Server{ListenAddress: n.cfg().Listen.Caller, Log: n.Log, RequestIDHeader: n.CallerHeaders.RequestID, Limits: n.limits, Bodies: n.bodies, Handle: n.handle}
 }
 
 // cfg returns the settings in force.
--- a/siskinpathd/entry/server.go
+++ b/siskinpathd/entry/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -32,9 +33,10 @@
 // Server accepts callers' connections and serves their requests. Set the exported fields
 // before Bind.
 type Server struct {
-	ListenAddress string
-	Log           *slog.Logger
-	// Limits returns the limits in force for new connections.
+	ListenAddress   string
+	Log             *slog.Logger
+	RequestIDHeader string // holds the caller's id of a request
+	// Limits returns the limits in force.
 	Limits func() config.Limits
 	// Bodies limits the bodies of requests that are being read or held.
 	Bodies *bodyBudget
@@ -121,8 +123,8 @@
 }
 
 // recordMalformed counts and logs a request that could not be read, and keeps the error
-// for its response.
-func (s *Server) recordMalformed(c *conn, err error) {
+// for its response. h holds what was read of its header.
+func (s *Server) recordMalformed(c *conn, h *fasthttp.RequestHeader, err error) {
 	var readErr *readError
 	if !errors.As(err, &readErr) {
 		return // the connection has ended
@@ -132,7 +134,9 @@
 	} else {
 		malformedRequests.Inc()
 	}
-	s.Log.Warn("request can't be read", "peer", c.RemoteAddr().String(), "status", readErr.status, "reason", readErr.reason)
+	metrics.GetOrCreateCounter(fmt.Sprintf(`requests_total{route="none",status="%d",reason=%q}`, readErr.status, readErr.reason)).Inc()
+	s.Log.Warn("request can't be read", "id", string(h.Peek(s.RequestIDHeader)), "peer", c.RemoteAddr().String(), "status", readErr.status,
+		"reason", readErr.reason, "content_length", h.ContentLength())
 	s.mu.Lock()
 	s.conns[c] = readErr
 	s.mu.Unlock()
@@ -143,9 +147,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.conns[c]
-	if e.retryAfter == 0 {
-		return &Response{Status: e.status}
-	}
 	return &Response{Status: e.status, Reason: e.reason, RetryAfter: e.retryAfter}
 }
 
