watch: a removal that a whole read shows is not taken for a row that a restored store lacks

After the store had come back from an older copy, a zone whose row was removed while a host had lost the store stayed evacuated there for 3 s after the host had read the table again: requests were refused as evacuated, or kept off half of the upstreams.

Cause: a row that is the same in the new era is not applied again, so that the evacuation kept the revision of the old era. A later whole read of the same era that lacked the row then looked like the older copy. The table knows the era in which it last saw each row; it now says itself whether a missing row is lost, i.e. not seen since the store came back.

Found with soak: of two zones on host h-2, one was known in era 1 and was still held for 3 s (`zone taken back`, missing=true).

--- a/siskinpathd/entry/evacuation.go
+++ b/siskinpathd/entry/evacuation.go
@@ -62,7 +62,7 @@
 // dropEvacuation handles the removal of a row. It returns false if the row keeps its effect
 // for now, as it may only be missing from an older copy of the store. n.mu must be held.
 func (n *Node) dropEvacuation(row watch.DecodedRow[OperatorsRow], known *evacuation) (dropped bool) {
-	if row.Missing && row.Revision.Era != known.revision.Era {
+	if row.Lost {
 		time.AfterFunc(restoredRowWait.Duration(), func() { n.dropMissing(row, known) })
 		return false
 	}
--- a/siskinpathd/watch/table.go
+++ b/siskinpathd/watch/table.go
@@ -17,6 +17,8 @@
 	// a full read no longer contained the row.
 	Missing  bool
 	Revision revision.Revision
+
+	lost bool // see DecodedRow.Lost
 }
 
 // Update is a set of changes to a table, or its full content.
@@ -34,6 +36,9 @@
 	Value   T
 	Removed bool
 	Missing bool // see Row.Missing
+	// Lost is set, together with Missing, when the store has come back from an older copy
+	// and the row has not been seen since: its writer may not have removed it.
+	Lost bool
 	// DecodeErr is the reason why the value could not be decoded. Value is then not
 	// set.
 	DecodeErr error
@@ -171,11 +176,12 @@
 	if !u.Full {
 		return changed
 	}
-	for key := range t.rows {
+	for key, old := range t.rows {
 		if !present[key] {
 			r := Row{Key: key, Removed: true, Missing: true, Revision: u.Revision}
-			changed = append(changed, r)
 			t.storeRow(r)
+			r.lost = old.Revision.Era != r.Revision.Era
+			changed = append(changed, r)
 		}
 	}
 	return changed
@@ -194,7 +200,7 @@
 func (t *Table[T]) decode(rows []Row) []DecodedRow[T] {
 	out := make([]DecodedRow[T], 0, len(rows))
 	for _, r := range rows {
-		d := DecodedRow[T]{Key: r.Key, Removed: r.Removed, Missing: r.Missing, Revision: r.Revision}
+		d := DecodedRow[T]{Key: r.Key, Removed: r.Removed, Missing: r.Missing, Lost: r.lost, Revision: r.Revision}
 		if !r.Removed {
 			d.Value, d.DecodeErr = t.Decode(r.Key, r.Value)
 		}
--- a/siskinpathd/watch/watch_test.go
+++ b/siskinpathd/watch/watch_test.go
@@ -298,6 +298,19 @@
 				So(from, ShouldResemble, at(10))
 				So(to, ShouldResemble, atEra(1, 6))
 			})
+			Convey("tells rows that the copy lacks from those that were removed since, unseen", func() {
+				lost := map[string]bool{}
+				tb.Apply = func(rows []DecodedRow[string]) {
+					for _, r := range rows {
+						lost[r.Key] = r.Missing && r.Lost
+					}
+				}
+				So(tb.Merge(Update{Revision: atEra(2, 6), Full: true, Rows: []Row{{Key: "a", Value: []byte("1"), Revision: atEra(2, 3)}, {Key: "c", Value: []byte("3"), Revision: atEra(2, 4)}}}), ShouldBeTrue)
+				So(tb.Merge(Update{Revision: atEra(2, 9), Full: true, Rows: []Row{{Key: "c", Value: []byte("3"), Revision: atEra(2, 4)}}}), ShouldBeTrue)
+				So(lost, ShouldResemble, map[string]bool{"a": false, "c": false})
+				So(tb.Merge(Update{Revision: atEra(3, 6), Full: true}), ShouldBeTrue)
+				So(lost, ShouldResemble, map[string]bool{"a": false, "c": true})
+			})
 			Convey("announces the era also if no row differs", func() {
 				So(tb.Merge(Update{Revision: atEra(2, 4), Full: true, Rows: []Row{{Key: "a", Value: []byte("1"), Revision: atEra(2, 3)}}}), ShouldBeTrue)
 				So(announced, ShouldResemble, atEra(2, 4))
