relay: a change is fetched once at a time, and not again with each announcement

Timeline: at 15.3 s half of the hosts are killed, at 15.8 s a tenth, among them hosts that follow the store, stand still. The host starts at 15.8 s with two relays as sources, which have version 39 at 17.53 s. It hears of nothing new from them until 19.40 s and has no reason to ask the store, as their sessions live.

Cause: each announcement of a change that a host lacks made it fetch the change once more, from each source, although a reply was on its way. Three sources announce with each heartbeat, each change and each response of the store. The later the replies, the more of them were asked for, each with the whole table for a host that had just started: a retransmission storm without single flight or backoff.

Now a host waits for one reply for each table. It asks another source after 400 ms, then 800 and 1,600, at once if the session ends, and again if the reply lacks what was announced meanwhile.

--- a/siskinpathd/relay/relay.go
+++ b/siskinpathd/relay/relay.go
@@ -84,9 +84,10 @@
 	overlay     overlay.Overlay
 	sessions    map[string]*session // sessions to sources, by id of the source
 	subscribers map[*subscriber]bool
-	hostChanges []*relaypb.Host // changes of hosts not yet sent to subscribers
-	selfChanged chan struct{}   // closed when this host's own entry changes
-	newSources  chan struct{}   // signals that other hosts may be better sources now
+	fetches     map[string]*fetching // by table
+	hostChanges []*relaypb.Host      // changes of hosts not yet sent to subscribers
+	selfChanged chan struct{}        // closed when this host's own entry changes
+	newSources  chan struct{}        // signals that other hosts may be better sources now
 	ln          net.Listener
 	restored    atomic.Bool // the store has come back from an older copy
 	follows     bool        // the last result of ShouldFollowStore
@@ -97,6 +98,7 @@
 func (r *Relay) Bind() (err error) {
 	r.sessions = map[string]*session{}
 	r.subscribers = map[*subscriber]bool{}
+	r.fetches = map[string]*fetching{}
 	r.selfChanged = make(chan struct{})
 	r.newSources = make(chan struct{}, 1)
 	r.overlay.Self, r.overlay.Spans = r.Self, r.Spans
--- a/siskinpathd/relay/source.go
+++ b/siskinpathd/relay/source.go
@@ -21,8 +21,6 @@
 	// availability zone may still arrive from a source in this zone before it is
 	// fetched from the other zone.
 	sameZoneWait = 200 * clock.Millisecond
-	// fetchTimeout is how long a fetch may take before it is sent to another source.
-	fetchTimeout = 400 * clock.Millisecond
 )
 
 // session is a connection to a source: a host that this one receives changes from.
@@ -85,9 +83,10 @@
 	}
 	s.cancel()
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	delete(r.sessions, s.host.ID)
 	r.overlay.SessionClosed(r.Clock.Now(), s.host.ID)
+	r.mu.Unlock()
+	r.fetchesEnded(s)
 }
 
 // receive connects to a source and handles its messages.
@@ -287,39 +286,6 @@
 	return !ok || known.Before(at)
 }
 
-// fetch requests the changes of a table up to a revision from a source. If they have
-// not arrived after fetchTimeout, it requests them from another one.
-func (r *Relay) fetch(s *session, t watch.Replica, name string, at revision.Revision) {
-	after, ok := t.Revision()
-	if !ok {
-		after.Version = -1
-	}
-	select {
-	case s.out <- &relaypb.Fetch{Table: name, After: after.Version, Era: &after.Era}:
-	default:
-		return // earlier fetches are still waiting to be sent
-	}
-	time.AfterFunc(fetchTimeout.Duration(), func() {
-		if behind(t, at) {
-			r.fetchElsewhere(s, t, name, at)
-		}
-	})
-}
-
-func (r *Relay) fetchElsewhere(tried *session, t watch.Replica, name string, at revision.Revision) {
-	r.mu.Lock()
-	var other *session
-	for _, s := range r.sessions {
-		if s != tried && s.open {
-			other = s
-		}
-	}
-	r.mu.Unlock()
-	if other != nil {
-		r.fetch(other, t, name, at)
-	}
-}
-
 func (r *Relay) inSameZone(s *session) bool {
 	return s.host.AvailabilityZone == r.Self.AvailabilityZone
 }
@@ -346,7 +312,10 @@
 		if !r.isWhole(s, w.GetTable()) {
 			continue
 		}
+		before, _ := t.Revision()
 		t.Merge(updateFromWire(t, w)) // an update that leaves a gap is fetched again when the next version is announced
+		after, _ := t.Revision()
+		r.fetchReplied(s, t, w.GetTable(), before.Before(after))
 	}
 	return nil
 }
