relay: a host fetches a change of a table once

Cause: each of a host's three sources announces a change, and the host fetched it from each of them, and again at each heartbeat until it had arrived. Sources in other zones were asked after 200 ms, which is less than the row takes on such a link. Each copy lengthened the queue that the next heartbeats and fetches, and the requests of callers, wait in.

TestChangeIsFetchedOnce on the code before:

Expected collection to have length equal to [1], but its length was [3]

Now a table has one fetch at a time. Announcements that come meanwhile wait, and only the newest of them is kept, so versions that have been passed by are not fetched. A fetch without an answer in 400 ms, or whose session ends, goes to another source, first to one that has announced the change since.

relay_update_bytes_sent_total and relay_update_bytes_received_total count the bytes of updates by table.

--- a/siskinpathd/relay/relay.go
+++ b/siskinpathd/relay/relay.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"maps"
 	"math/rand/v2"
@@ -49,6 +50,11 @@
 	oldestTableAge  = metrics.NewGauge("table_age_seconds", nil) // at the last heartbeat
 )
 
+// countBytes counts the bytes of an update that was sent or received, as they are on the link.
+func countBytes(direction, table string, n int) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`relay_update_bytes_%s_total{table=%q}`, direction, table)).Add(n)
+}
+
 // Relay manages a host's sessions to its sources and from its subscribers. Set the
 // exported fields before Bind.
 type Relay struct {
@@ -80,6 +86,8 @@
 	OnCrashEvents    func([]quarantine.Event) []quarantine.Event
 	KnownCrashEvents func() []quarantine.Event
 
+	fetches fetches
+
 	mu          sync.Mutex
 	overlay     overlay.Overlay
 	sessions    map[string]*session // sessions to sources, by id of the source
--- a/siskinpathd/relay/source.go
+++ b/siskinpathd/relay/source.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"siskinpath/core/clock"
 	"siskinpath/core/overlay"
@@ -21,8 +22,6 @@
 	// availability zone may still arrive from a source in this zone before it is
 	// fetched from the other zone.
 	sameZoneWait = 200 * clock.Millisecond
-	// fetchTimeout is how long a fetch may take before it is sent to another source.
-	fetchTimeout = 400 * clock.Millisecond
 )
 
 // session is a connection to a source: a host that this one receives changes from.
@@ -43,10 +42,6 @@
 	sourceSent atomic.Pointer[int64]
 }
 
-// fetchQueueSize is the number of fetches that may wait to be sent: two for each
-// table.
-const fetchQueueSize = 4
-
 // updateSessions opens sessions to the sources that the overlay chooses. It
 // closes sessions to other hosts once all of these are open.
 func (r *Relay) updateSessions(ctx context.Context) {
@@ -85,9 +80,10 @@
 	}
 	s.cancel()
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	delete(r.sessions, s.host.ID)
 	r.overlay.SessionClosed(r.Clock.Now(), s.host.ID)
+	r.mu.Unlock()
+	r.repeatFetches(s)
 }
 
 // receive connects to a source and handles its messages.
@@ -240,15 +236,12 @@
 			r.proveTable(t, k, m.EchoMs)
 			continue
 		}
+		f := &fetch{table: k.GetTable(), replica: t, at: at, session: s}
 		if r.inSameZone(s) || !r.hasSameZoneSource() {
-			r.fetch(s, t, k.GetTable(), at)
+			r.fetch(f)
 			continue
 		}
-		time.AfterFunc(sameZoneWait.Duration(), func() {
-			if behind(t, at) {
-				r.fetch(s, t, k.GetTable(), at)
-			}
-		})
+		time.AfterFunc(sameZoneWait.Duration(), func() { r.fetch(f) })
 	}
 }
 
@@ -287,39 +280,6 @@
 	return !ok || known.Before(at)
 }
 
-// fetch requests the changes of a table up to a revision from a source. If they have
-// not arrived after fetchTimeout, it requests them from another one.
-func (r *Relay) fetch(s *session, t watch.Replica, name string, at revision.Revision) {
-	after, ok := t.Revision()
-	if !ok {
-		after.Version = -1
-	}
-	select {
-	case s.out <- &relaypb.Fetch{Table: name, After: after.Version, Era: &after.Era}:
-	default:
-		return // earlier fetches are still waiting to be sent
-	}
-	time.AfterFunc(fetchTimeout.Duration(), func() {
-		if behind(t, at) {
-			r.fetchElsewhere(s, t, name, at)
-		}
-	})
-}
-
-func (r *Relay) fetchElsewhere(tried *session, t watch.Replica, name string, at revision.Revision) {
-	r.mu.Lock()
-	var other *session
-	for _, s := range r.sessions {
-		if s != tried && s.open {
-			other = s
-		}
-	}
-	r.mu.Unlock()
-	if other != nil {
-		r.fetch(other, t, name, at)
-	}
-}
-
 func (r *Relay) inSameZone(s *session) bool {
 	return s.host.AvailabilityZone == r.Self.AvailabilityZone
 }
@@ -343,10 +303,12 @@
 			return errors.Errorf("source sent an update of unknown table %q", w.GetTable())
 		}
 		updatesReceived.Inc()
+		countBytes("received", w.GetTable(), proto.Size(w))
 		if !r.isWhole(s, w.GetTable()) {
 			continue
 		}
 		t.Merge(updateFromWire(t, w)) // an update that leaves a gap is fetched again when the next version is announced
+		r.endFetch(s, w.GetTable())
 	}
 	return nil
 }
--- a/siskinpathd/relay/subscriber.go
+++ b/siskinpathd/relay/subscriber.go
@@ -4,6 +4,8 @@
 	"net"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"siskinpath/core/clock"
 	"siskinpath/core/overlay"
 	"siskinpath/core/revision"
@@ -94,6 +96,7 @@
 			updatesSent.Inc()
 			m := r.lastChanges()
 			m.Updates = []*relaypb.Update{updateToWire(u)}
+			countBytes("sent", f.GetTable(), proto.Size(m.Updates[0]))
 			r.mu.Lock()
 			s.enqueueWithEcho(marshal(m.FromWatcher), m.provenAt)
 			r.mu.Unlock()
