--- a/siskinpathd/relay/fetch.go
+++ b/siskinpathd/relay/fetch.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"sync"
 	"time"
 
 	"siskinpath/core/clock"
@@ -15,122 +16,126 @@
 	// may be sending the tables to many hosts at once.
 	fetchTimeout    = 400 * clock.Millisecond
 	maxFetchTimeout = 4 * fetchTimeout
+	// fetchQueueSize is the number of fetches that may wait to be sent: two for each
+	// table.
+	fetchQueueSize = 4
 )
 
-// fetching is the fetch of a table's changes that this host waits for. There is one at a
-// time for each table: a reply has all changes that the source knows when it sends it.
-type fetching struct {
-	source    *session // nil if there is none
-	number    int      // counts the fetches of this table
-	failures  int      // successive ones without a reply
-	newest    revision.Revision
-	announcer *session // the last source that has announced the newest revision
+// fetch is a request for the changes of a table up to a revision.
+type fetch struct {
+	table   string
+	replica watch.Replica
+	at      revision.Revision
+	session *session
+	next    *fetch // the newest of those that wait until this one ends, often from another source; nil for none
+	timeout clock.Millis
 }
 
-// fetch requests the changes of a table up to a revision from a source that has announced
-// it, unless the host waits for a reply already.
-func (r *Relay) fetch(s *session, t watch.Replica, name string, at revision.Revision) {
-	after, ok := t.Revision() // before the lock, which is taken while the table is locked
-	if !ok {
-		after.Version = -1
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	f := r.fetches[name]
-	if f == nil {
-		f = &fetching{}
-		r.fetches[name] = f
-	}
-	if !at.Before(f.newest) {
-		f.newest, f.announcer = at, s
+// fetches holds the fetch of each table that has not been answered. A table has one at a
+// time: all sources announce the same changes, and again with each heartbeat until they have
+// arrived, so that a slow link would carry each change several times.
+//
+// Its lock is taken before those of tables and Relay.mu.
+type fetches struct {
+	mu      sync.Mutex
+	byTable map[string]*fetch
+}
+
+// fetch sends f, or lets it wait until an earlier fetch of the table ends. If the changes have
+// not arrived after fetchTimeout, they are requested from another source.
+func (r *Relay) fetch(f *fetch) {
+	r.fetches.mu.Lock()
+	defer r.fetches.mu.Unlock()
+	r.sendFetch(f)
+}
+
+// sendFetch is fetch with the lock held.
+func (r *Relay) sendFetch(f *fetch) {
+	after, known := f.replica.Revision()
+	if known && !after.Before(f.at) {
+		return
 	}
-	if f.source != nil {
+	if pending := r.fetches.byTable[f.table]; pending != nil {
+		repeated := f.session == pending.session && !pending.at.Before(f.at)
+		if !repeated && (pending.next == nil || pending.next.at.Before(f.at)) {
+			pending.next = f
+		}
 		return
 	}
+	if !known {
+		after.Version = -1
+	}
 	select {
-	case s.out <- &relaypb.Fetch{Table: name, After: after.Version, Era: &after.Era}:
+	case f.session.out <- &relaypb.Fetch{Table: f.table, After: after.Version, Era: &after.Era, ReadsPacked: !f.session.sentInvalid.Load()}:
 	default:
 		return // earlier fetches are still waiting to be sent
 	}
-	f.source = s
-	f.number++
-	number, timeout := f.number, min(maxFetchTimeout, fetchTimeout<<min(f.failures, 2))
-	time.AfterFunc(timeout.Duration(), func() { r.fetchTimedOut(f, number, t, name) })
+	if r.fetches.byTable == nil {
+		r.fetches.byTable = map[string]*fetch{}
+	}
+	r.fetches.byTable[f.table] = f
+	f.timeout = max(f.timeout, fetchTimeout)
+	time.AfterFunc(f.timeout.Duration(), func() { r.repeatFetch(f) })
 }
 
-// fetchTimedOut sends a fetch that has had no reply to another source.
-func (r *Relay) fetchTimedOut(f *fetching, number int, t watch.Replica, name string) {
-	r.mu.Lock()
-	if f.number != number || f.source == nil {
-		r.mu.Unlock()
-		return // there was a reply, or the session has ended
+// endFetch records that a source has sent an update of a table, and sends the fetch that
+// has waited for it.
+func (r *Relay) endFetch(s *session, table string) {
+	r.fetches.mu.Lock()
+	defer r.fetches.mu.Unlock()
+	f := r.fetches.byTable[table]
+	if f == nil || f.session != s && behind(f.replica, f.at) {
+		return
+	}
+	delete(r.fetches.byTable, table)
+	if f.next != nil {
+		r.sendFetch(f.next)
 	}
-	tried := f.source
-	f.source = nil
-	f.failures++
-	other := r.otherSource(f, tried)
-	r.mu.Unlock()
-	r.fetchAgain(f, other, t, name)
 }
 
-// fetchAgain fetches a table from s, nil for no source, if it lacks changes that have been announced.
-func (r *Relay) fetchAgain(f *fetching, s *session, t watch.Replica, name string) {
-	r.mu.Lock()
-	newest := f.newest
-	r.mu.Unlock()
-	if s != nil && behind(t, newest) {
-		r.fetch(s, t, name, newest)
+// repeatFetch sends f to another source if it has not been answered.
+func (r *Relay) repeatFetch(f *fetch) {
+	r.fetches.mu.Lock()
+	defer r.fetches.mu.Unlock()
+	if r.fetches.byTable[f.table] != f {
+		return
+	}
+	delete(r.fetches.byTable, f.table)
+	again := &fetch{table: f.table, replica: f.replica, at: f.at, timeout: min(maxFetchTimeout, 2*f.timeout)}
+	if f.next != nil {
+		again.at, again.session = f.next.at, f.next.session
+	}
+	if again.session == nil || again.session == f.session {
+		again.session = r.otherSession(f.session)
+	}
+	if again.session != nil {
+		r.sendFetch(again)
 	}
 }
 
-// otherSource returns an open session to another source than the one tried, preferably to
-// the last that has announced the newest revision, nil for none. r.mu must be held.
-func (r *Relay) otherSource(f *fetching, tried *session) (other *session) {
+// otherSession returns an open session to another source, nil for none.
+func (r *Relay) otherSession(tried *session) (other *session) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, s := range r.sessions {
-		if s != tried && s.open && (other == nil || s == f.announcer) {
+		if s != tried && s.open {
 			other = s
 		}
 	}
 	return other
 }
 
-// fetchReplied records that a source has sent changes of a table, and fetches those that it
-// did not have. advanced reports whether this host lacked some of the changes.
-func (r *Relay) fetchReplied(s *session, t watch.Replica, name string, advanced bool) {
-	own, _ := t.Revision()
-	r.mu.Lock()
-	f := r.fetches[name]
-	if f == nil {
-		r.mu.Unlock()
-		return
-	}
-	if f.source == s || !own.Before(f.newest) {
-		f.source = nil
-	}
-	f.failures = 0
-	announcer := f.announcer
-	if announcer != nil && r.sessions[announcer.host.ID] != announcer {
-		announcer = nil // its session has ended
-	}
-	r.mu.Unlock()
-	if advanced { // otherwise the next announcement or reply would bring no more
-		r.fetchAgain(f, announcer, t, name)
-	}
-}
-
-// fetchesEnded sends the fetches to another source for which a session that has ended was
-// to bring replies.
-func (r *Relay) fetchesEnded(s *session) {
-	for name, t := range r.Tables {
-		r.mu.Lock()
-		f := r.fetches[name]
-		if f == nil || f.source != s {
-			r.mu.Unlock()
-			continue
+// repeatFetches sends the unanswered fetches of a session that has ended to other sources.
+func (r *Relay) repeatFetches(ended *session) {
+	r.fetches.mu.Lock()
+	var pending []*fetch
+	for _, f := range r.fetches.byTable {
+		if f.session == ended {
+			pending = append(pending, f)
 		}
-		f.source = nil
-		other := r.otherSource(f, s)
-		r.mu.Unlock()
-		r.fetchAgain(f, other, t, name)
+	}
+	r.fetches.mu.Unlock()
+	for _, f := range pending {
+		r.repeatFetch(f)
 	}
 }
--- a/siskinpathd/relay/fetch_test.go
+++ b/siskinpathd/relay/fetch_test.go
@@ -1,174 +1,103 @@
 package relay
 
 import (
-	"fmt"
-	"net"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"siskinpath/core/clock"
-	"siskinpath/core/overlay"
 	"siskinpath/core/revision"
 	"siskinpath/siskinpathd/relay/relaypb"
 	"siskinpath/siskinpathd/watch"
 )
 
-const announceInterval = 50 * time.Millisecond
-
-// slowSource is a source whose replies to fetches take long, as on a link with much traffic.
-// It announces the table's version again and again.
-type slowSource struct {
-	overlay.Host
-	replyTime time.Duration // 0 for a source that never replies
-	version   atomic.Int64
-	fetches   atomic.Int64
-
-	mu sync.Mutex // guards writes
-	nc net.Conn
-}
-
-func startSlowSource(id string, replyTime time.Duration) *slowSource {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	So(err, ShouldBeNil)
-	Reset(func() { _ = ln.Close() })
-	s := &slowSource{replyTime: replyTime, Host: overlay.Host{ID: id, AvailabilityZone: "a", CallerAddress: id + ":80", PeerAddress: ln.Addr().String(), Capacity: 1000000}}
-	s.version.Store(7)
-	go func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			s.mu.Lock()
-			s.nc = nc
-			s.mu.Unlock()
-			go s.announce()
-			go s.reply()
-		}
-	}()
-	return s
+// addSource gives a host an open session to another source, whose messages the test delivers.
+func addSource(listener *provenHost, id string, at revision.Revision) *link {
+	l := connect(listener, newProvenHost(id, 0, at))
+	listener.sessions[id] = l.session
+	return l
 }
 
-func (s *slowSource) send(m *relaypb.FromWatcher) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return write(s.nc, m)
+// fetched returns the fetches that the listener has sent to a source.
+func (l *link) fetched() (fetches []*relaypb.Fetch) {
+	for len(l.session.out) > 0 {
+		fetches = append(fetches, <-l.session.out)
+	}
+	return fetches
 }
 
-func (s *slowSource) announce() {
-	for {
-		if s.send(&relaypb.FromWatcher{Known: []*relaypb.Known{knownToWire("t", at(s.version.Load()), tableAge{})}}) != nil {
-			return
-		}
-		time.Sleep(announceInterval)
-	}
+// reply makes the listener handle the source's reply to a fetch.
+func (l *link) reply(f *relaypb.Fetch) {
+	l.source.handleMessage(l.subscriber, &relaypb.FromListener{Fetches: []*relaypb.Fetch{f}})
+	m := l.sent()
+	So(l.listener.handleUpdates(l.session, m), ShouldBeNil)
+	l.deliver(m)
 }
 
-func (s *slowSource) reply() {
-	in := newReader(s.nc)
-	for {
-		m := &relaypb.FromListener{}
-		if in.read(m) != nil {
-			return
-		}
-		for range m.GetFetches() {
-			s.fetches.Add(1)
-			if s.replyTime == 0 {
-				continue
+// TestChangeIsFetchedOnce guards against slow links that carry each change once for each
+// source and heartbeat: callers wait behind it.
+func TestChangeIsFetchedOnce(t *testing.T) {
+	Convey("a host whose three sources announce the same change, again and again", t, func() {
+		h := newProvenHost("l", 0, at(7))
+		a, b, c := addSource(h, "a", at(9)), addSource(h, "b", at(9)), addSource(h, "c", at(9))
+		for range 3 {
+			for _, l := range []*link{a, b, c} {
+				l.deliver(l.announce())
 			}
-			reply := wholeTable(at(s.version.Load()))
-			time.AfterFunc(s.replyTime, func() { _ = s.send(&relaypb.FromWatcher{Updates: []*relaypb.Update{updateToWire(reply)}}) })
 		}
-	}
-}
-
-func wholeTable(at revision.Revision) watch.Update {
-	return watch.Update{Table: "t", Revision: at, Full: true, Rows: []watch.Row{{Key: "k", Value: []byte(fmt.Sprint(at.Version)), Revision: at}}}
-}
-
-// slowSources are all sources of one host.
-type slowSources struct {
-	*host
-	sources []*slowSource
-}
-
-func listenTo(replyTimes ...time.Duration) *slowSources {
-	f := &slowSources{}
-	var known []overlay.Host
-	for i, replyTime := range replyTimes {
-		s := startSlowSource(fmt.Sprint("s", i), replyTime)
-		f.sources, known = append(f.sources, s), append(known, s.Host)
-	}
-	f.host = start("listener", freeAddress(), clock.NewSystem())
-	Reset(f.cancel)
-	f.table.Merge(wholeTable(at(7)))
-	f.relay.AddHosts(known)
-	for _, s := range f.sources {
-		shouldBecome(func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.nc != nil })
-	}
-	time.Sleep(2 * announceInterval)
-	return f
-}
-
-func (f *slowSources) fetches() (n int64) {
-	for _, s := range f.sources {
-		n += s.fetches.Load()
-	}
-	return n
-}
-
-// shouldLearn waits until the listener knows a version, and returns how long it took.
-func (f *slowSources) shouldLearn(version int64) time.Duration {
-	begin := time.Now()
-	shouldBecome(func() bool { return f.value("k") == fmt.Sprint(version) })
-	return time.Since(begin)
-}
-
-func (f *slowSources) change(version int64, sources ...*slowSource) {
-	for _, s := range sources {
-		s.version.Store(version)
-	}
-}
-
-// TestFetchesOnce guards against hosts that fetch a change again with each announcement of
-// it, so that the replies fill the sources' links and further changes are late.
-func TestFetchesOnce(t *testing.T) {
-	Convey("a host with three sources that announce a change again and again", t, func() {
-		Convey("fetches it once while the reply is on its way", func() {
-			f := listenTo(200*time.Millisecond, 200*time.Millisecond, 200*time.Millisecond)
-			f.change(8, f.sources...)
-			f.shouldLearn(8)
-			So(f.fetches(), ShouldEqual, 1)
+		first := a.fetched()
+		So(first, ShouldHaveLength, 1)
+		Convey("fetches it from one of them", func() {
+			So(b.fetched(), ShouldBeEmpty)
+			So(c.fetched(), ShouldBeEmpty)
+			a.reply(first[0])
+			So(behind(h.table, at(9)), ShouldBeFalse)
+			So(len(a.fetched())+len(b.fetched())+len(c.fetched()), ShouldEqual, 0)
+		})
+		Convey("fetches a later one as soon as the first has arrived, from the source that has it, past those in between", func() {
+			b.source.read(at(11))
+			b.deliver(b.announce())
+			c.source.read(at(12))
+			c.deliver(c.announce())
+			So(len(b.fetched())+len(c.fetched()), ShouldEqual, 0)
+			a.reply(first[0])
+			So(b.fetched(), ShouldBeEmpty)
+			second := c.fetched()
+			So(second, ShouldHaveLength, 1)
+			So(second[0].GetAfter(), ShouldEqual, 9)
 		})
-		Convey("asks others less and less often when replies take 1.5 s", func() {
-			f := listenTo(1500*time.Millisecond, 1500*time.Millisecond, 1500*time.Millisecond)
-			f.change(8, f.sources...)
-			f.shouldLearn(8)
-			So(f.fetches(), ShouldBeLessThanOrEqualTo, 3)
+		Convey("fetches it from another one if there is no answer", func() {
+			shouldBecome(func() bool { return len(b.session.out)+len(c.session.out) == 1 })
+			So(a.fetched(), ShouldBeEmpty)
 		})
-		Convey("learns of a change while one source never replies", func() {
-			f := listenTo(0, 10*time.Millisecond, 10*time.Millisecond)
-			f.change(8, f.sources...)
-			So(f.shouldLearn(8), ShouldBeLessThan, fetchTimeout.Duration()+300*time.Millisecond)
+		Convey("fetches it from one that has announced it since if there is no answer", func() {
+			shouldBecome(func() bool { return len(b.session.out) == 1 })
+			So(c.fetched(), ShouldBeEmpty)
 		})
-		Convey("learns of a further change that another source announces meanwhile", func() {
-			f := listenTo(300*time.Millisecond, 10*time.Millisecond)
-			f.change(8, f.sources[0])
-			shouldBecome(func() bool { return f.sources[0].fetches.Load() == 1 })
-			f.change(9, f.sources[1])
-			So(f.shouldLearn(9), ShouldBeLessThan, fetchTimeout.Duration())
+		Convey("fetches it from another one at once if the session is lost", func() {
+			begin := time.Now()
+			h.mu.Lock()
+			delete(h.sessions, "a")
+			h.mu.Unlock()
+			h.repeatFetches(a.session)
+			So(b.fetched(), ShouldHaveLength, 1)
+			So(time.Since(begin), ShouldBeLessThan, fetchTimeout.Duration())
 		})
-		Convey("asks another source at once when the session ends on which it waits", func() {
-			f := listenTo(0, 10*time.Millisecond)
-			f.change(8, f.sources[0])
-			shouldBecome(func() bool { return f.sources[0].fetches.Load() == 1 })
-			f.change(8, f.sources[1])
-			_ = f.sources[0].nc.Close()
-			So(f.shouldLearn(8), ShouldBeLessThan, fetchTimeout.Duration()/2)
+		Convey("fetches it again if the answer leaves a gap", func() {
+			gap := &relaypb.Update{Table: "t", Version: 9, Base: 8, Rows: []*relaypb.Row{{Key: "k", Value: []byte("x"), Version: 9}}}
+			m := a.announce()
+			m.Updates = append(m.Updates, gap)
+			So(h.handleUpdates(a.session, m), ShouldBeNil)
+			a.deliver(m)
+			So(len(a.fetched())+len(b.fetched())+len(c.fetched()), ShouldEqual, 1)
 		})
 	})
+	Convey("a host that has a change by another way sends no fetch", t, func() {
+		h := newProvenHost("l", 0, at(7))
+		a := addSource(h, "a", at(9))
+		m := a.announce()
+		h.table.Merge(watch.Update{Revision: at(9), Base: at(7)})
+		a.deliver(m)
+		So(a.fetched(), ShouldBeEmpty)
+	})
 }
--- a/siskinpathd/relay/relay.go
+++ b/siskinpathd/relay/relay.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"maps"
 	"math/rand/v2"
@@ -49,6 +50,11 @@
 	oldestTableAge  = metrics.NewGauge("table_age_seconds", nil) // at the last heartbeat
 )
 
+// countBytes counts the bytes of an update that was sent or received, as they are on the link.
+func countBytes(direction, table string, n int) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`relay_update_bytes_%s_total{table=%q}`, direction, table)).Add(n)
+}
+
 // Relay manages a host's sessions to its sources and from its subscribers. Set the
 // exported fields before Bind.
 type Relay struct {
@@ -80,14 +86,16 @@
 	OnCrashEvents    func([]quarantine.Event) []quarantine.Event
 	KnownCrashEvents func() []quarantine.Event
 
+	fetches fetches
+	packer  packer
+
 	mu          sync.Mutex
 	overlay     overlay.Overlay
 	sessions    map[string]*session // sessions to sources, by id of the source
 	subscribers map[*subscriber]bool
-	fetches     map[string]*fetching // by table
-	hostChanges []*relaypb.Host      // changes of hosts not yet sent to subscribers
-	selfChanged chan struct{}        // closed when this host's own entry changes
-	newSources  chan struct{}        // signals that other hosts may be better sources now
+	hostChanges []*relaypb.Host // changes of hosts not yet sent to subscribers
+	selfChanged chan struct{}   // closed when this host's own entry changes
+	newSources  chan struct{}   // signals that other hosts may be better sources now
 	ln          net.Listener
 	restored    atomic.Bool // the store has come back from an older copy
 	follows     bool        // the last result of ShouldFollowStore
@@ -98,7 +106,6 @@
 func (r *Relay) Bind() (err error) {
 	r.sessions = map[string]*session{}
 	r.subscribers = map[*subscriber]bool{}
-	r.fetches = map[string]*fetching{}
 	r.selfChanged = make(chan struct{})
 	r.newSources = make(chan struct{}, 1)
 	r.overlay.Self, r.overlay.Spans = r.Self, r.Spans
--- a/siskinpathd/relay/source.go
+++ b/siskinpathd/relay/source.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"siskinpath/core/clock"
 	"siskinpath/core/overlay"
@@ -39,12 +40,10 @@
 	sendsProofs bool
 	// sourceSent is the last time of its own clock that the source has sent, nil for none.
 	sourceSent atomic.Pointer[int64]
+	// sentInvalid is set once the source has sent packed rows that can't be unpacked.
+	sentInvalid atomic.Bool
 }
 
-// fetchQueueSize is the number of fetches that may wait to be sent: two for each
-// table.
-const fetchQueueSize = 4
-
 // updateSessions opens sessions to the sources that the overlay chooses. It
 // closes sessions to other hosts once all of these are open.
 func (r *Relay) updateSessions(ctx context.Context) {
@@ -86,7 +85,7 @@
 	delete(r.sessions, s.host.ID)
 	r.overlay.SessionClosed(r.Clock.Now(), s.host.ID)
 	r.mu.Unlock()
-	r.fetchesEnded(s)
+	r.repeatFetches(s)
 }
 
 // receive connects to a source and handles its messages.
@@ -239,15 +238,12 @@
 			r.proveTable(t, k, m.EchoMs)
 			continue
 		}
+		f := &fetch{table: k.GetTable(), replica: t, at: at, session: s}
 		if r.inSameZone(s) || !r.hasSameZoneSource() {
-			r.fetch(s, t, k.GetTable(), at)
+			r.fetch(f)
 			continue
 		}
-		time.AfterFunc(sameZoneWait.Duration(), func() {
-			if behind(t, at) {
-				r.fetch(s, t, k.GetTable(), at)
-			}
-		})
+		time.AfterFunc(sameZoneWait.Duration(), func() { r.fetch(f) })
 	}
 }
 
@@ -309,13 +305,20 @@
 			return errors.Errorf("source sent an update of unknown table %q", w.GetTable())
 		}
 		updatesReceived.Inc()
+		countBytes("received", w.GetTable(), proto.Size(w))
 		if !r.isWhole(s, w.GetTable()) {
 			continue
 		}
-		before, _ := t.Revision()
+		if err := unpack(w); err != nil {
+			// The next fetch asks for the rows as they are.
+			s.sentInvalid.Store(true)
+			updatesRefused.Inc()
+			r.Log.Warn("update refused", "host", s.host.ID, "table", w.GetTable(), "version", w.GetVersion(), "era", w.GetEra(), "err", err)
+			r.endFetch(s, w.GetTable())
+			continue
+		}
 		t.Merge(updateFromWire(t, w)) // an update that leaves a gap is fetched again when the next version is announced
-		after, _ := t.Revision()
-		r.fetchReplied(s, t, w.GetTable(), before.Before(after))
+		r.endFetch(s, w.GetTable())
 	}
 	return nil
 }
