--- a/siskinpathd/entry/request.go
+++ b/siskinpathd/entry/request.go
@@ -92,7 +92,7 @@
 	r.route = cfg.Lookup(string(req.Header.Host()), string(path))
 	if r.route == nil {
 		resp := noRouteResponse(age)
-		return n.decisions.logRefusal(r, resp.Reason, resp, "host", string(req.Header.Host()), "version", cfg.Version)
+		return n.decisions.logRefusal(r, resp.Reason, resp, "host_header", string(req.Header.Host()), "version", cfg.Version)
 	}
 	if resp, key := n.authenticate(cfg, age, &req.Header, string(path), r); resp != nil {
 		return n.decisions.logRefusal(r, resp.Reason, resp, "route", r.route.Name, "key_digest", key)
