entry: a draining host sends only what it can answer before it stops

Callers saw: in a planned stop in calm, requests that came late in the grace period were taken, sent to an upstream and cut at its end without an answer, among them requests that may run once only.

Cause: tooLateToStart compared the route's target with the stop, not the latest time of the answer (the caller's deadline or the route's timeout); it looked only at the arrival, so that a request that waited in the placer, was opened a connection for or was retried when SIGTERM came was sent later; and the process ended as soon as no request was in flight, also with connections whose first request was on its way.

Fix: the placer knows when the host stops (SetStop) and decides at each point where a request looks for an upstream; the check is made again right before the first byte is written. What may not be answered by then is refused at once with 503 stopping, Retry-After 1 ms and Connection: close, as another host can take it. In the first half of the grace period requests that may run more than once are still sent although their timeout reaches past the stop: few of them last that long, and with timeouts close to the grace period all of them would be refused from its start. Passing late requests on to another host does not help, as this host would still have to stay for the reply. Requests of other hosts that wait here count as not taken, so that they are placed elsewhere. A new connection is not closed as idle for 500 ms, and the host waits until the callers have closed their connections, until the stop at most.

--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -111,6 +111,7 @@
 	coldUpstreams int                // at the last event
 	coldWithheld  int                // see ColdWithheld
 	warmUpAt      clock.Millis       // when Tick must look at cold upstreams; 0 for never
+	stop          Stop
 	slotState
 }
 
--- a/core/place/refuse.go
+++ b/core/place/refuse.go
@@ -39,6 +39,9 @@
 	if reason == route.ReasonEvacuated {
 		return evacuatedRetryAfter
 	}
+	if reason == route.ReasonStopping {
+		return StoppingRetryAfter
+	}
 	if r.shed && !p.Tuning.NoPromptReturn && reason == route.ReasonUpstreamRefused && p.backPressureLeft(now, r) == 0 {
 		return max(r.retryAfter, shedRetryAfter/2+clock.Millis(p.Rand.Int64N(int64(shedRetryAfter))))
 	}
--- a/core/route/types.go
+++ b/core/route/types.go
@@ -128,6 +128,7 @@
 	ReasonCallerGone      Reason = "caller_gone"      // the caller disconnected
 	ReasonQuarantined     Reason = "quarantined"      // it crashes the upstreams that run it
 	ReasonEvacuated       Reason = "evacuated"        // all upstreams are in evacuated availability zones
+	ReasonStopping        Reason = "stopping"         // the host may stop before it is answered
 )
 
 // Action is something the driver of a Shard must do.
--- a/siskinpathd/entry/conn.go
+++ b/siskinpathd/entry/conn.go
@@ -26,6 +26,8 @@
 	bodyTimeout = 30 * clock.Second
 	// idleMargin is added to the configured idle time-out of a connection.
 	idleMargin = 2 * clock.Second
+	// firstRequestWait is how long a new connection without a request is not closed.
+	firstRequestWait = 500 * clock.Millisecond
 	// writeBufferBytes is the size of a connection's write buffer.
 	writeBufferBytes = 4096
 )
@@ -46,13 +48,14 @@
 	cancel context.CancelFunc
 
 	mu            sync.Mutex
-	idle          bool // no byte of another request has been read
-	closeWhenIdle bool // close the connection as soon as it is idle
+	idle          bool      // no byte of another request has been read
+	closeWhenIdle bool      // close the connection as soon as it is idle
+	newUntil      time.Time // it is not closed before without a request; zero once one was read
 }
 
 func (s *Server) serveConn(nc net.Conn) {
 	limits := s.Limits()
-	c := &conn{Conn: nc, server: s, caller: callerAddress(nc), requests: make(chan *heldRequest, maxPipelined)}
+	c := &conn{Conn: nc, server: s, caller: callerAddress(nc), requests: make(chan *heldRequest, maxPipelined), newUntil: time.Now().Add(firstRequestWait.Duration())}
 	c.r = bufio.NewReaderSize(nc, limits.MaxHeaderBytes)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	if !s.addConn(c) {
@@ -167,16 +170,20 @@
 
 func (c *conn) markReading() {
 	c.mu.Lock()
-	c.idle = false
+	c.idle, c.newUntil = false, time.Time{}
 	c.mu.Unlock()
 	c.inFlight.Add(1)
 }
 
 // closeIdle closes the connection as soon as it is idle. A request of which a byte
-// has been read is answered first.
+// has been read is answered first, and so is the first request of a caller that has just
+// connected.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if time.Now().Before(c.newUntil) {
+		return
+	}
 	c.closeWhenIdle = true
 	if c.idle && c.inFlight.Load() == 0 {
 		_ = c.SetReadDeadline(time.Unix(1, 0)) // interrupts awaitRequest
--- a/siskinpathd/entry/dispatcher.go
+++ b/siskinpathd/entry/dispatcher.go
@@ -194,11 +194,11 @@
 }
 
 // maySend reports whether a request may still be sent. The process may have been paused
-// since the placer decided, the caller may have been told meanwhile to come back, and the
-// upstream may have become cold.
-func (d *Dispatcher) maySend(ctx context.Context, c *call.Call, a place.Action) bool {
+// since the placer decided, the caller may have been told meanwhile to come back, the
+// upstream may have become cold, and this host may have been told to stop.
+func (d *Dispatcher) maySend(ctx context.Context, p *pendingRequest, a place.Action) bool {
 	now := d.Clock.Now()
-	if ctx.Err() != nil || now >= c.Deadline {
+	if ctx.Err() != nil || now >= p.call.Deadline || d.outlasts(now, p.in.GiveUp, p.in.Idempotent) {
 		return false
 	}
 	if !a.Sent.Limited || !place.LateWrite(now, a.Sent.At) {
@@ -227,7 +227,7 @@
 		RequestID:    p.id,
 		Clock:        d.Clock,
 		MaxBodyBytes: p.maxBody,
-		MaySend:      func() bool { return d.maySend(ctx, p.call, a) },
+		MaySend:      func() bool { return d.maySend(ctx, p, a) },
 	})
 	d.guardAgainstCrash(p, a, result.Status)
 	countAttempt(d.Service, result.Status)
--- a/siskinpathd/entry/dispatcher_test.go
+++ b/siskinpathd/entry/dispatcher_test.go
@@ -15,17 +15,24 @@
 func TestMaySend(t *testing.T) {
 	Convey("a request is not sent once its deadline has passed or it was cancelled", t, func() {
 		now := &clock.Manual{}
-		d := &Dispatcher{Clock: now}
+		d := &Dispatcher{Clock: now, placer: &place.Placer{}}
 		ctx, cancel := context.WithCancel(context.Background())
 		c := &call.Call{Deadline: 100}
-		So(d.maySend(ctx, c, place.Action{}), ShouldBeTrue)
+		So(d.maySend(ctx, &pendingRequest{call: c}, place.Action{}), ShouldBeTrue)
 		Convey("as after a pause of the process", func() {
 			now.Advance(5 * clock.Second)
-			So(d.maySend(ctx, c, place.Action{}), ShouldBeFalse)
+			So(d.maySend(ctx, &pendingRequest{call: c}, place.Action{}), ShouldBeFalse)
 		})
 		Convey("as when its caller has gone", func() {
 			cancel()
-			So(d.maySend(ctx, c, place.Action{}), ShouldBeFalse)
+			So(d.maySend(ctx, &pendingRequest{call: c}, place.Action{}), ShouldBeFalse)
+		})
+		Convey("as when this host may stop before it is answered", func() {
+			p := &pendingRequest{call: c, in: place.Request{GiveUp: 100}}
+			d.setStop(place.Stop{At: 100, LongUntil: 50})
+			So(d.maySend(ctx, p, place.Action{}), ShouldBeTrue)
+			d.setStop(place.Stop{At: 99, LongUntil: 50})
+			So(d.maySend(ctx, p, place.Action{}), ShouldBeFalse)
 		})
 		cancel()
 	})
@@ -43,10 +50,10 @@
 		sent := p.ProbeDone(now.Now(), route.ProbeResult{Upstream: "u", OK: true, Load: &route.LoadReport{Slots: 4, Slowdown: 1}})
 		So(sent, ShouldHaveLength, 1)
 		c := &call.Call{Deadline: 1000}
-		So(d.maySend(context.Background(), c, sent[0]), ShouldBeTrue)
+		So(d.maySend(context.Background(), &pendingRequest{call: c}, sent[0]), ShouldBeTrue)
 		Convey("is not sent late without another check", func() {
 			now.Advance(100)
-			So(d.maySend(context.Background(), c, sent[0]), ShouldBeFalse)
+			So(d.maySend(context.Background(), &pendingRequest{call: c}, sent[0]), ShouldBeFalse)
 		})
 	})
 }
--- a/siskinpathd/entry/drain.go
+++ b/siskinpathd/entry/drain.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"siskinpath/core/clock"
+	"siskinpath/core/place"
 )
 
 var (
@@ -24,6 +25,12 @@
 	// stopFraction is the part of the grace period after which the process stops even
 	// if requests are in flight.
 	stopFraction = 0.96
+	// longFraction is the part of the grace period during which requests are sent that may
+	// run more than once and may take until after its end.
+	longFraction = 0.5
+	// lastAnswerMargin is how long before that stop the last answer is due, so that it is
+	// written although timers are late.
+	lastAnswerMargin = 100 * clock.Millisecond
 	// drainPollInterval is how often the drain checks for requests in flight.
 	drainPollInterval = 20 * clock.Millisecond
 )
@@ -36,6 +43,9 @@
 	grace := n.cfg().Shutdown.GraceMs
 	n.Log.Info("leaving", "grace_ms", grace, "in_flight", n.InFlight())
 	n.relay.SetReady(false)
+	for _, d := range n.allDispatchers() {
+		d.setStop(stopAfter(start, grace))
+	}
 	n.slots.leave()
 	n.server.DisableKeepAlive()
 	accepting := true
@@ -48,11 +58,13 @@
 			n.server.StopAccepting()
 			accepting = false
 		}
-		if !accepting && n.InFlight() == 0 {
+		if !accepting && n.InFlight() == 0 && n.server.OpenConnections() == 0 {
 			return
 		}
 		if elapsed >= fractionOf(grace, stopFraction) {
-			n.Log.Warn("stopping with requests in flight", "in_flight", n.InFlight())
+			if left := n.InFlight(); left > 0 {
+				n.Log.Warn("stopping with requests in flight", "in_flight", left)
+			}
 			return
 		}
 		time.Sleep(drainPollInterval.Duration())
@@ -63,13 +75,25 @@
 	return clock.Millis(float64(span) * part)
 }
 
-// tooLateToStart reports whether this host is draining and might stop before r is
-// answered.
-func (n *Node) tooLateToStart(r *request) bool {
-	at := n.drainStart.Load()
-	if at == 0 {
-		return false
+// stopAfter returns what is sent until when by a host that drains from start on.
+func stopAfter(start, grace clock.Millis) place.Stop {
+	return place.Stop{
+		At:        start + fractionOf(grace, stopFraction) - lastAnswerMargin,
+		LongUntil: start + fractionOf(grace, longFraction),
 	}
-	end := clock.Millis(at) + fractionOf(n.cfg().Shutdown.GraceMs, stopFraction)
-	return r.arrived+r.route.Target > end
+}
+
+// setStop tells the placer when this host stops.
+func (d *Dispatcher) setStop(s place.Stop) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.execute(d.placer.SetStop(d.Clock.Now(), s))
+}
+
+// outlasts reports whether a request that is sent now may still be unanswered when this
+// host stops.
+func (d *Dispatcher) outlasts(now, giveUp clock.Millis, idempotent bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.placer.Outlasted(now, giveUp, idempotent)
 }
--- a/siskinpathd/entry/forward.go
+++ b/siskinpathd/entry/forward.go
@@ -159,7 +159,7 @@
 		for _, h := range resp.Header {
 			m.Headers = append(m.Headers, &forwardpb.Header{Name: h[0], Value: h[1]})
 		}
-	case end.action.Kind == route.Refuse && end.action.Refusal.OutOfReach:
+	case end.action.Kind == route.Refuse && (end.action.Refusal.OutOfReach || end.action.Reason == route.ReasonStopping):
 		m.Outcome = forwardpb.Outcome_OUTCOME_NOT_TAKEN
 	case end.action.Kind == route.Refuse:
 		m.Outcome, m.RetryAfterMs = forwardpb.Outcome_OUTCOME_REFUSED, uint32(end.action.RetryAfter)
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -382,6 +382,9 @@
 	for _, host := range n.slots.linked() {
 		d.placer.AllocatorLinked(host)
 	}
+	if at := n.drainStart.Load(); at != 0 {
+		d.setStop(stopAfter(clock.Millis(at), n.cfg().Shutdown.GraceMs))
+	}
 	return d
 }
 
--- a/siskinpathd/entry/request.go
+++ b/siskinpathd/entry/request.go
@@ -31,7 +31,7 @@
 	reasonNoConfig  = "no_configuration"
 	reasonNoRoute   = "no_route"
 	reasonNoService = "no_service"
-	reasonStopping  = "stopping"
+	reasonStopping  = string(route.ReasonStopping)
 )
 
 const (
@@ -41,9 +41,6 @@
 	// minLostTime is how much less time than its route allows a caller must have left to
 	// count as one that was refused and came back: the shortest Retry-After.
 	minLostTime = 40 * clock.Millisecond
-	// stoppingRetryAfter is the retry delay given by a host that is draining. It is
-	// short because another host can take the request at once.
-	stoppingRetryAfter = clock.Millisecond
 )
 
 // request is a caller's request with its route, service and deadline.
@@ -100,8 +97,8 @@
 	if r.deadline <= r.arrived {
 		return n.decisions.logRefusal(r, string(route.ReasonDeadline), notRunResponse(string(route.ReasonDeadline), 0))
 	}
-	if n.tooLateToStart(r) {
-		return n.decisions.logRefusal(r, reasonStopping, notRunResponse(reasonStopping, stoppingRetryAfter))
+	if dispatcher.outlasts(r.arrived, r.giveUp(), r.route.Idempotent) {
+		return n.decisions.logRefusal(r, reasonStopping, notRunResponse(reasonStopping, place.StoppingRetryAfter))
 	}
 	if resp := n.admitQuota(ctx, r); resp != nil {
 		return resp
@@ -124,7 +121,7 @@
 		Priority:    r.priority(),
 		Arrived:     r.arrived,
 		Target:      r.route.Target,
-		GiveUp:      min(r.deadline, r.arrived+r.route.Timeout),
+		GiveUp:      r.giveUp(),
 		Idempotent:  r.route.Idempotent,
 		CallerLeft:  r.deadline - r.arrived,
 		MaxAttempts: r.route.MaxAttempts,
@@ -144,6 +141,9 @@
 	return n.quotaUse(r.organisation.Name)
 }
 
+// giveUp returns the latest time of the final answer.
+func (r *request) giveUp() clock.Millis { return min(r.deadline, r.arrived+r.route.Timeout) }
+
 // timeLeft returns how long the caller waits for a response. The default is the route's
 // timeout.
 func (n *Node) timeLeft(req *fasthttp.Request, rt *config.Route) clock.Millis {
@@ -167,7 +167,7 @@
 		URI:        string(req.Header.RequestURI()),
 		Host:       string(req.Header.Host()),
 		Body:       req.Body(),
-		Deadline:   min(r.deadline, r.arrived+r.route.Timeout),
+		Deadline:   r.giveUp(),
 		Idempotent: r.route.Idempotent,
 	}
 	for k, v := range req.Header.All() {
--- a/siskinpathd/entry/server.go
+++ b/siskinpathd/entry/server.go
@@ -105,6 +105,14 @@
 	return n
 }
 
+// OpenConnections returns the number of open connections, those that the callers still have
+// to close included.
+func (s *Server) OpenConnections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 func (s *Server) addConn(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
