relay: no fetch goes to a session that has ended

A fetch may wait 200 ms for a source in the own zone, or until an earlier fetch ends. If its session ended meanwhile, it was put into a queue that nobody reads, and held back other fetches of the table for 400 ms. Such a fetch now goes to another source.

The new case of TestChangeIsFetchedOnce without the fix:

Expected [table:"t" after:9 era:0 reads_packed:true] to be empty

--- a/siskinpathd/relay/fetch.go
+++ b/siskinpathd/relay/fetch.go
@@ -45,7 +45,8 @@
 	r.sendFetch(f)
 }
 
-// sendFetch is fetch with the lock held.
+// sendFetch is fetch with the lock held. A session that has ended since the announcement is
+// replaced by another one.
 func (r *Relay) sendFetch(f *fetch) {
 	after, known := f.replica.Revision()
 	if known && !after.Before(f.at) {
@@ -58,6 +59,11 @@
 		}
 		return
 	}
+	if f.session.ended.Load() {
+		if f.session = r.otherSession(f.session); f.session == nil {
+			return
+		}
+	}
 	if !known {
 		after.Version = -1
 	}
--- a/siskinpathd/relay/fetch_test.go
+++ b/siskinpathd/relay/fetch_test.go
@@ -83,6 +83,17 @@
 			So(b.fetched(), ShouldHaveLength, 1)
 			So(time.Since(begin), ShouldBeLessThan, fetchTimeout.Duration())
 		})
+		Convey("does not wait for a session that has ended while its fetch waited", func() {
+			b.source.read(at(11))
+			b.deliver(b.announce())
+			h.mu.Lock()
+			delete(h.sessions, "b")
+			h.mu.Unlock()
+			b.session.ended.Store(true)
+			a.reply(first[0])
+			So(b.fetched(), ShouldBeEmpty)
+			So(len(a.fetched())+len(c.fetched()), ShouldEqual, 1)
+		})
 		Convey("fetches it again if the answer leaves a gap", func() {
 			gap := &relaypb.Update{Table: "t", Version: 9, Base: 8, Rows: []*relaypb.Row{{Key: "k", Value: []byte("x"), Version: 9}}}
 			m := a.announce()
--- a/siskinpathd/relay/source.go
+++ b/siskinpathd/relay/source.go
@@ -40,6 +40,8 @@
 	sendsProofs bool
 	// sourceSent is the last time of its own clock that the source has sent, nil for none.
 	sourceSent atomic.Pointer[int64]
+	// ended is set before the fetches of the session are sent to other sources.
+	ended atomic.Bool
 	// sentInvalid is set once the source has sent packed rows that can't be unpacked.
 	sentInvalid atomic.Bool
 }
@@ -85,6 +87,7 @@
 	delete(r.sessions, s.host.ID)
 	r.overlay.SessionClosed(r.Clock.Now(), s.host.ID)
 	r.mu.Unlock()
+	s.ended.Store(true)
 	r.repeatFetches(s)
 }
 
