relay: a host with one source does not fetch a change again and again

Cause: a fetch without another source to go to was dropped, and the next announcement began anew.

It goes to the same source again now, after 0.4, 0.8 and 1.6 s: TestFetchesOnce, "asks its only source less and less often". The test of packed rows drains such repeats before it hands the reply over, as its largest case takes longer than the time-out to make; what it asks for after the reply is the same.

--- a/siskinpathd/relay/fetch.go
+++ b/siskinpathd/relay/fetch.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -99,7 +100,7 @@
 	}
 }
 
-// repeatFetch sends f to another source if it has not been answered.
+// repeatFetch sends f to another source, if there is one, unless it has been answered.
 func (r *Relay) repeatFetch(f *fetch) {
 	r.fetches.mu.Lock()
 	defer r.fetches.mu.Unlock()
@@ -112,11 +113,9 @@
 		again.at, again.session = f.next.at, f.next.session
 	}
 	if again.session == nil || again.session == f.session {
-		again.session = r.otherSession(f.session)
-	}
-	if again.session != nil {
-		r.sendFetch(again)
+		again.session = cmp.Or(r.otherSession(f.session), f.session)
 	}
+	r.sendFetch(again)
 }
 
 // otherSession returns an open session to another source, nil for none.
--- a/siskinpathd/relay/fetch_slow_test.go
+++ b/siskinpathd/relay/fetch_slow_test.go
@@ -150,6 +150,12 @@
 			f.shouldLearn(8)
 			So(f.fetches(), ShouldBeLessThanOrEqualTo, 3)
 		})
+		Convey("asks its only source less and less often when replies take 1.5 s", func() {
+			f := listenTo(1500 * time.Millisecond)
+			f.change(8, f.sources...)
+			f.shouldLearn(8)
+			So(f.fetches(), ShouldBeLessThanOrEqualTo, 3)
+		})
 		Convey("learns of a change while one source never replies", func() {
 			f := listenTo(0, 10*time.Millisecond, 10*time.Millisecond)
 			f.change(8, f.sources...)
--- a/siskinpathd/relay/packed_test.go
+++ b/siskinpathd/relay/packed_test.go
@@ -126,6 +126,7 @@
 				u := proto.CloneOf(m.GetUpdates()[0])
 				spoil.change(u)
 				m.Updates[0] = u
+				l.fetched() // repeats, if the reply took longer than fetchTimeout to make
 				So(listener.handleUpdates(l.session, m), ShouldBeNil)
 				So(strings.Count(log.String(), "\n"), ShouldEqual, 1)
 				So(log.String(), ShouldContainSubstring, "update refused")
