entry: idle connections follow a raised time-out; 100 Continue is written between responses

A caller whose connection was idle when a configuration raised the idle time-out lost it after the older one: the deadline was set when the wait began. It is looked at again when it passes (TestShorterIdleTimeoutOfOldConfiguration: EOF before, served after), and counts from the last response.

100 Continue was written by the goroutine that reads while another one might write an earlier pipelined response of more than 4 KiB: found by reading; both hold a lock now.

The check for a length beside chunks could not fail, as fasthttp drops the length, takes the chunks and closes the connection, as RFC 9112 has it; it is gone.

--- a/siskinpathd/entry/conn.go
+++ b/siskinpathd/entry/conn.go
@@ -51,6 +51,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	writeMu sync.Mutex // held while a response, or 100 Continue between two, is written
+
 	mu            sync.Mutex
 	idle          bool      // no byte of another request has been read
 	closeWhenIdle bool      // close the connection as soon as it is idle
@@ -110,7 +112,7 @@
 // subject to the limits in force when it begins.
 func (c *conn) readRequests() (err error) {
 	for {
-		if err = c.awaitRequest(c.server.Limits()); err != nil {
+		if err = c.awaitRequest(); err != nil {
 			return err
 		}
 		limits := c.server.Limits()
@@ -141,9 +143,14 @@
 }
 
 // awaitRequest waits for the first byte of the next request.
-func (c *conn) awaitRequest(limits config.Limits) (err error) {
+func (c *conn) awaitRequest() (err error) {
+	begin := time.Now()
 	for {
-		if err = c.SetReadDeadline(time.Now().Add((limits.IdleTimeout + idleMargin).Duration())); err != nil {
+		end := begin.Add((c.server.Limits().IdleTimeout + idleMargin).Duration())
+		if c.inFlight.Load() > 0 {
+			end = time.Now().Add(idleMargin.Duration())
+		}
+		if err = c.SetReadDeadline(end); err != nil {
 			return err
 		}
 		if !c.markIdle() {
@@ -157,10 +164,16 @@
 			return err
 		}
 		var netErr net.Error
-		if errors.As(err, &netErr) && netErr.Timeout() && c.inFlight.Load() > 0 {
+		if !errors.As(err, &netErr) || !netErr.Timeout() {
+			return err
+		}
+		if c.inFlight.Load() > 0 {
+			begin = time.Now()
 			continue
 		}
-		return err
+		if time.Since(begin) >= (c.server.Limits().IdleTimeout + idleMargin).Duration() {
+			return err
+		}
 	}
 }
 
@@ -269,9 +282,6 @@
 		return nil, classifyHeaderError(err)
 	}
 	toOriginForm(&req.Header)
-	if len(req.Header.Peek("Transfer-Encoding")) > 0 && len(req.Header.Peek("Content-Length")) > 0 && req.Header.ContentLength() < 0 {
-		return nil, &readError{status: fasthttp.StatusBadRequest, reason: "both a length and chunks"}
-	}
 	maxBytes := limits.MaxBodyBytes
 	if req.Header.ContentLength() > maxBytes {
 		return nil, errBodyTooLarge
@@ -280,7 +290,7 @@
 		return nil, errBodyMemory
 	}
 	if req.MayContinue() {
-		if _, err = c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+		if err = c.writeContinue(); err != nil {
 			return nil, err
 		}
 	}
@@ -409,6 +419,14 @@
 	return req.ConnectionClose() || c.closeWhenIdle || c.server.keepAliveDisabled.Load()
 }
 
+// writeContinue asks the caller for the body of a request.
+func (c *conn) writeContinue() error {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	_, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	return err
+}
+
 func (c *conn) write(w *bufio.Writer, req *fasthttp.Request, r *Response, last bool) (err error) {
 	if c.ctx.Err() != nil {
 		return c.ctx.Err()
@@ -423,6 +441,8 @@
 	if last {
 		resp.SetConnectionClose()
 	}
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
 	if err = resp.Write(w); err != nil {
 		return err
 	}
