entry: what a configuration that can't be decoded, or is proven to be old, lacks is not denied for good

Callers of a route that a new configuration adds got 404 for good from a host that could not decode it: its table was current.

A host answers 503 while the newest row of its configuration can't be decoded, and when the proven age is higher than it ever is in calm. Limits that a configuration does not set are the defaults: without max_body_bytes each request with a body got 413.

TestUnreadConfigurationDeniesNewRoute: 404 before, 503 after. TestMissingLimitsDenyBodies: 413 before.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -78,7 +78,7 @@
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		host := strings.ToLower(strings.TrimSuffix(r.Host, "."))
+		host := canonicalHost(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
 	}
 	for _, routes := range c.byHost {
--- a/siskinpathd/entry/key_fence.go
+++ b/siskinpathd/entry/key_fence.go
@@ -24,6 +24,9 @@
 	// to two such times and three heartbeats: 2.2 s for a bound of 5 s. Above half of the
 	// bound the leaf would ask the store itself.
 	revocationPollShare = 0.1
+	// usualHeartbeats is how many heartbeats the proven age of a leaf rises to in calm,
+	// besides two times between responses of the store.
+	usualHeartbeats = 4
 )
 
 var (
@@ -53,13 +56,16 @@
 	age := n.relay.ProvenAge(tableConfig)
 	trusted = age <= clock.Millis(b.RevocationMs)-fenceMargin
 	n.recordFence(now, !trusted, age)
-	return trusted, age <= b.configuration()
+	return trusted, age <= b.configuration() && !n.configUnread.Load()
 }
 
 // configCurrent reports whether this host has every configuration that was accepted longer
-// ago than the bound on configurations.
+// ago than the bound on configurations, as far as it has been told, and whether that is not
+// much longer ago than is usual.
 func (n *Node) configCurrent() bool {
-	return n.relay.TableAge(tableConfig) <= n.cfg().Bounds.configuration()
+	bound := n.cfg().Bounds.configuration()
+	usual := 2*n.relay.Spans.Poll + usualHeartbeats*overlay.HeartbeatInterval
+	return n.relay.TableAge(tableConfig) <= bound && n.relay.ProvenAge(tableConfig) <= max(bound, usual) && !n.configUnread.Load()
 }
 
 // recordFence logs a change of the fence.
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -6,6 +6,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"maps"
@@ -64,6 +65,8 @@
 
 	settings         atomic.Pointer[Settings] // settings in force; see cfg
 	config           atomic.Pointer[config.Config]
+	configUnread     atomic.Bool   // the newest configuration can't be decoded
+	configKey        string        // key of the row of the configuration in force; guarded by the table's lock
 	discoveryRead    atomic.Bool   // discovery has been read
 	registerAgain    chan struct{} // signals that this host's row in the store may be lost
 	drainStart       atomic.Int64  // time at which the drain started; 0 before
@@ -186,11 +189,20 @@
 	IdleTimeout:    15 * clock.Second,
 }
 
+// limits returns the limits in force. Those that the configuration does not set are the
+// defaults.
 func (n *Node) limits() config.Limits {
-	if c := n.config.Load(); c != nil {
-		return c.Limits
+	c := n.config.Load()
+	if c == nil {
+		return defaultLimits
+	}
+	l := c.Limits
+	return config.Limits{
+		MaxHeaderBytes: cmp.Or(l.MaxHeaderBytes, defaultLimits.MaxHeaderBytes),
+		MaxBodyBytes:   cmp.Or(l.MaxBodyBytes, defaultLimits.MaxBodyBytes),
+		HeaderTimeout:  cmp.Or(l.HeaderTimeout, defaultLimits.HeaderTimeout),
+		IdleTimeout:    cmp.Or(l.IdleTimeout, defaultLimits.IdleTimeout),
 	}
-	return defaultLimits
 }
 
 // dispatcherFor chooses the service of a request and returns its dispatcher. It
@@ -209,7 +221,7 @@
 	n.warnOfUnknownRows(rows)
 	var configs []watch.DecodedRow[*config.Config]
 	for _, row := range rows {
-		configs = append(configs, watch.DecodedRow[*config.Config]{Value: row.Value.Config, Removed: row.Removed, DecodeErr: row.DecodeErr, Revision: row.Revision})
+		configs = append(configs, watch.DecodedRow[*config.Config]{Key: row.Key, Value: row.Value.Config, Removed: row.Removed, DecodeErr: row.DecodeErr, Revision: row.Revision})
 	}
 	n.applyConfig(configs)
 }
@@ -217,9 +229,14 @@
 // applyConfig applies a configuration that is newer than the one in force.
 func (n *Node) applyConfig(rows []watch.DecodedRow[*config.Config]) {
 	for _, row := range rows {
+		if row.DecodeErr != nil && row.Key == n.configKey {
+			n.configUnread.Store(true)
+		}
 		if row.Removed || row.DecodeErr != nil || row.Value == nil {
 			continue
 		}
+		n.configKey = row.Key
+		n.configUnread.Store(false)
 		old := n.config.Load()
 		if old != nil && row.Value.Version <= old.Version {
 			if row.Value.Version < old.Version {
