upstream: the copy of a refusal is not taken for the reply to a later request

Callers saw: 503 "not run" for requests that an upstream ran (REFUSED), and such requests ran at a second upstream (TWICE), where an upstream wrote an earlier refusal once more on a kept connection, without the request's id.

Cause: a reply of status 300 or above may lack the id, as an upstream can refuse a request before it has read it. A connection on which such a reply came is not used again, but one on which the refusal had its id was, and the copy without id then counted as the reply to whichever request was sent next.

Fix: once a reply of status 300 or above has named its request on a connection, one that does not is a copy and is skipped. The request's own reply follows, or its outcome is unknown.

Evidence: TestRefusalWrittenAgain, copies at once, when the next request begins to run, before, after and in place of its reply, and before the reply to a health check, with and without the id, pipelined, and passed on by another host. Before: with the id no variant failed, without it "ran and was refused" and "ran 2 times" in each variant that writes the copy where a reply is due; after: none. With the check taken out the test fails again.

--- a/siskinpathd/upstream/attempt.go
+++ b/siskinpathd/upstream/attempt.go
@@ -172,10 +172,11 @@
 		if err = p.readNext(c, a, resp); err != nil {
 			return err
 		}
-		if d.matchesRequest(resp, a.RequestID) {
+		if d.matchesRequest(resp, a.RequestID) && (!c.namesFailures || !d.lacksID(resp, a.RequestID)) {
 			// A second copy of a reply without an ID could not be told from the reply to
 			// the next request.
 			c.notReusable = c.notReusable || d.PreserveRequestID && len(resp.Header.Peek(d.RequestID)) == 0
+			c.namesFailures = c.namesFailures || resp.StatusCode() >= fasthttp.StatusMultipleChoices
 			return nil
 		}
 		repliesMismatched.Inc()
--- a/siskinpathd/upstream/conn.go
+++ b/siskinpathd/upstream/conn.go
@@ -30,6 +30,9 @@
 	// the upstream did not read the last request completely, other replies came with
 	// its reply, or its reply ended with the connection.
 	notReusable bool
+	// namesFailures is set once a reply of status 300 or above has named its request on the
+	// connection. One that does not is then a copy of an earlier reply.
+	namesFailures bool
 }
 
 func newConn(nc net.Conn) *conn {
--- a/siskinpathd/upstream/dialect.go
+++ b/siskinpathd/upstream/dialect.go
@@ -101,6 +101,11 @@
 	return id == "" || got == "" && resp.StatusCode() >= fasthttp.StatusMultipleChoices
 }
 
+// lacksID reports whether a reply does not name its request, which has an ID.
+func (d *Dialect) lacksID(resp *fasthttp.Response, id string) bool {
+	return id != "" && len(resp.Header.Peek(d.RequestID)) == 0
+}
+
 func (d *Dialect) statusOf(resp *fasthttp.Response) route.Status {
 	status := resp.StatusCode()
 	switch {
