upstream: a reply that does not name its request proves no more than a refusal

Callers saw: a 301, 400, 404, 413 or 500 that an upstream wrote without the request's id as the response to their own request, also where it had run; and 408, 429 or 503, which promise that it did not run, from upstreams that had not said so. It takes one faulty upstream, or one that writes such a reply by itself as many servers do before they close an idle connection.

Cause: any reply of status 300 or above without an id was taken for the final one, with or without the header by which upstreams state that a request did not run.

Fix: without the id such a reply counts only if it has that header (or the status of an address that was reassigned). Otherwise it proves neither that it belongs to the request nor that this one did not run, and neither does a status 408, 421, 429 or 503 without the header: the outcome is unknown. Requests that may run once end with 502, others may go to another upstream within the budget. Only dialects whose upstreams echo callers' ids are concerned.

--- a/siskinpathd/upstream/attempt.go
+++ b/siskinpathd/upstream/attempt.go
@@ -22,6 +22,8 @@
 
 var (
 	errRequestIDMismatch = errors.New("request ID of the reply does not match the request")
+	errNoRequestID       = errors.New("reply names no request and does not say that none ran")
+	errNotRunUnproven    = errors.New("status of the reply says that the request did not run, but not the header that upstreams say it with")
 	errInterimReplies    = errors.New("more interim replies than this host accepts")
 	errNoLength          = errors.New("reply has neither a Content-Length nor chunked encoding, so a truncated body could not be detected")
 )
@@ -173,6 +175,9 @@
 			return err
 		}
 		if d.matchesRequest(resp, a.RequestID) && (!c.namesFailures || !d.lacksID(resp, a.RequestID)) {
+			if err = d.verify(resp, a.RequestID); err != nil {
+				return err
+			}
 			// A second copy of a reply without an ID could not be told from the reply to
 			// the next request.
 			c.notReusable = c.notReusable || d.PreserveRequestID && len(resp.Header.Peek(d.RequestID)) == 0
--- a/siskinpathd/upstream/dialect.go
+++ b/siskinpathd/upstream/dialect.go
@@ -106,6 +106,31 @@
 	return id != "" && len(resp.Header.Peek(d.RequestID)) == 0
 }
 
+// verify returns an error for a reply that matches a request but does not prove what its
+// caller would take from it. A reply without the request's ID proves nothing but that the
+// upstream has refused a request; a status that tells callers that the request did not run
+// needs the upstream's statement.
+func (d *Dialect) verify(resp *fasthttp.Response, id string) error {
+	switch {
+	case !d.PreserveRequestID || d.refused(resp) || d.addressReassigned(resp):
+		return nil
+	case d.lacksID(resp, id) && resp.StatusCode() >= fasthttp.StatusMultipleChoices:
+		return errNoRequestID
+	case saysNotRun(resp.StatusCode()):
+		return errNotRunUnproven
+	}
+	return nil
+}
+
+// saysNotRun reports whether a status tells callers that the request did not run.
+func saysNotRun(status int) bool {
+	switch status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 func (d *Dialect) statusOf(resp *fasthttp.Response) route.Status {
 	status := resp.StatusCode()
 	switch {
--- a/siskinpathd/upstream/no_id_test.go
+++ b/siskinpathd/upstream/no_id_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"fmt"
 	"net"
 	"testing"
 
@@ -13,6 +14,25 @@
 // TestReplyWithoutID guards against a reply that names no request and is taken for more than
 // it proves.
 func TestReplyWithoutID(t *testing.T) {
+	Convey("a reply of status 300 or above without the request's id", t, func() {
+		text := ""
+		f := startUpstream(func(c net.Conn, _ *fasthttp.Request) bool {
+			_, err := c.Write([]byte(text))
+			return err == nil
+		})
+		p := f.pool()
+		p.Dialect = echoDialect
+		Convey("is a refusal if it says so", func() {
+			text = "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+			shouldEndWith(p, attemptWithID(p, "r1"), route.Refused)
+		})
+		for _, status := range []int{302, 400, 404, 408, 429, 500, 503} {
+			Convey(fmt.Sprintf("proves nothing with status %d alone", status), func() {
+				text = fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n", status)
+				shouldEndWith(p, attemptWithID(p, "r1"), route.ConnectionLost)
+			})
+		}
+	})
 	Convey("a copy without its id of a refusal that had it is not taken for the reply to a later request", t, func() {
 		refused := map[net.Conn]bool{}
 		f := startUpstream(func(c net.Conn, req *fasthttp.Request) bool {
