relay: hosts tell each other how long the store has been back from an older copy

Trace,: the store comes back (era 1) at 20:26:32 while h-1 has lost it and all other hosts; operators write both rows again and remove them (20:26:35.4 and 38.9, seen by h-4). h-1 reads the new era at 41.47, misses both rows and keeps their effect until 44.48, as for operators who have not yet written them again. It refused c15-400 at 44.47, 3 s after its links were back.

Cause: the 3 s counted from when a host reads the era, not from when the store came back. No response of the store tells that. Hosts now send each other the era and how long the first of them has known it, a lower bound that only grows; a missing row is dropped as soon as the table is proven to be of 3 s into the era, and as before 3 s after this host has read it. Hosts of older releases send none and ignore it.

--- a/siskinpathd/entry/evacuation.go
+++ b/siskinpathd/entry/evacuation.go
@@ -22,9 +22,13 @@
 	EvacuatedZone string
 }
 
-// restoredRowWait is how long a row that is missing after the store came back from an older
-// copy keeps its effect. By then operators have written it again.
-const restoredRowWait = 3 * clock.Second
+const (
+	// restoredRowWait is how long a row that is missing after the store came back from an older
+	// copy keeps its effect. By then operators have written it again.
+	restoredRowWait = 3 * clock.Second
+	// restoredRowCheck is how often a host looks whether that time has passed.
+	restoredRowCheck = 100 * clock.Millisecond
+)
 
 var evacuatedZones = metrics.NewGauge("evacuated_zones", nil)
 
@@ -63,7 +67,8 @@
 // for now, as it may only be missing from an older copy of the store. n.mu must be held.
 func (n *Node) dropEvacuation(row watch.DecodedRow[OperatorsRow], known *evacuation) (dropped bool) {
 	if row.Lost {
-		time.AfterFunc(restoredRowWait.Duration(), func() { n.dropMissing(row, known) })
+		since := n.Clock.Now()
+		time.AfterFunc(restoredRowCheck.Duration(), func() { n.dropMissing(row, known, since) })
 		return false
 	}
 	delete(n.evacuations, row.Key)
@@ -71,13 +76,19 @@
 	return true
 }
 
-// dropMissing takes an availability zone back whose row has not been written again.
-func (n *Node) dropMissing(row watch.DecodedRow[OperatorsRow], known *evacuation) {
+// dropMissing takes an availability zone back whose row, missing since a time, has not been
+// written again: neither since then, nor since the store came back, if this host has read
+// the table only later.
+func (n *Node) dropMissing(row watch.DecodedRow[OperatorsRow], known *evacuation, since clock.Millis) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.evacuations[row.Key] != known {
 		return // written again, or removed
 	}
+	if n.Clock.Now()-since < restoredRowWait && n.relay.TimeInEra(tableConfig, row.Revision.Era) < restoredRowWait {
+		time.AfterFunc(restoredRowCheck.Duration(), func() { n.dropMissing(row, known, since) })
+		return
+	}
 	delete(n.evacuations, row.Key)
 	n.Log.Warn("zone taken back", "availability_zone", known.zone, "row_version", row.Revision.Version, "row_era", row.Revision.Era, "missing", true)
 	n.evacuationsChanged()
--- a/siskinpathd/entry/follow.go
+++ b/siskinpathd/entry/follow.go
@@ -155,7 +155,7 @@
 	n.Log.Warn("store came back from an older copy", "table", table, "from_era", from.Era, "from_version", from.Version,
 		"to_era", to.Era, "to_version", to.Version)
 	n.recordStoreLoss()
-	n.relay.HandleNewEra()
+	n.relay.HandleNewEra(to.Era)
 	for _, w := range n.watchers {
 		if w.Name != table {
 			go w.ReadWhole(context.Background(), to.Era)
--- a/siskinpathd/relay/relay.go
+++ b/siskinpathd/relay/relay.go
@@ -90,8 +90,9 @@
 	newSources  chan struct{}        // signals that other hosts may be better sources now
 	ln          net.Listener
 	restored    atomic.Bool // the store has come back from an older copy
-	follows     bool        // the last result of ShouldFollowStore
-	moreSources bool        // more sources than usual are needed
+	eraStart    eraStart
+	follows     bool // the last result of ShouldFollowStore
+	moreSources bool // more sources than usual are needed
 }
 
 // Bind opens the listener.
--- a/siskinpathd/relay/relay_test.go
+++ b/siskinpathd/relay/relay_test.go
@@ -57,7 +57,7 @@
 		Decode:   func(_ string, b []byte) (string, error) { return string(b), nil },
 		Apply:    h.apply,
 		OnChange: func(at revision.Revision) { h.relay.AnnounceChange("t", at) },
-		OnNewEra: func(_, _ revision.Revision) { h.relay.HandleNewEra() },
+		OnNewEra: func(_, to revision.Revision) { h.relay.HandleNewEra(to.Era) },
 	}
 	h.relay.Tables = map[string]watch.Replica{"t": h.table}
 	So(h.relay.Bind(), ShouldBeNil)
--- a/siskinpathd/relay/source.go
+++ b/siskinpathd/relay/source.go
@@ -116,6 +116,7 @@
 		s.sendsProofs = s.sendsProofs || slices.ContainsFunc(m.GetKnown(), func(k *relaypb.Known) bool { return k.ProvenAgeMs != nil })
 		s.sendsEras = s.sendsEras || slices.ContainsFunc(m.GetKnown(), func(k *relaypb.Known) bool { return k.Era != nil })
 		r.handleHosts(s, m)
+		r.handleEra(m.GetEra())
 		r.handleCrashEvents(m.GetCrashEvents())
 		if !r.comparable(s) {
 			continue
@@ -163,10 +164,10 @@
 }
 
 // stamped returns m with the time at which it is sent, which the source returns, and with the
-// last such time of the source.
+// last such time of the source and the store's era.
 func (r *Relay) stamped(s *session, m *relaypb.FromListener) *relaypb.FromListener {
 	sent := int64(r.Boot.Now())
-	m.SentMs, m.EchoMs = &sent, s.sourceSent.Load()
+	m.SentMs, m.EchoMs, m.Era = &sent, s.sourceSent.Load(), r.currentEra()
 	return m
 }
 
@@ -218,9 +219,6 @@
 // isWhole reports whether a source keeps all rows of a table.
 func (r *Relay) isWhole(s *session, table string) bool { return s.sendsProofs || !r.ProvenOnly[table] }
 
-// HandleNewEra records that the store has come back from an older copy.
-func (r *Relay) HandleNewEra() { r.restored.Store(true) }
-
 // handleVersions fetches the changes that a source has and this host lacks.
 // Sources in this host's availability zone are preferred. A table that lacks none is as
 // old as the source's.
--- a/siskinpathd/relay/subscriber.go
+++ b/siskinpathd/relay/subscriber.go
@@ -58,6 +58,7 @@
 	}
 	s := &subscriber{nc: nc, out: make(chan []byte, outboxSize), host: hostFromWire(first.GetSelf())}
 	r.recordSent(s, first)
+	r.handleEra(first.GetEra())
 	r.addSubscriber(s)
 	go s.sendQueued()
 	r.handleCrashEvents(first.GetCrashEvents())
@@ -77,6 +78,7 @@
 // fetches of changes that it lacks.
 func (r *Relay) handleMessage(s *subscriber, m *relaypb.FromListener) {
 	r.recordSent(s, m)
+	r.handleEra(m.GetEra())
 	if m.GetSelf() != nil {
 		r.mu.Lock()
 		s.host = hostFromWire(m.GetSelf())
@@ -171,7 +173,7 @@
 
 // lastChanges returns a message with the revision of each table's last change.
 func (r *Relay) lastChanges() announcement {
-	m := announcement{FromWatcher: &relaypb.FromWatcher{StoreLost: r.storeLost()}, provenAt: r.Boot.Now()}
+	m := announcement{FromWatcher: &relaypb.FromWatcher{StoreLost: r.storeLost(), Era: r.currentEra()}, provenAt: r.Boot.Now()}
 	sent := int64(m.provenAt)
 	m.SentMs = &sent
 	for name, t := range r.Tables {
