relay: the state dump has each table's version and where it came from

An operator who looks for a host that is late with a configuration saw its version, but not which host had sent it, when, and with how many bytes. /v1/state now has this by table under "tables".

--- a/siskinpathd/entry/operator.go
+++ b/siskinpathd/entry/operator.go
@@ -13,22 +13,24 @@
 	"siskinpath/core/place"
 	"siskinpath/core/quarantine"
 	"siskinpath/siskinpathd/logs"
+	"siskinpath/siskinpathd/relay"
 )
 
 // stateDump is the state of this process as shown to operators.
 type stateDump struct {
-	ID            string                  `json:"id"`
-	Incarnation   uint64                  `json:"incarnation"`
-	ConfigVersion int64                   `json:"configuration_version"`
-	Upstreams     int                     `json:"upstreams"`
-	Hosts         int                     `json:"hosts"`
-	FollowsStore  bool                    `json:"follows_store"`
-	Leaving       bool                    `json:"leaving"`
-	NotReady      string                  `json:"not_ready,omitempty"`
-	Services      map[string]place.Report `json:"services"`
-	Quarantine    []quarantine.Report     `json:"quarantine,omitempty"`
-	Quotas        *quotaReport            `json:"quotas,omitempty"`
-	Evacuated     []string                `json:"evacuated_zones,omitempty"`
+	ID            string                       `json:"id"`
+	Incarnation   uint64                       `json:"incarnation"`
+	ConfigVersion int64                        `json:"configuration_version"`
+	Upstreams     int                          `json:"upstreams"`
+	Hosts         int                          `json:"hosts"`
+	FollowsStore  bool                         `json:"follows_store"`
+	Leaving       bool                         `json:"leaving"`
+	NotReady      string                       `json:"not_ready,omitempty"`
+	Services      map[string]place.Report      `json:"services"`
+	Quarantine    []quarantine.Report          `json:"quarantine,omitempty"`
+	Quotas        *quotaReport                 `json:"quotas,omitempty"`
+	Evacuated     []string                     `json:"evacuated_zones,omitempty"`
+	Tables        map[string]relay.TableReport `json:"tables"`
 }
 
 // runOperatorServer serves metrics and the state dump if the settings hold an address
@@ -61,7 +63,7 @@
 	s := stateDump{
 		ID: n.cfg().ID, Incarnation: n.relay.Self.Incarnation, Hosts: n.relay.Size(), FollowsStore: n.relay.ShouldFollowStore(),
 		Leaving: n.drainStart.Load() != 0, Services: map[string]place.Report{},
-		Quarantine: n.crashes.report(), Quotas: n.quotas.report(),
+		Quarantine: n.crashes.report(), Quotas: n.quotas.report(), Tables: n.relay.Report(),
 	}
 	if cfg := n.config.Load(); cfg != nil {
 		s.ConfigVersion = cfg.Version
--- a/siskinpathd/relay/packed_test.go
+++ b/siskinpathd/relay/packed_test.go
@@ -71,6 +71,16 @@
 			withinBytes(m, len(changed)/8)
 			So(listener.handleUpdates(l.session, m), ShouldBeNil)
 			So(bytes.Equal(row(listener.table), changed), ShouldBeTrue)
+			listener.monotonic.Advance(300)
+			report := listener.Report()["t"]
+			So(report.From, ShouldEqual, "a")
+			So(report.Version, ShouldEqual, 9)
+			So(report.Bytes, ShouldBeBetween, 1, len(changed)/8)
+			So(report.ReceivedMsAgo, ShouldEqual, 300)
+			listener.readRow(at(10), old)
+			report = listener.Report()["t"]
+			So(report.Version, ShouldEqual, 10)
+			So(report.From, ShouldBeEmpty) // from the store
 		})
 		Convey("is sent as it is to a host of an older release", func() {
 			f.ReadsPacked = false
--- a/siskinpathd/relay/relay.go
+++ b/siskinpathd/relay/relay.go
@@ -97,9 +97,10 @@
 	selfChanged chan struct{}   // closed when this host's own entry changes
 	newSources  chan struct{}   // signals that other hosts may be better sources now
 	ln          net.Listener
-	restored    atomic.Bool // the store has come back from an older copy
-	follows     bool        // the last result of ShouldFollowStore
-	moreSources bool        // more sources than usual are needed
+	restored    atomic.Bool        // the store has come back from an older copy
+	follows     bool               // the last result of ShouldFollowStore
+	moreSources bool               // more sources than usual are needed
+	receipts    map[string]receipt // by table
 }
 
 // Bind opens the listener.
--- a/siskinpathd/relay/source.go
+++ b/siskinpathd/relay/source.go
@@ -308,7 +308,8 @@
 			return errors.Errorf("source sent an update of unknown table %q", w.GetTable())
 		}
 		updatesReceived.Inc()
-		countBytes("received", w.GetTable(), proto.Size(w))
+		n := proto.Size(w)
+		countBytes("received", w.GetTable(), n)
 		if !r.isWhole(s, w.GetTable()) {
 			continue
 		}
@@ -320,7 +321,7 @@
 			r.endFetch(s, w.GetTable())
 			continue
 		}
-		t.Merge(updateFromWire(t, w)) // an update that leaves a gap is fetched again when the next version is announced
+		r.merge(s, t, w, n) // an update that leaves a gap is fetched again when the next version is announced
 		r.endFetch(s, w.GetTable())
 	}
 	return nil
