--- a/siskinpathd/relay/relay.go
+++ b/siskinpathd/relay/relay.go
@@ -99,8 +99,9 @@
 	ln          net.Listener
 	restored    atomic.Bool // the store has come back from an older copy
 	eraStart    eraStart
-	follows     bool // the last result of ShouldFollowStore
-	moreSources bool // more sources than usual are needed
+	follows     bool               // the last result of ShouldFollowStore
+	moreSources bool               // more sources than usual are needed
+	receipts    map[string]receipt // by table
 }
 
 // Bind opens the listener.
