place: an upstream that was out of use is used again at light load

Callers saw the load of ten upstreams on nine: one that had refused requests for 3 s with Retry-After got 0 requests in the three seconds that began 1 s after it took work again, as long as the others had room.

Cause: the end of a granted slot told the allocator of a refusal, but not that the upstream had asked for a pause. The allocator took it for a failure, and its success rate for the upstream, which only results renew, decays with 5 s: at light load another upstream is always cheaper. The same class: refusals without Retry-After and errors, with and without an allocator, and an upstream last seen full, whose load report never aged.

Now SLOT_END carries the notice (pause, leaving). Past failures are disregarded for one request after a second without a result, more often after each success. A load report older than 1 s counts up to the mean load only.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -42,7 +42,7 @@
 // a failure.
 func (p *Placer) cost(now clock.Millis, r *request, u *upstream) float64 {
 	slow := u.slowdownAt(now, p.meanSlowdown)
-	load := u.load()
+	load := p.load(now, u)
 	work := p.typicalTime(r.Route, r.Target) * slow
 	work *= u.coldCost(now)
 	slots := float64(max(1, u.Slots))
@@ -55,7 +55,7 @@
 	if u.AvailabilityZone != p.zoneOf(r) {
 		work += float64(crossZoneCost)
 	}
-	return work + (1-u.successAt(now))*failurePenalty*float64(r.Target)
+	return work + u.failureRate(now)*failurePenalty*float64(r.Target)
 }
 
 // zoneOf returns the availability zone of the host that has r.
@@ -67,15 +67,15 @@
 }
 
 // hasRoom reports whether u has a slot free for r's priority.
-func (p *Placer) hasRoom(r *request, u *upstream) bool {
+func (p *Placer) hasRoom(now clock.Millis, r *request, u *upstream) bool {
 	if r.lateFrom > 0 {
-		return u.hasSlot()
+		return p.hasSlot(now, u)
 	}
 	fill := p.Tuning.FillLimit
 	if r.Priority < p.Tuning.FirstNormalPriority {
 		fill = p.Tuning.UrgentFillLimit
 	}
-	return float64(u.load()+1) <= max(1, fill*float64(u.Slots))
+	return float64(p.load(now, u)+1) <= max(1, fill*float64(u.Slots))
 }
 
 // usable reports whether r may be sent to u, regardless of load.
@@ -150,7 +150,7 @@
 			continue
 		}
 		c := p.cost(now, r, u) * (1 + costJitter*p.Rand.Float64())
-		if !p.hasRoom(r, u) && now-u.loadAt < fullPenaltyPeriod {
+		if !p.hasRoom(now, r, u) && now-u.loadAt < fullPenaltyPeriod {
 			c *= 4
 		}
 		if best == nil || c < least {
@@ -246,7 +246,7 @@
 func (p *Placer) cheapestOf(now clock.Millis, r *request, list []*upstream) (best *upstream) {
 	var least float64
 	for _, u := range list {
-		if u.probing || !p.sendable(now, r, u) || !p.hasRoom(r, u) || p.wastesSlot(now, r, u) {
+		if u.probing || !p.sendable(now, r, u) || !p.hasRoom(now, r, u) || p.wastesSlot(now, r, u) {
 			continue
 		}
 		if c := p.cost(now, r, u); best == nil || c < least {
@@ -262,7 +262,7 @@
 func (p *Placer) cheapestKnown(now clock.Millis, r *request) (best *upstream) {
 	var least float64
 	for _, u := range p.upstreams {
-		if !p.sendable(now, r, u) || !u.reporting || !u.fresh(now, maxSendLoadAge) || !p.hasRoom(r, u) || p.wastesSlot(now, r, u) {
+		if !p.sendable(now, r, u) || !u.reporting || !u.fresh(now, maxSendLoadAge) || !p.hasRoom(now, r, u) || p.wastesSlot(now, r, u) {
 			continue
 		}
 		if c := p.cost(now, r, u); best == nil || c < least {
@@ -274,7 +274,7 @@
 	}
 	// For upstreams that report no load, this host's own requests in flight stand in.
 	for _, u := range p.upstreams {
-		if u.reporting || u.probing || !p.sendable(now, r, u) || !p.hasRoom(r, u) {
+		if u.reporting || u.probing || !p.sendable(now, r, u) || !p.hasRoom(now, r, u) {
 			continue
 		}
 		if c := p.cost(now, r, u) * (1 + costJitter*p.Rand.Float64()); best == nil || c < least {
@@ -292,7 +292,7 @@
 		return u
 	}
 	u := r.slow
-	if u == nil || u.probing || p.probes.Available(now, p.Service, "") >= 1 || !p.sendable(now, r, u) || !p.hasRoom(r, u) {
+	if u == nil || u.probing || p.probes.Available(now, p.Service, "") >= 1 || !p.sendable(now, r, u) || !p.hasRoom(now, r, u) {
 		return nil
 	}
 	return u
@@ -317,7 +317,7 @@
 	}
 	p.attempts[a.id] = a
 	basis := SendDetail{
-		At: now, Waited: now - r.Arrived, Probed: len(r.probed), Reported: u.reporting, Age: now - u.loadAt, Load: u.load(), Slots: u.Slots, Started: u.Started,
+		At: now, Waited: now - r.Arrived, Probed: len(r.probed), Reported: u.reporting, Age: now - u.loadAt, Load: p.load(now, u), Slots: u.Slots, Started: u.Started,
 		Slowdown: a.slowdown, Attempt: len(r.tried) + 1, Hedge: len(r.running) > 0,
 		Limited: u.ColdLimited, Cold: u.cold(now),
 	}
--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -19,6 +19,14 @@
 	failureWeight = 0.4
 	// successWeight is the weight of one success in an upstream's success rate.
 	successWeight = 0.2
+	// trialPause is how long an upstream goes without a result before its past failures are
+	// disregarded for one request. Each success since the last failure halves it, up to
+	// maxTrialHalvings times.
+	trialPause       = clock.Second
+	maxTrialHalvings = 5
+	// loadMemory is how long a load report counts that is above the mean. An upstream last seen
+	// full would else never be asked again while others have room.
+	loadMemory = clock.Second
 	// ejectAfter is the number of consecutive failures after which an upstream is
 	// ejected.
 	ejectAfter = 3
@@ -43,7 +51,7 @@
 	// initialTypicalShare is the share of the target used as the typical service time
 	// until the first answer.
 	initialTypicalShare = 0.4
-	// meanSlowdownWeight is the weight of one report in the mean slowdown.
+	// meanSlowdownWeight is the weight of one report in the mean slowdown, and in the mean load.
 	meanSlowdownWeight = 0.02
 )
 
@@ -70,20 +78,26 @@
 	success        float64 // share of successes, 0 to 1
 	successSet     clock.Millis
 	failures       int // consecutive
+	successes      int // since the last failure
 	ejections      int
 	suspendedUntil clock.Millis
 }
 
-// load returns the requests running or queued at u: the last report plus this host's
-// sends since, and at least this host's requests in flight.
-func (u *upstream) load() int {
-	if u.foreign.known {
-		return u.inFlight + u.foreign.requests()
-	}
+// load estimates the requests running or queued at u: the last report plus this host's
+// sends since, and at least this host's requests in flight. A report older than loadMemory
+// counts up to the mean of all upstreams only.
+func (p *Placer) load(now clock.Millis, u *upstream) int {
 	if !u.reporting {
 		return u.inFlight
 	}
-	return max(u.inFlight, u.report.InFlight+u.report.Queued+u.sentSinceReport)
+	load := u.report.InFlight + u.report.Queued + u.sentSinceReport
+	if u.foreign.known {
+		load = u.inFlight + u.foreign.requests()
+	}
+	if !u.fresh(now, loadMemory) {
+		load = min(load, int(math.Round(p.meanFill*float64(u.Slots))))
+	}
+	return max(u.inFlight, load)
 }
 
 // limited reports whether u has named a limit on its requests.
@@ -113,6 +127,21 @@
 	return 1 - (1-u.success)*math.Exp(-float64(now-u.successSet)/float64(successMemory))
 }
 
+// dueForTrial reports whether u's past failures are disregarded for the next request. They
+// would else keep requests from u, and so the results that show that it has recovered, as
+// long as others have room.
+func (u *upstream) dueForTrial(now clock.Millis) bool {
+	return u.inFlight == 0 && now-max(u.successSet, u.unansweredAt) >= trialPause>>min(u.successes, maxTrialHalvings)
+}
+
+// failureRate returns the share of failures to expect of the next request to u.
+func (u *upstream) failureRate(now clock.Millis) float64 {
+	if u.dueForTrial(now) {
+		return 0
+	}
+	return 1 - u.successAt(now)
+}
+
 func (p *Placer) recordLoad(now clock.Millis, u *upstream, report *route.LoadReport, sentSinceReport int) {
 	if report == nil {
 		return
@@ -125,6 +154,9 @@
 	if report.Slots > 0 {
 		u.Slots = report.Slots
 	}
+	if u.Slots > 0 {
+		p.meanFill += meanSlowdownWeight * (float64(report.InFlight+report.Queued)/float64(u.Slots) - p.meanFill)
+	}
 	if report.Slowdown > 0 {
 		p.meanSlowdown += meanSlowdownWeight * (report.Slowdown - p.meanSlowdown)
 	}
@@ -269,6 +301,7 @@
 	u.success = s + successWeight*(1-s)
 	u.successSet = now
 	u.failures = 0
+	u.successes++
 	if u.success > 0.9 {
 		u.ejections = 0
 	}
@@ -310,6 +343,7 @@
 	u.success = s - failureWeight*s
 	u.successSet = now
 	u.failures++
+	u.successes = 0
 }
 
 // ejectIfFailing ejects u after several failures in a row.
--- a/core/place/notice.go
+++ b/core/place/notice.go
@@ -106,6 +106,19 @@
 	}
 }
 
+// recordSlotNotice records what u has said in its reply to another host. Limits are not
+// passed on, as each host has a share of its own.
+func (p *Placer) recordSlotNotice(now clock.Millis, u *upstream, m SlotMessage) {
+	if u.gone || !m.Leaving && m.RetryAfter == 0 {
+		return
+	}
+	said := route.Notice{Leaving: m.Leaving, RetryAfter: m.RetryAfter}
+	if u.notice != nil {
+		said.PerSecond = u.notice.perSecond
+	}
+	p.recordNotice(now, u, said, "")
+}
+
 // dropOldNotices forgets upstreams that are not listed and were last heard from long
 // ago.
 func (p *Placer) dropOldNotices(now clock.Millis) {
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -98,6 +98,7 @@
 	probes        probe.Budget
 	typicalTimes  map[string]float64 // by route: typical service time at slowdown 1, in ms
 	meanSlowdown  float64            // moving average of the upstreams' reports
+	meanFill      float64            // the same of their load, as a share of their slots
 	lastAttempt   route.AttemptID
 	actions       []Action
 	stateChanges  []StateChange
--- a/core/place/refuse.go
+++ b/core/place/refuse.go
@@ -64,7 +64,7 @@
 			continue
 		}
 		c.Usable++
-		if p.hasRoom(r, u) {
+		if p.hasRoom(now, r, u) {
 			c.WithRoom++
 		}
 	}
--- a/core/place/report.go
+++ b/core/place/report.go
@@ -35,7 +35,7 @@
 	r := Report{Requests: len(p.requests), Queued: len(p.queue), RepeatBudget: p.repeatBudget.Balance(), Slowdown: p.meanSlowdown}
 	for _, u := range p.upstreams {
 		r.Upstreams = append(r.Upstreams, UpstreamReport{
-			ID: u.ID, InFlight: u.inFlight, Load: u.load(), Slots: u.Slots, Reported: u.reporting, AgeMs: now - u.loadAt,
+			ID: u.ID, InFlight: u.inFlight, Load: p.load(now, u), Slots: u.Slots, Reported: u.reporting, AgeMs: now - u.loadAt,
 			Slowdown: u.slowdownAt(now, p.meanSlowdown), Success: u.successAt(now), Leaving: u.Leaving,
 			OutForMs: max(0, u.suspendedUntil-now), Unanswered: u.silent(now),
 			ColdForMs: max(0, u.warmUp.until-now), ColdPerSecond: u.ColdPerSecond,
--- a/core/place/retry.go
+++ b/core/place/retry.go
@@ -161,7 +161,7 @@
 		p.forward(now, r)
 		return
 	}
-	if u == nil || u.slowdownAt(now, p.meanSlowdown) > hedgeToMaxSlowdown || float64(u.load()+1) > hedgeToMaxFill*float64(u.Slots) {
+	if u == nil || u.slowdownAt(now, p.meanSlowdown) > hedgeToMaxSlowdown || float64(p.load(now, u)+1) > hedgeToMaxFill*float64(u.Slots) {
 		return
 	}
 	if p.repeatBudget.Withdraw() {
--- a/core/place/slot.go
+++ b/core/place/slot.go
@@ -76,12 +76,16 @@
 	Load *route.LoadReport
 
 	// With SlotEnd. NotSent also says that the grant was not used.
-	Status route.Status
+	Status  route.Status
+	Leaving bool // the upstream has said that it leaves
 
-	// With SlotDeny.
-	Reason     route.Reason
+	// With SlotEnd how long the upstream wants no request, with SlotDeny when the caller may
+	// come back; 0 for neither.
 	RetryAfter clock.Millis
-	Detail     RefusalDetail
+
+	// With SlotDeny.
+	Reason route.Reason
+	Detail RefusalDetail
 }
 
 // slotKey identifies an ask. Host is the one that has the request.
@@ -329,9 +333,14 @@
 
 // endGrant tells the allocator that an attempt of this host has ended.
 func (p *Placer) endGrant(a *attempt, res route.Result) {
-	if a.slot.host != "" && a.asker == "" {
-		p.tell(a.slot.host, SlotMessage{Kind: SlotEnd, ID: a.slot.id, Status: res.Status, Load: res.Load})
+	if a.slot.host == "" || a.asker != "" {
+		return
+	}
+	m := SlotMessage{Kind: SlotEnd, ID: a.slot.id, Status: route.NotSent}
+	if !res.AddressReassigned { // else another upstream has answered
+		m.Status, m.Load, m.RetryAfter, m.Leaving = res.Status, res.Load, res.Notice.RetryAfter, res.Notice.Leaving
 	}
+	p.tell(a.slot.host, m)
 }
 
 // handleAsk looks for a slot for a request of another host.
@@ -385,7 +394,7 @@
 		slot: r.asker.slotKey, asker: r.asker.host,
 	}
 	p.grants[a.slot] = a
-	load := route.LoadReport{InFlight: u.load(), Slots: u.Slots, Slowdown: a.slowdown}
+	load := route.LoadReport{InFlight: p.load(now, u), Slots: u.Slots, Slowdown: a.slowdown}
 	u.inFlight++
 	u.sentSinceReport++
 	u.sentSinceProbe++
@@ -414,6 +423,7 @@
 	u := a.upstream
 	u.endSend()
 	p.recordLoad(now, u, m.Load, 0)
+	p.recordSlotNotice(now, u, m)
 	switch m.Status {
 	case route.Succeeded:
 		p.updateTypicalTime(a, now-a.started)
@@ -421,7 +431,9 @@
 	case route.Errored:
 		p.recordFailure(now, u)
 	case route.Refused:
-		p.recordRefusal(now, u, route.Result{Load: m.Load})
+		if m.RetryAfter == 0 {
+			p.recordRefusal(now, u, route.Result{Load: m.Load})
+		}
 	}
 }
 
--- a/core/place/wait.go
+++ b/core/place/wait.go
@@ -38,12 +38,12 @@
 
 // hasSlot reports whether u has a slot free at an allocator. u is kept at the load at which
 // it is not slowed down, if it completes more requests then than with all slots occupied.
-func (u *upstream) hasSlot() bool {
+func (p *Placer) hasSlot(now clock.Millis, u *upstream) bool {
 	slots := float64(u.Slots)
 	if fast := math.Floor(highLoadShare * slots); fast >= slots/highLoadFactor {
 		slots = fast
 	}
-	return float64(u.load()+1) <= slots
+	return float64(p.load(now, u)+1) <= slots
 }
 
 // wastesSlot reports whether u is too slow for r at an allocator, although it has room. A
--- a/siskinpathd/entry/slots.go
+++ b/siskinpathd/entry/slots.go
@@ -258,7 +258,7 @@
 	w := &forwardpb.SlotMessage{
 		Kind: forwardpb.SlotMessageKind(m.Kind), Id: m.ID, Service: service, Route: m.Route, Priority: int32(m.Priority),
 		WaitedMs: uint32(max(0, m.Waited)), TargetMs: uint32(m.Target), TimeLeftMs: uint32(max(0, m.TimeLeft)), AboveFairUse: m.AboveFairUse, AvailabilityZone: m.Zone, CallerLeftMs: uint32(max(0, m.CallerLeft)),
-		Except: m.Except, Upstream: m.Upstream, Status: int32(m.Status), Reason: string(m.Reason), RetryAfterMs: uint32(m.RetryAfter),
+		Except: m.Except, Upstream: m.Upstream, Status: int32(m.Status), Reason: string(m.Reason), RetryAfterMs: uint32(max(0, m.RetryAfter)), Leaving: m.Leaving,
 	}
 	if l := m.Load; l != nil {
 		w.Load = &forwardpb.SlotLoad{
@@ -280,7 +280,7 @@
 		Kind: place.SlotMessageKind(w.GetKind()), ID: w.GetId(), Route: w.GetRoute(), Priority: int(w.GetPriority()),
 		Waited: clock.Millis(w.GetWaitedMs()), Target: clock.Millis(w.GetTargetMs()), TimeLeft: clock.Millis(w.GetTimeLeftMs()),
 		AboveFairUse: w.GetAboveFairUse(), Zone: w.GetAvailabilityZone(), CallerLeft: clock.Millis(w.GetCallerLeftMs()), Except: w.GetExcept(), Upstream: w.GetUpstream(), Status: route.Status(w.GetStatus()),
-		Reason: route.Reason(w.GetReason()), RetryAfter: clock.Millis(w.GetRetryAfterMs()),
+		Reason: route.Reason(w.GetReason()), RetryAfter: clock.Millis(w.GetRetryAfterMs()), Leaving: w.GetLeaving(),
 	}
 	if l := w.GetLoad(); l != nil {
 		m.Load = &route.LoadReport{
