place: a host that is cut off does not avoid the only host that serves it

Cause, from the log: a request that had been tried for almost all of its time was passed to the fifth host with some ms left, and reached its deadline there. Its host then avoided the fifth for 1 s. The others had said that they are cut off too, so that nobody was left, and all requests were refused at once, with nothing sent. Whenever one request ended so, it began again.

A host is now avoided for a missing answer only if it had the request for the target, as upstreams are. Where all hosts are avoided, one request every 100 ms is passed on, and an answer ends the avoidance.

Before: TestSoundHostAvoided fails in both cases, nothing is passed on.

--- a/core/place/forward.go
+++ b/core/place/forward.go
@@ -10,8 +10,11 @@
 const (
 	// maxForwards is how many hosts a request is passed to until one takes it.
 	maxForwards = 3
-	// hostAvoidPeriod is how long nothing is passed to a host that did not take a request.
-	hostAvoidPeriod = clock.Second
+	// hostAvoidPeriod is how long nothing is passed to a host that did not take a request, as
+	// long as there are others, and hostTrialInterval how often one is passed on if there are
+	// none.
+	hostAvoidPeriod   = clock.Second
+	hostTrialInterval = 100 * clock.Millisecond
 	// reachProbeInterval is how often a host that is cut off looks whether it still is.
 	reachProbeInterval = 250 * clock.Millisecond
 )
@@ -44,6 +47,9 @@
 		return false
 	}
 	p.dequeue(r)
+	if now < p.avoidedHosts[h] {
+		p.hostTrialAt = now + hostTrialInterval
+	}
 	p.lastAttempt++
 	left := max(1, r.MaxAttempts-r.arrivals-len(r.running))
 	a := &attempt{id: p.lastAttempt, request: r, host: h, sends: left, started: now, target: r.Target, route: r.Route, callerID: r.CallerID}
@@ -79,13 +85,30 @@
 		far = near
 	}
 	if len(far) == 0 {
-		return ""
+		return p.hostForTrial(now, r)
 	}
 	return far[p.Rand.IntN(len(far))]
 }
 
+// hostForTrial returns the host that has been avoided for the longest time, "" if r has been
+// passed to all, or a trial is not due.
+func (p *Placer) hostForTrial(now clock.Millis, r *request) (id string) {
+	if now < p.hostTrialAt {
+		return ""
+	}
+	for _, h := range p.cfg.Hosts {
+		if !slices.Contains(r.triedHosts, h.ID) && (id == "" || p.avoidedHosts[h.ID] < p.avoidedHosts[id]) {
+			id = h.ID
+		}
+	}
+	return id
+}
+
 // avoidHost keeps requests from being passed to a host for hostAvoidPeriod.
-func (p *Placer) avoidHost(now clock.Millis, id string) { p.avoidedHosts[id] = now + hostAvoidPeriod }
+func (p *Placer) avoidHost(now clock.Millis, id string) {
+	p.avoidedHosts[id] = now + hostAvoidPeriod
+	p.hostTrialAt = now + hostTrialInterval
+}
 
 // afterForward finishes or refuses r, or passes it on again, after another host has ended
 // its attempt a. With status NotSent the host has not taken it, as it is cut off too, is
@@ -93,9 +116,11 @@
 func (p *Placer) afterForward(now clock.Millis, r *request, a *attempt, res route.Result) {
 	switch res.Status {
 	case route.Succeeded, route.Errored:
+		delete(p.avoidedHosts, a.host)
 		p.finish(r, a.id)
 		return
 	case route.Refused:
+		delete(p.avoidedHosts, a.host)
 		r.lastReason, r.retryAfter = res.Reason, res.Notice.RetryAfter
 	case route.NotSent:
 		p.avoidHost(now, a.host)
--- a/core/place/forward_test.go
+++ b/core/place/forward_test.go
@@ -241,3 +241,42 @@
 		shouldEnd(r, route.Refuse)
 	})
 }
+
+// TestSoundHostAvoided guards against a host that is cut off and refuses all requests for a
+// time, as the only host that serves them was late once.
+func TestSoundHostAvoided(t *testing.T) {
+	shouldBePassedOn := func(r *reached) route.Action {
+		r.offer(place.Request{Idempotent: true})
+		open := r.takeOpen()
+		So(open, ShouldHaveLength, 1)
+		So(open[0].Kind, ShouldEqual, route.Forward)
+		return open[0].Action
+	}
+	Convey("a host that reaches no upstream, and knows one other host", t, func() {
+		r := newReached(8, 1)
+		r.cutOff(8)
+		r.pass(2 * clock.Second)
+		r.takeEnded()
+		Convey("passes requests on after one that had little time left ended without an answer", func() {
+			r.perform(r.placer.Offer(r.now, place.Request{ID: 999, Arrived: r.now - 900, Target: 400, GiveUp: r.now + 50, MaxAttempts: 2, Idempotent: true}))
+			So(r.takeOpen(), ShouldHaveLength, 1)
+			r.pass(100)
+			So(r.takeEnded(), ShouldHaveLength, 1)
+			r.takeOpen()
+			shouldBePassedOn(r)
+		})
+		Convey("tries the host again soon after it did not take a request, and goes on once it does", func() {
+			r.end(place.Action{Action: shouldBePassedOn(r)}, route.Result{Status: route.NotSent})
+			r.takeEnded()
+			r.offer(place.Request{Idempotent: true})
+			So(r.takeOpen(), ShouldBeEmpty)
+			r.pass(110)
+			trial := shouldBePassedOn(r)
+			r.offer(place.Request{Idempotent: true})
+			So(r.takeOpen(), ShouldBeEmpty)
+			r.end(place.Action{Action: trial}, route.Result{Status: route.Succeeded})
+			shouldBePassedOn(r)
+			shouldBePassedOn(r)
+		})
+	})
+}
--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -275,7 +275,11 @@
 // recordTimeout counts an attempt without an answer as a failure, if it ran longer
 // than the request's target.
 func (p *Placer) recordTimeout(now clock.Millis, a *attempt) {
-	if now-a.started > a.target {
+	switch {
+	case now-a.started <= a.target:
+	case a.host != "":
+		p.avoidHost(now, a.host)
+	default:
 		p.recordNoAnswer(now, a.upstream)
 		p.recordFailure(now, a.upstream)
 	}
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -104,6 +104,7 @@
 	stateChanges  []StateChange
 	reach         reach
 	avoidedHosts  map[string]clock.Millis // until when nothing is passed to a host
+	hostTrialAt   clock.Millis            // when one of them may be tried again
 	throughput    throughput
 	spentTime     spentTime
 	fairUse       fairUse
--- a/core/place/refuse.go
+++ b/core/place/refuse.go
@@ -75,10 +75,6 @@
 func (p *Placer) giveUp(now clock.Millis, r *request) {
 	if len(r.running) > 0 {
 		for _, a := range r.running {
-			if a.host != "" {
-				p.avoidHost(now, a.host)
-				continue
-			}
 			p.recordTimeout(now, a)
 		}
 		r.mayHaveRun = true
