--- a/core/place/refuse.go
+++ b/core/place/refuse.go
@@ -67,7 +67,7 @@
 			continue
 		}
 		c.Usable++
-		if p.hasRoom(r, u) {
+		if p.hasRoom(now, r, u) {
 			c.WithRoom++
 		}
 	}
@@ -78,10 +78,6 @@
 func (p *Placer) giveUp(now clock.Millis, r *request) {
 	if len(r.running) > 0 {
 		for _, a := range r.running {
-			if a.host != "" {
-				p.avoidHost(now, a.host)
-				continue
-			}
 			p.recordTimeout(now, a)
 		}
 		r.mayHaveRun = true
