mux: streams end before yamux closes their session

yamux.Session.Close closes shutdownCh, then waits for its reader, and only then marks the streams as closed. Stream.Read and Stream.Write take the closed shutdownCh as a reason to look at the state of the stream again, so until the reader has returned they go round without waiting. The reader waits for a processor behind them: 10 ms for each such read where the runtime preempts, for ever where it doesn't (GODEBUG=asyncpreemptoff=1 and time that stands still while a goroutine runs).

mux.Session reports the loss of the connection to its streams before it passes the error on to yamux, and a stream that has ended keeps its deadlines in the past: a read or write returns whatever yamux does meanwhile, and nothing can move the deadline on. forward and peer use it for everything. The stream's own Close ends its reads and writes too, which forward had to ask for by itself.

TestLostSessions delays the reader's knowledge of the end.

Tests: forward_test and corrupt_test use the new session type; no check has changed.

--- a/siskinpathd/forward/client.go
+++ b/siskinpathd/forward/client.go
@@ -20,6 +20,7 @@
 
 	"siskinpath/core/clock"
 	"siskinpath/siskinpathd/forward/forwardpb"
+	"siskinpath/siskinpathd/mux"
 )
 
 const (
@@ -76,7 +77,7 @@
 type session struct {
 	timeouts Timeouts
 	dialled  chan struct{} // closed when mux or err is set
-	mux      *yamux.Session
+	mux      *mux.Session
 	err      error
 
 	mu       sync.Mutex
@@ -102,10 +103,7 @@
 		return nil, false, err
 	}
 	defer func() { _ = stream.Close() }()
-	stop := context.AfterFunc(ctx, func() {
-		_ = stream.SetDeadline(past)
-		_ = stream.Close()
-	})
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
 	defer stop()
 	if ctx.Err() != nil {
 		return nil, false, ctx.Err()
@@ -120,7 +118,7 @@
 }
 
 // exchange sends a request on a stream and sets reply if there is one.
-func exchange(stream *yamux.Stream, req *forwardpb.Request, reply **forwardpb.Reply) error {
+func exchange(stream *mux.Stream, req *forwardpb.Request, reply **forwardpb.Reply) error {
 	var encoded bytes.Buffer
 	if _, err := protodelim.MarshalTo(&encoded, req); err != nil {
 		return err
@@ -137,12 +135,12 @@
 	go func() {
 		_, err := stream.Write(encoded.Bytes())
 		if err != nil {
-			_ = stream.SetReadDeadline(past)
+			stream.SetReadDeadline(past)
 		}
 		written <- err
 	}()
 	err := readReply(stream, reply)
-	_ = stream.SetWriteDeadline(past)
+	stream.SetWriteDeadline(past)
 	select {
 	case writeErr := <-written:
 		return cmp.Or(writeErr, err)
@@ -151,7 +149,7 @@
 	}
 }
 
-func readReply(stream *yamux.Stream, reply **forwardpb.Reply) error {
+func readReply(stream *mux.Stream, reply **forwardpb.Reply) error {
 	m := &forwardpb.Reply{}
 	if err := read(bufio.NewReader(stream), m); err != nil {
 		return err
@@ -162,14 +160,14 @@
 
 // open opens a stream. yamux blocks without regard to ctx when the other host has not
 // accepted 256 earlier streams, or does not take bytes.
-func (s *session) open(ctx context.Context) (stream *yamux.Stream, err error) {
+func (s *session) open(ctx context.Context) (stream *mux.Stream, err error) {
 	type result struct {
-		stream *yamux.Stream
+		stream *mux.Stream
 		err    error
 	}
 	opened := make(chan result, 1)
 	go func() {
-		stream, err := s.mux.OpenStream()
+		stream, err := s.mux.Open()
 		if err != nil {
 			_ = s.mux.Close()
 		}
@@ -282,7 +280,7 @@
 	}
 	cfg := muxConfig(s.timeouts)
 	cfg.EnableKeepAlive = false // see checkInUse
-	if s.mux, s.err = yamux.Client(nc, cfg); s.err != nil {
+	if s.mux, s.err = mux.Client(nc, cfg); s.err != nil {
 		_ = nc.Close()
 	}
 }
--- a/siskinpathd/forward/forward_test.go
+++ b/siskinpathd/forward/forward_test.go
@@ -344,7 +344,7 @@
 		first := c.sessions[link.ln.Addr().String()]
 		So(call(60*time.Millisecond), ShouldNotBeNil)
 		select {
-		case <-first.mux.CloseChan():
+		case <-first.mux.Done():
 		case <-time.After(20 * time.Second):
 			So("the dead session stays", ShouldBeEmpty)
 		}
--- a/siskinpathd/forward/server.go
+++ b/siskinpathd/forward/server.go
@@ -9,12 +9,12 @@
 	"slices"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"siskinpath/core/clock"
 	"siskinpath/siskinpathd/forward/forwardpb"
+	"siskinpath/siskinpathd/mux"
 )
 
 const (
@@ -69,17 +69,17 @@
 }
 
 func (s *Server) serveSession(ctx context.Context, nc net.Conn) {
-	mux, err := yamux.Server(nc, muxConfig(s.Timeouts))
+	session, err := mux.Server(nc, muxConfig(s.Timeouts))
 	if err != nil {
 		s.Log.Warn("session of another host refused", "peer", nc.RemoteAddr().String(), "err", err)
 		_ = nc.Close()
 		return
 	}
-	defer func() { _ = mux.Close() }()
-	stop := context.AfterFunc(ctx, func() { _ = mux.Close() })
+	defer func() { _ = session.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
 	defer stop()
 	for {
-		stream, err := mux.AcceptStream()
+		stream, err := session.Accept(ctx)
 		if err != nil {
 			return // the other host has closed the session, or is gone
 		}
@@ -89,7 +89,7 @@
 
 // serveStream serves one request, or any number of messages for tokens or about slots. The other host
 // closes its side of the stream only after it has the reply or has given up.
-func (s *Server) serveStream(ctx context.Context, stream *yamux.Stream) {
+func (s *Server) serveStream(ctx context.Context, stream *mux.Stream) {
 	defer func() { _ = stream.Close() }()
 	progress := &progressReader{stream: stream}
 	r := bufio.NewReader(progress)
@@ -103,13 +103,13 @@
 }
 
 // serveRequest serves a request, and reports whether another may follow on the stream.
-func (s *Server) serveRequest(ctx context.Context, stream *yamux.Stream, progress *progressReader, r *bufio.Reader) (more bool) {
+func (s *Server) serveRequest(ctx context.Context, stream *mux.Stream, progress *progressReader, r *bufio.Reader) (more bool) {
 	req := &forwardpb.Request{}
 	if err := read(r, req); err != nil {
 		s.Log.Warn("request of another host can't be read", "peer", stream.RemoteAddr().String(), "err", err)
 		return false
 	}
-	_ = stream.SetReadDeadline(time.Time{})
+	stream.SetReadDeadline(time.Time{})
 	if req.GetSlots() != nil {
 		progress.idle = true
 		s.serveSlots(ctx, stream, r, req.GetSlots().GetHost())
@@ -130,7 +130,7 @@
 // progressReader reads from a stream as long as there are bytes every readTimeout, or
 // without limit between messages.
 type progressReader struct {
-	stream *yamux.Stream
+	stream *mux.Stream
 	idle   bool
 }
 
@@ -139,20 +139,20 @@
 	if !r.idle {
 		deadline = time.Now().Add(readTimeout.Duration())
 	}
-	_ = r.stream.SetReadDeadline(deadline)
+	r.stream.SetReadDeadline(deadline)
 	return r.stream.Read(b)
 }
 
 // progressWriter writes to a stream as long as the other host takes chunkBytes within a
 // time-out. A limit on the whole reply would lose long ones on slow links.
 type progressWriter struct {
-	stream  *yamux.Stream
+	stream  *mux.Stream
 	timeout time.Duration
 }
 
 func (w progressWriter) Write(b []byte) (n int, err error) {
 	for chunk := range slices.Chunk(b, chunkBytes) {
-		_ = w.stream.SetWriteDeadline(time.Now().Add(w.timeout))
+		w.stream.SetWriteDeadline(time.Now().Add(w.timeout))
 		written, err := w.stream.Write(chunk)
 		n += written
 		if err != nil {
@@ -163,7 +163,7 @@
 }
 
 // reply returns the reply to a request that has been read from a stream.
-func (s *Server) reply(ctx context.Context, stream *yamux.Stream, req *forwardpb.Request) *forwardpb.Reply {
+func (s *Server) reply(ctx context.Context, stream *mux.Stream, req *forwardpb.Request) *forwardpb.Reply {
 	if req.GetTokens() != nil {
 		return s.grant(req.GetTokens())
 	}
--- a/siskinpathd/forward/slots.go
+++ b/siskinpathd/forward/slots.go
@@ -5,12 +5,12 @@
 	"context"
 	"sync"
 
-	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
 	"siskinpath/siskinpathd/forward/forwardpb"
+	"siskinpath/siskinpathd/mux"
 )
 
 // maxSlotBacklog is how many messages may wait for a host that does not read. Beyond it the
@@ -21,7 +21,7 @@
 
 // SlotStream carries messages about slots to and from one other host.
 type SlotStream struct {
-	stream *yamux.Stream
+	stream *mux.Stream
 	wrap   func(*forwardpb.Slots) proto.Message
 	wake   chan struct{} // has an element if there are messages to write
 
@@ -30,7 +30,7 @@
 	closed  bool
 }
 
-func newSlotStream(stream *yamux.Stream, wrap func(*forwardpb.Slots) proto.Message) *SlotStream {
+func newSlotStream(stream *mux.Stream, wrap func(*forwardpb.Slots) proto.Message) *SlotStream {
 	return &SlotStream{stream: stream, wrap: wrap, wake: make(chan struct{}, 1)}
 }
 
@@ -57,7 +57,6 @@
 	s.mu.Lock()
 	s.closed = true
 	s.mu.Unlock()
-	_ = s.stream.SetDeadline(past)
 	_ = s.stream.Close()
 }
 
@@ -132,7 +131,7 @@
 }
 
 // serveSlots serves a stream of another host that asks this one for slots.
-func (s *Server) serveSlots(ctx context.Context, stream *yamux.Stream, r *bufio.Reader, host string) {
+func (s *Server) serveSlots(ctx context.Context, stream *mux.Stream, r *bufio.Reader, host string) {
 	if s.Slots == nil {
 		_, _ = protodelim.MarshalTo(stream, &forwardpb.Reply{Outcome: forwardpb.Outcome_OUTCOME_NOT_TAKEN})
 		return
--- a/siskinpathd/forward/tokens.go
+++ b/siskinpathd/forward/tokens.go
@@ -5,11 +5,11 @@
 	"context"
 	"sync"
 
-	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"siskinpath/siskinpathd/forward/forwardpb"
+	"siskinpath/siskinpathd/mux"
 )
 
 // errTokenStreamEnded is returned for messages without a reply when their stream ends.
@@ -18,7 +18,7 @@
 // tokenStream carries the messages for tokens of a session, one after another, and their
 // replies in the same order. A stream for each message would double the bytes.
 type tokenStream struct {
-	stream *yamux.Stream
+	stream *mux.Stream
 
 	mu      sync.Mutex
 	waiting []chan *forwardpb.Reply // of the messages without a reply, in order; closed when the stream ends
@@ -95,7 +95,7 @@
 		err = w.Flush()
 	}
 	if err != nil {
-		_ = t.stream.SetReadDeadline(past) // ends receive
+		t.stream.SetReadDeadline(past) // ends receive
 		return nil, err
 	}
 	waiter := make(chan *forwardpb.Reply, 1)
--- a/siskinpathd/peer/call.go
+++ b/siskinpathd/peer/call.go
@@ -5,10 +5,10 @@
 	"io"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 
 	"siskinpath/core/clock"
+	"siskinpath/siskinpathd/mux"
 	"siskinpath/siskinpathd/peer/peerpb"
 )
 
@@ -84,7 +84,7 @@
 // serveCall runs one call and writes its reply. The caller closes its side of the
 // stream only after it has received the reply or has given up. A caller that
 // gives up therefore cancels ctx.
-func (s *session) serveCall(ctx context.Context, stream *yamux.Stream, req *peerpb.CallRequest) {
+func (s *session) serveCall(ctx context.Context, stream *mux.Stream, req *peerpb.CallRequest) {
 	if len(req.GetBody()) > s.transport.MaxBodyBytes {
 		s.closeCorrupt(errTooLarge)
 		return
@@ -115,12 +115,12 @@
 	s.reply(stream, s.transport.OnCall(ctx, s.peer.id, req))
 }
 
-func (s *session) reply(stream *yamux.Stream, reply *peerpb.CallReply) {
+func (s *session) reply(stream *mux.Stream, reply *peerpb.CallReply) {
 	tr := s.transport
 	if len(reply.GetBody()) > tr.MaxBodyBytes {
 		reply = tooLargeReply(reply)
 	}
-	_ = stream.SetWriteDeadline(time.Now().Add(writeTimeout.Duration()))
+	stream.SetWriteDeadline(time.Now().Add(writeTimeout.Duration()))
 	n, err := writeFrame(stream, reply, tr.maxCallFrame())
 	if errors.Is(err, errTooLarge) {
 		n, _ = writeFrame(stream, tooLargeReply(reply), tr.maxCallFrame())
--- a/siskinpathd/peer/control.go
+++ b/siskinpathd/peer/control.go
@@ -6,11 +6,11 @@
 	"context"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 
 	"siskinpath/core/membership"
 	"siskinpath/core/route"
+	"siskinpath/siskinpathd/mux"
 	"siskinpath/siskinpathd/peer/peerpb"
 )
 
@@ -50,7 +50,7 @@
 // writeControl opens this side's control stream and writes the messages in the
 // outbox until the link ends.
 func (s *session) writeControl(ctx context.Context) {
-	stream, err := s.mux.OpenStream()
+	stream, err := s.mux.Open()
 	if err != nil {
 		return
 	}
@@ -91,11 +91,11 @@
 	return nil
 }
 
-func (s *session) flush(stream *yamux.Stream, batch *bytes.Buffer) error {
+func (s *session) flush(stream *mux.Stream, batch *bytes.Buffer) error {
 	if batch.Len() == 0 {
 		return nil
 	}
-	_ = stream.SetWriteDeadline(time.Now().Add(writeTimeout.Duration()))
+	stream.SetWriteDeadline(time.Now().Add(writeTimeout.Duration()))
 	n, err := stream.Write(batch.Bytes())
 	s.transport.count.controlSent.Add(n + muxHeaderBytes)
 	if batch.Cap() > maxBatchBytes {
--- a/siskinpathd/peer/corrupt_test.go
+++ b/siskinpathd/peer/corrupt_test.go
@@ -16,6 +16,7 @@
 
 	"siskinpath/core/membership"
 	"siskinpath/core/route"
+	"siskinpath/siskinpathd/mux"
 	"siskinpath/siskinpathd/peer/peerpb"
 )
 
@@ -176,14 +177,14 @@
 	convey.Convey("a link whose incarnation may not be the newest is rejected", t, func() {
 		a := newTestHost("a", 1, freeAddress())
 		a.transport.once.Do(a.transport.setDefaults)
-		muxes := []*yamux.Session{}
+		muxes := []*mux.Session{}
 		newSession := func(aliveAfter uint64) *session {
 			x, y := net.Pipe()
 			_ = y
-			mux, err := yamux.Client(x, muxConfig())
+			opened, err := mux.Client(x, muxConfig())
 			convey.So(err, convey.ShouldBeNil)
-			muxes = append(muxes, mux)
-			return &session{transport: a.transport, aliveAfter: aliveAfter, mux: mux, identified: make(chan struct{})}
+			muxes = append(muxes, opened)
+			return &session{transport: a.transport, aliveAfter: aliveAfter, mux: opened, identified: make(chan struct{})}
 		}
 		defer func() {
 			for _, m := range muxes {
@@ -259,10 +260,10 @@
 		cfg.ConnectionWriteTimeout = time.Hour
 		cfg.StreamOpenTimeout = time.Hour
 		conn := stuckConn{closed: make(chan struct{})}
-		mux, err := yamux.Client(conn, cfg)
+		opened, err := mux.Client(conn, cfg)
 		convey.So(err, convey.ShouldBeNil)
-		defer func() { close(conn.closed); _ = mux.Close() }()
-		s := &session{transport: a.transport, target: &target{}, mux: mux, outgoingCalls: make(chan struct{}, 1000), identified: make(chan struct{})}
+		defer func() { close(conn.closed); _ = opened.Close() }()
+		s := &session{transport: a.transport, target: &target{}, mux: opened, outgoingCalls: make(chan struct{}, 1000), identified: make(chan struct{})}
 		convey.So(a.transport.register(s, identity{id: "b", incarnation: 2}), convey.ShouldBeTrue)
 		for range 200 { // enough calls to fill every queue of yamux
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
--- a/siskinpathd/peer/exchange.go
+++ b/siskinpathd/peer/exchange.go
@@ -6,8 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/hashicorp/yamux"
-
+	"siskinpath/siskinpathd/mux"
 	"siskinpath/siskinpathd/peer/peerpb"
 )
 
@@ -41,14 +40,14 @@
 // after the stream is closed.
 func (x *exchange) run(ctx context.Context) {
 	defer func() { <-x.session.outgoingCalls }()
-	stream, err := x.session.mux.OpenStream()
+	stream, err := x.session.mux.Open()
 	if err != nil {
 		x.err = err
 		close(x.done)
 		return
 	}
 	defer func() { _ = stream.Close() }()
-	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, func() { stream.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	x.reply, x.err = x.roundTrip(stream)
 	close(x.done)
@@ -56,7 +55,7 @@
 
 // roundTrip writes the call and reads the reply. yamux may have queued a write that
 // it reports as failed, so the call may have been sent even if the write fails.
-func (x *exchange) roundTrip(stream *yamux.Stream) (*peerpb.CallReply, error) {
+func (x *exchange) roundTrip(stream *mux.Stream) (*peerpb.CallReply, error) {
 	if !x.state.CompareAndSwap(stateOpening, stateWriting) {
 		return nil, context.Canceled
 	}
--- a/siskinpathd/peer/session.go
+++ b/siskinpathd/peer/session.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"siskinpath/core/membership"
+	"siskinpath/siskinpathd/mux"
 	"siskinpath/siskinpathd/peer/peerpb"
 )
 
@@ -23,7 +24,7 @@
 	knownIncarnations []membership.Incarnation // incarnations known to listen at the address before it was dialled
 	aliveAfter        uint64                   // the other side was alive after this point of Transport.tick
 
-	mux           *yamux.Session
+	mux           *mux.Session
 	outbox        outbox
 	selfSent      bool          // a heartbeat with Self was sent; used only by writeControl
 	outgoingCalls chan struct{} // semaphore of calls sent on this link
@@ -59,13 +60,13 @@
 	s.outbox.pending = make(chan struct{}, 1)
 	s.outgoingCalls = make(chan struct{}, maxCallsPerLink)
 	s.incomingCalls = make(chan struct{}, maxCallsPerLink)
-	mux, err := s.newMux(&countingConn{Conn: conn, count: &s.transport.count})
+	opened, err := s.newMux(&countingConn{Conn: conn, count: &s.transport.count})
 	if err != nil {
 		_ = conn.Close()
 		return
 	}
-	s.mux = mux
-	stop := context.AfterFunc(ctx, func() { _ = mux.Close() })
+	s.mux = opened
+	stop := context.AfterFunc(ctx, func() { _ = s.mux.Close() })
 	defer stop()
 
 	var wg sync.WaitGroup
@@ -73,16 +74,16 @@
 	wg.Go(func() { defer cancel(); s.expectIdentity(ctx) })
 	s.acceptStreams(ctx, &wg)
 	cancel()
-	_ = mux.Close()
+	_ = s.mux.Close()
 	s.transport.remove(s)
 	wg.Wait()
 }
 
-func (s *session) newMux(conn net.Conn) (*yamux.Session, error) {
+func (s *session) newMux(conn net.Conn) (*mux.Session, error) {
 	if s.target != nil {
-		return yamux.Client(conn, muxConfig())
+		return mux.Client(conn, muxConfig())
 	}
-	return yamux.Server(conn, muxConfig())
+	return mux.Server(conn, muxConfig())
 }
 
 // expectIdentity returns, which closes the session, if the other side does not
@@ -102,7 +103,7 @@
 
 func (s *session) acceptStreams(ctx context.Context, wg *sync.WaitGroup) {
 	for {
-		stream, err := s.mux.AcceptStreamWithContext(ctx)
+		stream, err := s.mux.Accept(ctx)
 		if err != nil {
 			return
 		}
@@ -117,8 +118,8 @@
 // accordingly. A truncated stream is a call that was given up before it was fully
 // sent. Any other read error closes the session, since no data on a corrupt link
 // can be trusted.
-func (s *session) serveStream(ctx context.Context, stream *yamux.Stream) {
-	_ = stream.SetReadDeadline(time.Now().Add(streamTimeout.Duration()))
+func (s *session) serveStream(ctx context.Context, stream *mux.Stream) {
+	stream.SetReadDeadline(time.Now().Add(streamTimeout.Duration()))
 	r := getReader(stream)
 	open := &peerpb.Open{}
 	n, err := readFrame(r, open, s.transport.maxCallFrame())
@@ -127,7 +128,7 @@
 		s.handleReadError(err)
 		return
 	}
-	_ = stream.SetReadDeadline(time.Time{})
+	stream.SetReadDeadline(time.Time{})
 	switch kind := open.Kind.(type) {
 	case *peerpb.Open_Control:
 		s.transport.count.controlReceived.Add(n)
