watch: a store that holds no call is not asked again at once

A store, or a proxy before it, that answers each call for changes at once without any was asked as fast as it answered: 43,343 calls in 0.1 s of the test's source, which answers without a network. The loop relied on the store to wait.

After an answer without rows that came in less than half of the time that the store was allowed to hold the call, the watcher pauses for its batch interval, as after changes. Calls that are held are not affected.

TestWatcher, "does not ask again and again when the store holds no call": at most 150 calls in 0.1 s with an interval of 1 ms.

--- a/siskinpathd/watch/watch.go
+++ b/siskinpathd/watch/watch.go
@@ -105,7 +105,9 @@
 			pause(ctx, poll)
 			continue
 		}
-		n, err := w.poll(ctx, full, max(0, w.PollInterval-w.sinceResponse()))
+		wait := max(0, w.PollInterval-w.sinceResponse())
+		asked := w.Clock.Now()
+		n, err := w.poll(ctx, full, wait)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -119,8 +121,9 @@
 			full = true
 		default:
 			w.handleSuccess()
+			notHeld := !full && w.Clock.Now()-asked < wait/2
 			full = false
-			if n > 0 {
+			if n > 0 || notHeld {
 				pause(ctx, w.BatchInterval)
 			}
 		}
--- a/siskinpathd/watch/watch_test.go
+++ b/siskinpathd/watch/watch_test.go
@@ -33,6 +33,7 @@
 	reads    int  // full reads
 	changes  int  // reads of changes
 	disabled bool // the watcher is disabled
+	hasty    bool // answers at once that nothing has changed
 }
 
 func (f *fakeSource) put(key, value string) {
@@ -88,8 +89,9 @@
 			}
 		}
 		at = atEra(f.era, f.version)
+		hasty := f.hasty
 		f.mu.Unlock()
-		if err != nil || len(rows) > 0 || time.Now().After(end) {
+		if err != nil || len(rows) > 0 || hasty || time.Now().After(end) {
 			f.locked(func() { f.changes++ })
 			return rows, at, err
 		}
@@ -177,6 +179,13 @@
 			f.locked(func() { f.history = f.version })
 			shouldHaveRows(rep, map[string]string{"a": "1"})
 		})
+		Convey("does not ask again and again when the store holds no call", func() {
+			f.locked(func() { f.hasty, f.changes = true, 0 })
+			time.Sleep(100 * time.Millisecond)
+			f.locked(func() { So(f.changes, ShouldBeBetweenOrEqual, 2, 150) })
+			f.put("c", "3")
+			shouldHaveRows(rep, map[string]string{"a": "1", "b": "2", "c": "3"})
+		})
 		Convey("keeps the known rows while the store is down, and catches up", func() {
 			f.locked(func() { f.down = true })
 			f.remove("b")
