entry: one timer for upstreams that are missing, not one for each change

While an upstream was missing after an outage or in quarantine, each change of the upstreams started a timer more, and each of them set itself again until nothing was due: after a hundred changes a hundred timers did the same work and took the lock of the host for it.

The timer is kept and set anew.

--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -87,6 +87,7 @@
 
 	mu          sync.Mutex // guards the fields below
 	registry    discovery.Registry
+	expiry      *time.Timer // of the registry; see scheduleExpiry
 	dispatchers map[string]*Dispatcher
 	splitter    config.Splitter
 	budgetHosts int                    // number of hosts among which the budgets were last divided
@@ -418,26 +419,33 @@
 	}
 }
 
-// scheduleExpiry sets a timer that removes upstreams which were missing from a full
+// scheduleExpiry sets the timer that removes upstreams which were missing from a full
 // read and have not reappeared. n.mu must be held.
 func (n *Node) scheduleExpiry() {
 	at := n.registry.Next()
 	if at == 0 {
 		return
 	}
-	time.AfterFunc(max(0, at-n.Clock.Now()).Duration(), func() {
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		dropped, released := n.registry.Tick(n.Clock.Now())
-		if dropped > 0 {
-			n.Log.Info("upstreams dropped that did not come back", "dropped", dropped, "entries", n.registry.Len())
-		}
-		if released > 0 {
-			n.Log.Info("restored upstreams in use again", "released", released, "entries", n.registry.Len())
-		}
-		if dropped+released > 0 {
-			n.reconfigure()
-		}
-		n.scheduleExpiry()
-	})
+	wait := max(0, at-n.Clock.Now()).Duration()
+	if n.expiry == nil {
+		n.expiry = time.AfterFunc(wait, n.expire)
+		return
+	}
+	n.expiry.Reset(wait)
+}
+
+func (n *Node) expire() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	dropped, released := n.registry.Tick(n.Clock.Now())
+	if dropped > 0 {
+		n.Log.Info("upstreams dropped that did not come back", "dropped", dropped, "entries", n.registry.Len())
+	}
+	if released > 0 {
+		n.Log.Info("restored upstreams in use again", "released", released, "entries", n.registry.Len())
+	}
+	if dropped+released > 0 {
+		n.reconfigure()
+	}
+	n.scheduleExpiry()
 }
