siskinpathd: tests of connections end with no goroutine left

The other hosts of forward's tests kept their connections open, and with them 256 goroutines each in Session.OpenStream; they close them at the end now. No check has changed.

--- a/siskinpathd/forward/forward_test.go
+++ b/siskinpathd/forward/forward_test.go
@@ -222,9 +222,7 @@
 		})
 	})
 	Convey("a host of a release that replies once on each stream can be asked again", t, func() {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		So(err, ShouldBeNil)
-		Reset(func() { _ = ln.Close() })
+		ln := listen()
 		go func() {
 			nc, err := ln.Accept()
 			if err != nil {
@@ -256,6 +254,40 @@
 	})
 }
 
+// closingListener closes the connections that it has accepted when it is closed.
+type closingListener struct {
+	net.Listener
+	mu       sync.Mutex
+	accepted []net.Conn
+}
+
+// listen listens until the end of the test.
+func listen() net.Listener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	l := &closingListener{Listener: ln}
+	Reset(func() { _ = l.Close() })
+	return l
+}
+
+func (l *closingListener) Accept() (nc net.Conn, err error) {
+	if nc, err = l.Listener.Accept(); err == nil {
+		l.mu.Lock()
+		l.accepted = append(l.accepted, nc)
+		l.mu.Unlock()
+	}
+	return nc, err
+}
+
+func (l *closingListener) Close() error {
+	l.mu.Lock()
+	for _, nc := range l.accepted {
+		_ = nc.Close()
+	}
+	l.mu.Unlock()
+	return l.Listener.Close()
+}
+
 // ended waits until the other host has closed the stream for messages.
 func (s *session) ended() bool {
 	for range 1000 {
@@ -269,9 +301,7 @@
 
 func TestSessionFaults(t *testing.T) {
 	Convey("a host that accepts no streams doesn't hold up a call beyond its time", t, func() {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		So(err, ShouldBeNil)
-		Reset(func() { _ = ln.Close() })
+		ln := listen()
 		go func() {
 			nc, err := ln.Accept()
 			if err != nil {
@@ -300,9 +330,7 @@
 		}
 	})
 	Convey("a host that stops reading a long request ends the call", t, func() {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		So(err, ShouldBeNil)
-		Reset(func() { _ = ln.Close() })
+		ln := listen()
 		go func() {
 			nc, err := ln.Accept()
 			if err != nil {
--- /dev/null
+++ b/siskinpathd/mux/leak_test.go
@@ -0,0 +1,9 @@
+package mux
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- /dev/null
+++ b/siskinpathd/upstream/leak_test.go
@@ -0,0 +1,9 @@
+package upstream
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
