--- a/review/lab/quota.go
+++ b/review/lab/quota.go
@@ -13,14 +13,16 @@
 )
 
 const (
-	// The tenants are those of whose quotas the added machine holds a share, with these names
-	// of tenants and machines.
+	// The tenant is one of whose quota lateHost holds a share, with these names of machines.
 	hotTenant = "tenant-12"
 	// Its quota and what it sends, in requests a second.
 	tenantRate, tenantBurst = 200.0, 10.0
 	tenantSends             = 480
 	quotaWindow             = 5 * time.Second
 	loadTime                = 20 * time.Second
+
+	lateHost, lateHostZone = "front-aug-4", "aug"
+	turnedAwayFor          = 9 * time.Second
 )
 
 // tenantZones each have three machines and three workers.
@@ -45,12 +47,10 @@
 	return held
 }
 
-// quota adds a machine, which is killed and started again some seconds later, and has a
-// tenant send more than its quota.
-func quota(l *lab) (broken bool, err error) {
-	s, err := startStore()
-	if err != nil {
-		return false, err
+// startTenantFleet starts the store, the workers and twelve machines for the first time.
+func (l *lab) startTenantFleet() (s *store, err error) {
+	if s, err = startStore(); err != nil {
+		return nil, err
 	}
 	s.put("op", "config", configOf(7, routeOf("acts", "/acts/", "unsafe", "geboorte-reg"), serviceOf("geboorte-reg"), limits(),
 		tenantOf(hotTenant, tenantRate, tenantBurst, "key-hot")))
@@ -58,33 +58,73 @@
 		zone := tenantZones[i%len(tenantZones)]
 		w, err := startWorker(fmt.Sprintf("i-%d", i), "geboorte-reg", zone, 6, 5*time.Millisecond, l.recordRun)
 		if err != nil {
-			return false, err
+			return nil, err
 		}
 		go w.beat(s, l.stopped)
-		h, err := newEntryHost(fmt.Sprintf("front-%s-%d", zone, 1+i/len(tenantZones)), zone, l.program, l.dir, s.address, registryBounds)
-		if err != nil {
-			return false, err
-		}
-		l.hosts = append(l.hosts, h)
-		if err := h.start(true); err != nil {
-			return false, err
+		if _, err := l.addHost(fmt.Sprintf("front-%s-%d", zone, 1+i/len(tenantZones)), zone, s.address, true); err != nil {
+			return nil, err
 		}
 	}
+	return s, nil
+}
+
+// addHost starts a machine with a new id.
+func (l *lab) addHost(id, zone, storeAddress string, first bool) (*entryHost, error) {
+	h, err := newEntryHost(id, zone, l.program, l.dir, storeAddress, registryBounds)
+	if err != nil {
+		return nil, err
+	}
+	l.hosts = append(l.hosts, h)
+	return h, h.start(first)
+}
+
+// quotaAtFirstStart starts thirteen machines for the first time. As the disruption, the store
+// turns one of them away until turnedAwayFor after its start.
+func quotaAtFirstStart(l *lab) (broken bool, err error) {
+	s, err := l.startTenantFleet()
+	if err != nil {
+		return false, err
+	}
+	until := time.Now().Add(turnedAwayFor)
+	address, err := s.listen(func() bool { return l.trouble != "0" && time.Now().Before(until) })
+	if err != nil {
+		return false, err
+	}
+	if l.trouble != "0" {
+		l.line("the store turns %s away for %v", lateHost, turnedAwayFor)
+	}
+	if _, err := l.addHost(lateHost, lateHostZone, address, true); err != nil {
+		return false, err
+	}
+	l.line("13 machines are started for the first time")
+	if err := waitReady(l.hosts, 25*time.Second); err != nil {
+		return false, err
+	}
+	l.line("13 machines are ready")
+	time.Sleep(5 * time.Second)
+	l.line("holders of shares of the quota: %v", l.holders(hotTenant))
+	l.line("the tenant sends %d requests a second for %v", tenantSends, loadTime)
+	return l.judgeQuota(l.hotLoad()), nil
+}
+
+// quota adds a machine, which is killed and started again some seconds later, and has a
+// tenant send more than its quota.
+func quota(l *lab) (broken bool, err error) {
+	s, err := l.startTenantFleet()
+	if err != nil {
+		return false, err
+	}
 	if err := waitReady(l.hosts, 20*time.Second); err != nil {
 		return false, err
 	}
 	time.Sleep(5 * time.Second)
 	l.line("12 machines are ready; holders of shares of the quota: %v", l.holders(hotTenant))
 
-	h, err := newEntryHost("front-aug-4", "aug", l.program, l.dir, s.address, registryBounds)
+	h, err := l.addHost(lateHost, lateHostZone, s.address, false)
 	if err != nil {
 		return false, err
 	}
-	l.hosts = append(l.hosts, h)
 	l.line("%s is added", h.id)
-	if err := h.start(false); err != nil {
-		return false, err
-	}
 	if err := waitReady(l.hosts, 20*time.Second); err != nil {
 		return false, err
 	}
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -45,19 +45,33 @@
 	changed chan struct{} // closed at each change
 }
 
-func startStore() (*store, error) {
-	s := &store{start: time.Now(), rows: map[string]row{}, changed: make(chan struct{})}
+func startStore() (s *store, err error) {
+	s = &store{start: time.Now(), rows: map[string]row{}, changed: make(chan struct{})}
+	s.address, err = s.listen(func() bool { return false })
+	return s, err
+}
+
+// listen serves the store at another address, where it turns callers away with 503 as long as
+// turnedAway says so.
+func (s *store) listen(turnedAway func() bool) (address string, err error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return "", err
 	}
-	s.address = ln.Addr().String()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/rows-get", s.get)
 	mux.HandleFunc("GET /v1/rows-feed", s.feed)
 	mux.HandleFunc("POST /v1/rows-tx", s.tx)
-	go func() { _ = http.Serve(ln, mux) }()
-	return s, nil
+	go func() {
+		_ = http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			if turnedAway() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			mux.ServeHTTP(w, req)
+		}))
+	}()
+	return ln.Addr().String(), nil
 }
 
 func (s *store) wake() {
