--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -245,3 +245,13 @@
 	s.wake()
 	s.reply(w, nil)
 }
+
+// remove removes a row.
+func (s *store) remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ver++
+	r := row{Table: table, Key: key, Ver: s.ver, Removed: true}
+	s.rows[r.id()] = r
+	s.wake()
+}
