--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -90,6 +90,8 @@
 	status int // 0 without an answer
 	err    error
 	body   string
+
+	address string // set by the case
 }
 
 // send sends one attempt on a new connection, as a caller does.
--- a/review/lab/revoked_key.go
+++ b/review/lab/revoked_key.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -73,6 +74,7 @@
 				for directory := l.hosts[i].directory; time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 					for _, address := range resolve(directory, hostName, zone) {
 						a := send("POST", address, hostName, "/acts/"+key, key, "act", 1500*time.Millisecond)
+						a.address = address
 						l.line("attempt %s with %s to %s, sent %d ms after the confirmation: status %d, %d runs", a.id, key, address,
 							a.sent.Sub(confirmed).Milliseconds(), a.status, len(l.runsOf(a.id)))
 						if key == goneKey {
@@ -110,15 +112,26 @@
 	}
 	wg.Wait()
 	late := 0
+	lateAt, refusedAt := map[string]int{}, map[string]int{} // by address
 	for _, a := range attempts {
+		if a.sent.Sub(confirmed) > revokeBound && a.status == http.StatusUnauthorized {
+			refusedAt[a.address]++
+		}
 		for _, r := range l.runsOf(a.id) {
 			if a.sent.Sub(confirmed) > revokeBound {
 				late++
+				lateAt[a.address]++
 				l.line("attempt %s with %s was sent %d ms after the confirmation and ran at %s for tenant %q", a.id, goneKey,
 					a.sent.Sub(confirmed).Milliseconds(), r.Worker, r.Tenant)
 			}
 		}
 	}
+	for _, h := range l.hosts {
+		l.line("%s, %s, of the attempts with %s sent later than revoke_ms: %d ran, %d got 401", h.id, h.front, goneKey, lateAt[h.front], refusedAt[h.front])
+		for _, line := range h.logLines(`"msg":"configuration in force"`) {
+			l.line("log of %s: %s", h.id, line)
+		}
+	}
 	l.line("%d of %d attempts with %s ran although they were sent later than revoke_ms after the confirmation", late, len(attempts), goneKey)
 	return late > 0, nil
 }
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -79,12 +79,26 @@
 	s.changed = make(chan struct{})
 }
 
+// waitUp waits until the store is not away. Workers and the operator write nothing before.
+func (s *store) waitUp() {
+	for s.isDown() {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (s *store) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
 // put writes a row and returns when the store has confirmed it.
 func (s *store) put(table, key string, value any) time.Time {
 	b, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
 	}
+	s.waitUp()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ver++
