review: after a change of the settings and a restart of all hosts nobody grants quotas for 70 s

Twelve hosts lose power after their settings name more of a core.

Cases that run at the same time use different ports.

--- a/review/lab/host.go
+++ b/review/lab/host.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -27,18 +26,21 @@
 type entryHost struct {
 	id, zone, front, ready, directory, metrics string
 
-	dir, program, rest string // rest is the settings after first_start
+	dir, program, rest string           // rest is the settings after first_start
+	command            func() *exec.Cmd // nil for the program itself
 	cmd                *exec.Cmd
 	ended              chan struct{}
 }
 
-// Ports of entry hosts lie below those that the system gives to connections.
+// Ports of entry hosts lie below those that the system gives to connections. Cases that run at
+// the same time begin at different ones.
 const (
-	firstPort = 12000
-	lastPort  = 30000
+	firstPort    = 12000
+	lastPort     = 30000
+	portsOfACase = 600
 )
 
-var nextPort = firstPort + rand.IntN(lastPort-firstPort)
+var nextPort = firstPort + os.Getpid()%((lastPort-firstPort)/portsOfACase)*portsOfACase
 
 // freeAddress returns a loopback address that nobody listens on, another one at each call.
 func freeAddress() (string, error) {
@@ -125,6 +127,9 @@
 	}
 	defer func() { _ = log.Close() }()
 	h.cmd = exec.Command(h.program, "serve")
+	if h.command != nil {
+		h.cmd = h.command()
+	}
 	h.cmd.Env = []string{"SISKINPATH_NODE_FILE=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + h.dir}
 	h.cmd.Stdout, h.cmd.Stderr = log, log
 	if err := h.cmd.Start(); err != nil {
