--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -142,7 +142,7 @@
 }
 
 func main() {
-	cases := map[string]func(*lab) (broken bool, err error){"lost-machines": lostMachines, "resized": resized, "pipelined": pipelined, "fraction": fraction, "descriptors": descriptors, "revoked-key": revokedKey, "quota": quota, "quota-at-first-start": quotaAtFirstStart, "weights": weights, "deadly": deadly}
+	cases := map[string]func(*lab) (broken bool, err error){"lost-machines": lostMachines, "replaced": replaced, "pipelined": pipelined, "descriptors": descriptors, "revoked-key": revokedKey, "quota": quota, "quota-at-first-start": quotaAtFirstStart, "weights": weights, "deadly": deadly}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: lab CASE siskinpath-entry")
 		os.Exit(exitNotRun)
