review: the records of cases 4 and 5 show the causes

Case 4 has the log line of the listener's end, a connection to the directory without an answer, a request that the same host serves, and the settings of its site's smallest machines. Case 5 has the holders of each quota and the reasons of refusals.

--- a/review/lab/descriptors.go
+++ b/review/lab/descriptors.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os/exec"
+	"strings"
 	"sync"
 	"time"
 )
@@ -19,6 +20,15 @@
 	burstTime       = 3 * time.Second
 )
 
+// smallBounds are those of nkabom-ring-now-grown.
+var smallBounds = bounds{configMs: 2500, drainMs: 2500, graceMs: 6000}
+
+// smallMachine gives a host the figures of the smallest machines of nkabom-ring-now-grown.
+func smallMachine(h *entryHost) {
+	h.rest = strings.NewReplacer("memory_mb = 241", "memory_mb = 136", "cores = 0.272", "cores = 0.112", "link_mbps = 830.0", "link_mbps = 10.0",
+		"repeat_slack = 76", "repeat_slack = 285").Replace(h.rest)
+}
+
 // limitDescriptors makes the process of a host end up with the descriptors of its machine.
 func limitDescriptors(h *entryHost) {
 	h.command = func() *exec.Cmd {
@@ -42,10 +52,11 @@
 			}
 			go w.beat(s, l.stopped)
 		}
-		h, err := newEntryHost(fmt.Sprintf("front-%s-1", zone), zone, l.program, l.dir, s.address, registryBounds)
+		h, err := newEntryHost(fmt.Sprintf("front-%s-1", zone), zone, l.program, l.dir, s.address, smallBounds)
 		if err != nil {
 			return false, err
 		}
+		smallMachine(h)
 		limitDescriptors(h)
 		l.hosts = append(l.hosts, h)
 		if err := h.start(true); err != nil {
@@ -79,6 +90,9 @@
 	time.Sleep(time.Until(back.Add(recoveryBound)))
 	close(checked)
 	l.line("%s says that it is ready: %v", h.id, h.isReady())
+	l.line("%s", l.askDirectory(h))
+	a := send("GET", h.front, hostName, "/acts/1", "", "", 1500*time.Millisecond)
+	l.line("attempt %s of a requester that knows the address %s: status %d, %d runs", a.id, h.front, a.status, len(l.runsOf(a.id)))
 	after := l.newRequesters("later than recovery_s after it is back", judgedTime)
 	for _, text := range []string{"Permanent error", "listener stopped", "listener for other hosts"} {
 		for _, line := range h.logLines(text) {
@@ -92,6 +106,20 @@
 	return after < 0.25, nil
 }
 
+// askDirectory connects to a machine's directory and says what comes back within two seconds.
+func (l *lab) askDirectory(h *entryHost) string {
+	nc, err := net.DialTimeout("tcp", h.directory, time.Second)
+	if err != nil {
+		return fmt.Sprintf("no connection to the directory of %s: %v", h.id, err)
+	}
+	defer func() { _ = nc.Close() }()
+	_ = nc.SetDeadline(time.Now().Add(2 * time.Second))
+	_, _ = fmt.Fprintf(nc, "GET /v1/resolve?name=%s&region=gh-mid&zone=%s HTTP/1.1\r\nHost: %s\r\n\r\n", hostName, h.zone, h.directory)
+	b := make([]byte, 64)
+	n, err := nc.Read(b)
+	return fmt.Sprintf("a connection to the directory of %s is opened; what comes back in 2 s: %q, %v", h.id, b[:n], err)
+}
+
 // checkReadiness asks a machine once a second whether it is ready, as the platform does, until
 // stop is closed.
 func (l *lab) checkReadiness(h *entryHost, stop <-chan struct{}) {
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -87,7 +87,8 @@
 type answer struct {
 	id     string
 	sent   time.Time
-	status int // 0 without an answer
+	status int    // 0 without an answer
+	reason string // the host's, of an answer of its own; for the record only
 	err    error
 	body   string
 
@@ -122,6 +123,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(resp.Body)
 	a.status, a.body, a.err = resp.StatusCode, string(b), err
+	a.reason = resp.Header.Get("Siskin-Reason")
 	return a
 }
 
--- a/review/lab/recover.go
+++ b/review/lab/recover.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -53,7 +54,7 @@
 type tally struct {
 	mu           sync.Mutex
 	sent, served map[string]int
-	statuses     map[int]int
+	statuses     map[string]int // with the reasons of the hosts' own answers
 }
 
 func (t *tally) total() (sent, served int) {
@@ -67,7 +68,7 @@
 // fleetLoad has all tenants send within their quotas for a time, to addresses that a directory
 // of one of the machines names, and counts what is served.
 func (l *lab) fleetLoad(span time.Duration, machines []*entryHost) *tally {
-	t := &tally{sent: map[string]int{}, served: map[string]int{}, statuses: map[int]int{}}
+	t := &tally{sent: map[string]int{}, served: map[string]int{}, statuses: map[string]int{}}
 	var wg sync.WaitGroup
 	for i := range fleetTenants {
 		name := tenantName(i)
@@ -84,11 +85,11 @@
 				address := addresses[rand.IntN(len(addresses))]
 				wg.Go(func() {
 					a := send("POST", address, hostName, "/acts/1", "key-of-"+name, "act", 1500*time.Millisecond)
-					l.line("attempt %s of %s to %s, sent at %.3f s: status %d, %d runs", a.id, name, address, a.sent.Sub(l.start).Seconds(), a.status, len(l.runsOf(a.id)))
+					l.line("attempt %s of %s to %s, sent at %.3f s: status %d %s, %d runs", a.id, name, address, a.sent.Sub(l.start).Seconds(), a.status, a.reason, len(l.runsOf(a.id)))
 					t.mu.Lock()
 					defer t.mu.Unlock()
 					t.sent[name]++
-					t.statuses[a.status]++
+					t.statuses[strings.TrimSpace(fmt.Sprint(a.status, " ", a.reason))]++
 					if a.status == 200 {
 						t.served[name]++
 					}
@@ -110,6 +111,13 @@
 	return float64(served) / float64(max(1, sent))
 }
 
+// reportHolders records which hosts say that they hold a share of a tenant's quota.
+func (l *lab) reportHolders(when string) {
+	for i := range fleetTenants {
+		l.line("%s: holders of shares of the quota of %s: %v", when, tenantName(i), l.holders(tenantName(i)))
+	}
+}
+
 // afterPowerLoss plays traffic, a loss of power of all machines, after which those of back are
 // started, and traffic again. It reports whether RECOVER is broken.
 func (l *lab) afterPowerLoss(back []*entryHost) (broken bool, err error) {
@@ -118,6 +126,7 @@
 	if before < 0.25 {
 		return false, fmt.Errorf("only %.3f of the requests are served before the loss of power", before)
 	}
+	l.reportHolders("before the loss of power")
 	for _, h := range l.hosts {
 		h.kill()
 	}
@@ -137,6 +146,7 @@
 		l.line("%d machines are back or in their place, and ready", len(back))
 	}
 	time.Sleep(recoveryBound)
+	l.reportHolders("after the loss of power")
 	after := l.report("later than recovery_s after they are back", l.fleetLoad(judgedTime, back))
 	l.line("served: %.3f before the loss of power, %.3f later than recovery_s after the machines are back", before, after)
 	return after < 0.25, nil
