--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -11,9 +11,9 @@
 )
 
 var cases = map[string]func(trouble bool){
-	"key-restore": keyRestore,
-	"drain-cut":   drainCut,
-	"relays-cut":  relaysCut,
+	"key-frozen": keyFrozen,
+	"drain-cut":  drainCut,
+	"relays-cut": relaysCut,
 }
 
 func main() {
