--- a/review/lab2/worker.go
+++ b/review/lab2/worker.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"encoding/base64"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -68,11 +70,12 @@
 	return w
 }
 
-// beat writes the worker's entry, as each heartbeat does.
+// beat writes the worker's entry, as each heartbeat does. The entry changes when more than the
+// sequence does.
 func (w *worker) beat() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.state == "" {
+	if w.state == "" || w.listed() == w.state {
 		return
 	}
 	w.sequence++
@@ -80,6 +83,20 @@
 		"state": w.state, "warmup_left_ms": 0, "sequence": w.sequence, "born": w.born})
 }
 
+// listed returns the state in the worker's entry, "" without one.
+func (w *worker) listed() string {
+	r, ok := w.store.get("servers", w.id)
+	if !ok {
+		return ""
+	}
+	b, _ := base64.StdEncoding.DecodeString(r.Value)
+	var entry struct {
+		State string `json:"state"`
+	}
+	_ = json.Unmarshal(b, &entry)
+	return entry.State
+}
+
 func (w *worker) setState(state string) {
 	w.mu.Lock()
 	w.state = state
