--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -11,8 +11,9 @@
 )
 
 var cases = map[string]func(trouble bool){
-	"key-frozen": keyFrozen,
-	"relays-cut": relaysCut,
+	"key-frozen":    keyFrozen,
+	"host-returned": hostReturned,
+	"relays-cut":    relaysCut,
 }
 
 func main() {
