--- a/review/lab2/case_returned.go
+++ b/review/lab2/case_returned.go
@@ -15,18 +15,21 @@
 
 const hostsTable = "siskinpath_hosts"
 
-// hostReturned plays a loss of power of all machines, after which one comes back at once, one
-// some seconds later and the others never, and traffic of tenants within their quotas.
+// hostReturned plays a loss of power of all machines, after which three come back and the others
+// never, while one of the three is cut off from the other two and from the store for some
+// seconds, and traffic of tenants within their quotas.
 func hostReturned(trouble bool) {
 	const (
 		name     = "ficu95.example"
-		machines = 24
+		machines = 30
 		tenants  = 12
 		rate     = 6.0 // of each tenant's quota
 		sends    = 5.0 // requests a second of each tenant
 		recovery = 15 * time.Second
 		judged   = 20 * time.Second
 		least    = 0.25
+		cutID    = "front-bonheiden-rz-1" // the first by name
+		maxCut   = 11 * time.Second
 	)
 	set := settings{memoryMB: 219, configurationMs: 2500, leavingMs: 2500, revocationMs: 5000, windowMs: 5000, overage: 0.1, slack: 20, graceMs: 6000, probes: 60, repeatSlack: 75}
 	s := startStore()
@@ -43,8 +46,13 @@
 		startWorker(fmt.Sprintf("i-%02d", i), "acts", zones[i%3], 6, 20*time.Millisecond, s)
 	}
 	var hosts []*host
+	var links []*proxy // of the one that is cut off
 	for i := range machines {
 		h := newHost(1+i/3, zones[i%3], s.address(), set)
+		if h.id == cutID {
+			links = []*proxy{startProxy(s.address()), startProxy(h.peer), startProxy(h.forward)}
+			h.storeAddr, h.peerLink, h.forwardLink = links[0].address(), links[1].address(), links[2].address()
+		}
 		hosts = append(hosts, h)
 		h.start(true)
 	}
@@ -93,25 +101,29 @@
 		}
 		lost := time.Now()
 		rec.line("all %d machines have lost power", machines)
-		sort.Slice(hosts, func(i, j int) bool { return hosts[i].id < hosts[j].id })
-		// The one that comes back first looks after the list of hosts also beside the other: its
-		// name ranks before the other's.
-		late, soon := hosts[0], hostNamed(hosts, "front-rupel-dc-5")
+		// The first of these looks after the list of hosts also beside the others: its name ranks
+		// before theirs.
+		back = []*host{hostNamed(hosts, "front-rupel-dc-5"), hostNamed(hosts, "front-mech-stad-2"), hostNamed(hosts, cutID)}
+		cut := os.Getenv("CUT") != "0" // not asked for
+		for _, l := range links {
+			l.setCut(cut)
+		}
 		time.Sleep(time.Until(lost.Add(time.Second)))
-		soon.start(false)
-		waitReady(5*time.Second, soon)
-		lateAfter := 6800 * time.Millisecond
-		if os.Getenv("LATE") == "0" { // not asked for: it comes back with the others
-			lateAfter = time.Second
+		begin := time.Now()
+		for _, h := range back {
+			h.start(false)
 		}
-		time.Sleep(time.Until(lost.Add(lateAfter)))
-		for time.Since(lost) > 6*time.Second && time.Since(lost) < 8*time.Second && !strings.Contains(s.listedHosts(), late.id) { // on a slow machine
-			time.Sleep(50 * time.Millisecond)
+		waitReady(5*time.Second, back[:2]...)
+		if cut {
+			for !strings.Contains(s.listedHosts(), cutID) && time.Since(begin) < maxCut {
+				time.Sleep(20 * time.Millisecond)
+			}
+			rec.line("%s was cut off for %.1f s; rows of hosts: %s", cutID, time.Since(begin).Seconds(), s.listedHosts())
+			for _, l := range links {
+				l.setCut(false)
+			}
 		}
-		rec.line("rows of hosts: %s", s.listedHosts())
-		late.start(false)
-		waitReady(5*time.Second, late)
-		back = []*host{soon, late}
+		waitReady(5*time.Second, back...)
 	}
 	rec.line("machines that are back: %v", ids(back))
 	for range 3 {
--- a/review/lab2/host.go
+++ b/review/lab2/host.go
@@ -41,8 +41,11 @@
 	peer      string
 	forward   string
 	metrics   string
-	file      string
-	logPath   string
+	// Where other hosts reach it, if a link stands before it.
+	peerLink, forwardLink string
+
+	file    string
+	logPath string
 
 	cmd  *exec.Cmd
 	done chan struct{}
@@ -137,7 +140,7 @@
 metrics = %q
 peer = %q
 forward = %q
-
+%s
 [platform]
 address = %q
 
@@ -167,13 +170,21 @@
 [log]
 level = "info"
 lines_per_second = 50
-`, h.id, h.zone, first, h.set.memoryMB, h.caller, h.ready, h.directory, h.metrics, h.peer, h.forward, h.storeAddr, h.set.probes, h.set.repeatSlack,
+`, h.id, h.zone, first, h.set.memoryMB, h.caller, h.ready, h.directory, h.metrics, h.peer, h.forward, h.links(), h.storeAddr, h.set.probes, h.set.repeatSlack,
 		h.set.configurationMs, h.set.leavingMs, h.set.revocationMs, h.set.windowMs, h.set.overage, h.set.slack, h.set.graceMs)
 	if err := os.WriteFile(h.file, []byte(text), 0o644); err != nil {
 		cannotRun("settings: %v", err)
 	}
 }
 
+// links returns the settings for links before the ports for other hosts, if there are any.
+func (h *host) links() string {
+	if h.peerLink == "" {
+		return ""
+	}
+	return fmt.Sprintf("peer_advertised = %q\nforward_advertised = %q\n", h.peerLink, h.forwardLink)
+}
+
 // start starts the process with the command of the deploy file.
 func (h *host) start(first bool) {
 	h.writeSettings(first)
