--- /dev/null
+++ b/siskinpathd/entry/conn_read.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"net"
+	"siskinpath/core/clock"
+	"siskinpath/core/config"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// readError reports a request that cannot be read.
+type readError struct {
+	status int // HTTP status of the response
+	// reason is a text of this package and never quotes the request, which may contain a
+	// key.
+	reason string
+	// retryAfter is set if the caller may send the same request again.
+	retryAfter clock.Millis
+}
+
+func (e *readError) Error() string { return e.reason }
+
+// heldRequest is a request whose body counts against the budget until it is released.
+type heldRequest struct {
+	fasthttp.Request
+	body bodyHold
+}
+
+// release returns the body's bytes to the budget.
+func (r *heldRequest) release() { r.body.release() }
+
+// readRequest reads a request with its body. The caller must release it.
+func (c *conn) readRequest(limits config.Limits) (req *heldRequest, err error) {
+	held := &heldRequest{body: bodyHold{budget: c.server.Bodies}}
+	req = held
+	req.Header.SetNoDefaultContentType(true)
+	defer func() {
+		if err != nil {
+			held.release()
+			c.server.recordMalformed(c, &held.Header, err)
+		}
+	}()
+	if err = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout.Duration())); err != nil {
+		return nil, err
+	}
+	if err = req.Header.Read(c.r); err != nil {
+		return nil, classifyHeaderError(err)
+	}
+	toOriginForm(&req.Header)
+	maxBytes := limits.MaxBodyBytes
+	if req.Header.ContentLength() > maxBytes {
+		return nil, errBodyTooLarge
+	}
+	if !req.body.grow(req.Header.ContentLength()) {
+		return nil, errBodyMemory
+	}
+	if req.MayContinue() {
+		if err = c.writeContinue(); err != nil {
+			return nil, err
+		}
+	}
+	if req.Header.ContentLength() == 0 || req.Header.ContentLength() == identityLength {
+		return req, nil
+	}
+	if err = c.SetReadDeadline(time.Now().Add(bodyTimeout.Duration())); err != nil {
+		return nil, err
+	}
+	if err = req.readBody(c.r, maxBytes); err != nil {
+		return nil, classifyBodyError(err)
+	}
+	return req, nil
+}
+
+// identityLength is fasthttp's ContentLength of a request with neither
+// Content-Length nor chunked encoding.
+const identityLength = -2
+
+// chunkedLength is fasthttp's ContentLength of a request with a body in chunks.
+const chunkedLength = -1
+
+// classifyHeaderError returns a readError unless the connection has ended. Errors of
+// fasthttp quote the request and are not passed on: its headers may contain a key.
+func classifyHeaderError(err error) error {
+	var small *fasthttp.ErrSmallBuffer
+	var netErr net.Error
+	switch {
+	case errors.As(err, &small):
+		return &readError{status: fasthttp.StatusRequestHeaderFieldsTooLarge, reason: "header too large"}
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return &readError{status: fasthttp.StatusRequestTimeout, reason: "header too slow"}
+	case errors.As(err, &netErr), isConnectionEnd(err):
+		return err
+	}
+	return &readError{status: fasthttp.StatusBadRequest, reason: "malformed header"}
+}
+
+// classifyBodyError is classifyHeaderError for the body with its trailer.
+func classifyBodyError(err error) error {
+	var readErr *readError
+	var netErr net.Error
+	switch {
+	case errors.As(err, &readErr):
+		return readErr
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return &readError{status: fasthttp.StatusRequestTimeout, reason: "body too slow"}
+	case errors.As(err, &netErr), isConnectionEnd(err):
+		return err
+	}
+	return &readError{status: fasthttp.StatusBadRequest, reason: "malformed body or trailer"}
+}
