entry: callers' connections are limited, and idle ones give way to new ones

What callers saw: while more connections were open than the process may have descriptors, no caller got an answer, and the host reached neither upstreams nor the store. The cause: the callers' listener accepted without a bound, and each connection took a read buffer of 18 KB from its start.

The host now has as many connections of callers as two fifths of its descriptors (the new setting max_descriptors, from the platform's max_fds) and a tenth of its memory allow. A further one takes the place of one that has sent no request for half a second, of the one that has been idle for longest, or of one whose client sends or takes less than 16 KB/s; where all others are busy it is closed at once, before anything of it is read. Read buffers begin with 4 KB and grow for longer headers. Log line 'connection closed to make room', counters caller_connections_closed_total and caller_connections_refused_total.

--- a/siskinpathd/entry/conn.go
+++ b/siskinpathd/entry/conn.go
@@ -33,6 +33,9 @@
 	// requestLineBytes is the size of the read buffer beyond the limit on header fields, for
 	// the request line.
 	requestLineBytes = 2048
+	// readBufferBytes is the size of a connection's read buffer, which grows for a longer
+	// header.
+	readBufferBytes = 4096
 )
 
 // conn is a caller's connection. One goroutine reads requests, so that a closed
@@ -41,8 +44,8 @@
 type conn struct {
 	net.Conn
 	server    *Server
-	r         *bufio.Reader
-	caller    string // address of the caller, without its port
+	r         *bufio.Reader // reads from the conn, which counts the bytes
+	caller    string        // address of the caller, without its port
 	requests  chan *heldRequest
 	inFlight  atomic.Int32 // requests read or being read, and not yet answered
 	lingering atomic.Bool  // the last response was written
@@ -50,38 +53,56 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	received transfer      // of the request that is being read
+	sent     transfer      // of the response that is being written
+	removed  chan struct{} // closed when the connection has been closed and forgotten
+
 	writeMu sync.Mutex // held while a response, or 100 Continue between two, is written
 
 	mu            sync.Mutex
-	idle          bool      // no byte of another request has been read
-	closeWhenIdle bool      // close the connection as soon as it is idle
-	newUntil      time.Time // it is not closed before without a request; zero once one was read
+	idle          bool         // no byte of another request has been read
+	idleSince     clock.Millis // also the time of the connect
+	closeWhenIdle bool         // close the connection as soon as it is idle
+	used          bool         // a byte of a request has been read
 }
 
-func (s *Server) serveConn(nc net.Conn) {
-	c := &conn{Conn: nc, server: s, caller: callerAddress(nc), requests: make(chan *heldRequest, maxPipelined), newUntil: time.Now().Add(firstRequestWait.Duration())}
-	c.r = bufio.NewReaderSize(nc, headerBufferBytes(s.Limits()))
-	c.ctx, c.cancel = context.WithCancel(context.Background())
-	if !s.addConn(c) {
-		_ = nc.Close()
-		return
+func newConn(s *Server, nc net.Conn) *conn {
+	c := &conn{
+		Conn: nc, server: s, caller: callerAddress(nc), requests: make(chan *heldRequest, maxPipelined), removed: make(chan struct{}),
+		idle: true, idleSince: s.Clock.Now(),
 	}
+	c.r = bufio.NewReaderSize(c, min(readBufferBytes, headerBufferBytes(s.Limits())))
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	return c
+}
+
+func (c *conn) serve() {
 	go c.writeResponses()
 	err := c.readRequests()
 	c.handleReadEnd(err)
 }
 
-// headerBufferBytes returns the size of the read buffer, which must hold a whole header.
+// Read reads from the connection and counts the bytes.
+func (c *conn) Read(b []byte) (n int, err error) {
+	n, err = c.Conn.Read(b)
+	c.received.add(n)
+	return n, err
+}
+
+// headerBufferBytes returns the size of the read buffer that holds any header.
 func headerBufferBytes(limits config.Limits) int { return limits.MaxHeaderBytes + requestLineBytes }
 
-// fitBuffer enlarges the read buffer to what a header may have by now.
-func (c *conn) fitBuffer(limits config.Limits) {
-	size := headerBufferBytes(limits)
-	if c.r.Size() >= size {
-		return
-	}
+// enlargeBuffer replaces the read buffer by one of a size.
+func (c *conn) enlargeBuffer(size int) {
 	buffered, _ := c.r.Peek(c.r.Buffered())
-	c.r = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.Conn), size)
+	c.r = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c), size)
+}
+
+// shrinkBuffer replaces an enlarged read buffer that holds nothing.
+func (c *conn) shrinkBuffer() {
+	if c.r.Size() > readBufferBytes && c.r.Buffered() == 0 {
+		c.r = bufio.NewReaderSize(c, readBufferBytes)
+	}
 }
 
 // callerAddress returns the address of the peer of a connection without its port.
@@ -114,12 +135,13 @@
 		if err = c.awaitRequest(); err != nil {
 			return err
 		}
-		limits := c.server.Limits()
-		c.fitBuffer(limits)
-		req, err := c.readRequest(limits)
+		c.received.begin(c.server.Clock.Now())
+		req, err := c.readRequest(c.server.Limits())
+		c.received.end()
 		if err != nil {
 			return err
 		}
+		c.shrinkBuffer()
 		if !c.enqueue(req) {
 			req.release()
 			return net.ErrClosed
@@ -216,13 +238,15 @@
 func (c *conn) markIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = true
+	if !c.idle {
+		c.idle, c.idleSince = true, c.server.Clock.Now()
+	}
 	return !c.closeWhenIdle || c.inFlight.Load() > 0
 }
 
 func (c *conn) markReading() {
 	c.mu.Lock()
-	c.idle, c.newUntil = false, time.Time{}
+	c.idle, c.used = false, true
 	c.mu.Unlock()
 	c.inFlight.Add(1)
 }
@@ -233,7 +257,7 @@
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if time.Now().Before(c.newUntil) {
+	if !c.used && c.server.Clock.Now() < c.idleSince+firstRequestWait {
 		return
 	}
 	c.closeWhenIdle = true
@@ -241,3 +265,12 @@
 		_ = c.SetReadDeadline(time.Unix(1, 0)) // interrupts awaitRequest
 	}
 }
+
+// abort closes the connection and drops what the kernel still has to send, which it would keep
+// for minutes where the client takes nothing.
+func (c *conn) abort() {
+	if tc, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0)
+	}
+	_ = c.Close()
+}
--- a/siskinpathd/entry/conn_read.go
+++ b/siskinpathd/entry/conn_read.go
@@ -2,12 +2,13 @@
 
 import (
 	"net"
-	"siskinpath/core/clock"
-	"siskinpath/core/config"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"siskinpath/core/clock"
+	"siskinpath/core/config"
 )
 
 // readError reports a request that cannot be read.
@@ -45,7 +46,7 @@
 	if err = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout.Duration())); err != nil {
 		return nil, err
 	}
-	if err = req.Header.Read(c.r); err != nil {
+	if err = c.readHeader(&req.Header, limits); err != nil {
 		return nil, classifyHeaderError(err)
 	}
 	toOriginForm(&req.Header)
@@ -67,12 +68,26 @@
 	if err = c.SetReadDeadline(time.Now().Add(bodyTimeout.Duration())); err != nil {
 		return nil, err
 	}
+	if size := headerBufferBytes(limits); req.Header.ContentLength() == chunkedLength && c.r.Size() < size {
+		c.enlargeBuffer(size) // it must hold the trailer
+	}
 	if err = req.readBody(c.r, maxBytes); err != nil {
 		return nil, classifyBodyError(err)
 	}
 	return req, nil
 }
 
+// readHeader reads a header, for which it enlarges the buffer if need be.
+func (c *conn) readHeader(h *fasthttp.RequestHeader, limits config.Limits) (err error) {
+	var small *fasthttp.ErrSmallBuffer
+	for {
+		if err = h.Read(c.r); !errors.As(err, &small) || c.r.Size() >= headerBufferBytes(limits) {
+			return err
+		}
+		c.enlargeBuffer(headerBufferBytes(limits))
+	}
+}
+
 // identityLength is fasthttp's ContentLength of a request with neither
 // Content-Length nor chunked encoding.
 const identityLength = -2
--- a/siskinpathd/entry/conn_write.go
+++ b/siskinpathd/entry/conn_write.go
@@ -4,10 +4,11 @@
 	"bufio"
 	"io"
 	"net"
-	"siskinpath/core/clock"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"siskinpath/core/clock"
 )
 
 // writeResponses handles requests and writes their responses in the order in which
@@ -17,7 +18,7 @@
 	defer c.server.removeConn(c)
 	defer func() { _ = c.Close() }()
 	defer c.cancel()
-	w := bufio.NewWriterSize(c.Conn, writeBufferBytes)
+	w := bufio.NewWriterSize(c, writeBufferBytes)
 	for req := range c.requests {
 		if req == nil {
 			c.writeReadError(w)
@@ -28,6 +29,7 @@
 		req.release()
 		if err := c.write(w, &req.Request, resp, last); err != nil {
 			c.server.recordUndelivered(c, &req.Request, err)
+			c.abort()
 			return
 		}
 		c.inFlight.Add(-1)
@@ -109,12 +111,29 @@
 	}
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
+	c.sent.begin(c.server.Clock.Now())
+	defer c.sent.end()
 	if err = resp.Write(w); err != nil {
 		return err
 	}
 	return w.Flush()
 }
 
+// writePieceBytes is the number of bytes that are written at once, so that it can be told how
+// fast a client takes a response.
+const writePieceBytes = 64 << 10
+
+// Write writes to the connection and counts the bytes.
+func (c *conn) Write(b []byte) (n int, err error) {
+	for len(b) > n && err == nil {
+		var written int
+		written, err = c.Conn.Write(b[n:min(len(b), n+writePieceBytes)])
+		c.sent.add(written)
+		n += written
+	}
+	return n, err
+}
+
 // writeReadError writes the response to a request that could not be read. What the caller
 // still sends of it is discarded, so that the connection is not reset before the caller
 // has the response.
--- /dev/null
+++ b/siskinpathd/entry/make_room.go
@@ -0,0 +1,116 @@
+package entry
+
+import (
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"siskinpath/core/clock"
+)
+
+// removalWait is how long makeRoom waits for a connection that it has closed.
+const removalWait = 50 * clock.Millisecond
+
+// sendBufferBytes is the size of the kernel's send buffer of a caller's connection. As much of a
+// response is sent without the client taking it.
+const sendBufferBytes = 64 << 10
+
+var (
+	connectionsRefused = metrics.NewCounter("caller_connections_refused_total")
+	connectionsClosed  = map[standing]*metrics.Counter{
+		standingSilent: metrics.NewCounter(`caller_connections_closed_total{reason="silent"}`),
+		standingIdle:   metrics.NewCounter(`caller_connections_closed_total{reason="idle"}`),
+		standingSlow:   metrics.NewCounter(`caller_connections_closed_total{reason="slow"}`),
+	}
+)
+
+// standing tells which connections are closed first when there are too many: those with a lower
+// one.
+type standing int
+
+const (
+	standingSilent standing = iota // has sent nothing
+	standingIdle                   // waits for another request
+	standingSlow                   // sends a request, or takes a response, below minTransferRate
+	standingBusy                   // is not closed
+)
+
+func (s standing) String() string { return [...]string{"silent", "idle", "slow", "busy"}[s] }
+
+// standing returns the standing of the connection and since when it has it.
+func (c *conn) standing(now clock.Millis) (s standing, since clock.Millis) {
+	if since, slow := c.sent.slow(now, 2*sendBufferBytes); slow {
+		return standingSlow, since
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.closeWhenIdle, c.inFlight.Load() > 1:
+		return standingBusy, 0
+	case c.inFlight.Load() == 1:
+		if since, slow := c.received.slow(now, 0); slow {
+			return standingSlow, since
+		}
+		return standingBusy, 0
+	case !c.idle:
+		return standingBusy, 0
+	case c.used:
+		return standingIdle, c.idleSince
+	case now < c.idleSince+firstRequestWait:
+		return standingBusy, 0
+	}
+	return standingSilent, c.idleSince
+}
+
+// makeRoom closes another connection if there are as many as allowed. It returns false if a new
+// one can't be taken.
+func (s *Server) makeRoom() bool {
+	if s.OpenConnections() < s.MaxConnections {
+		return true
+	}
+	victim := s.closeOne()
+	if victim == nil {
+		return false
+	}
+	select {
+	case <-victim.removed:
+		return true
+	case <-time.After(removalWait.Duration()):
+		return s.OpenConnections() < s.MaxConnections
+	}
+}
+
+// closeOne closes the connection with the lowest standing, the oldest of these. It returns nil
+// if there is none to be closed.
+func (s *Server) closeOne() *conn {
+	now := s.Clock.Now()
+	victim, lowest, oldest := (*conn)(nil), standingBusy, clock.Millis(0)
+	s.mu.Lock()
+	for c := range s.conns {
+		if st, since := c.standing(now); st < lowest || st == lowest && st < standingBusy && since < oldest {
+			victim, lowest, oldest = c, st, since
+		}
+	}
+	open := len(s.conns)
+	s.mu.Unlock()
+	if victim == nil {
+		return nil
+	}
+	connectionsClosed[lowest].Inc()
+	s.Log.Info("connection closed to make room", "peer", victim.RemoteAddr().String(), "state", lowest.String(), "for_ms", now-oldest,
+		"open", open, "limit", s.MaxConnections)
+	if lowest == standingSlow {
+		victim.abort()
+	} else {
+		victim.closeIdle()
+	}
+	return victim
+}
+
+// refuseConn closes a new connection. What its client sends has not been read.
+func (s *Server) refuseConn(nc net.Conn) {
+	connectionsRefused.Inc()
+	s.Log.Warn("connection refused", "peer", nc.RemoteAddr().String(), "open", s.OpenConnections(), "limit", s.MaxConnections)
+	_ = nc.Close()
+}
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -88,6 +88,7 @@
 	forwardServer    *forward.Server // nil without an address for it
 	slots            *slotExchange
 	quotas           *quotas
+	resources        *resources
 	bodies           *bodyBudget // bodies of requests of callers and of other hosts
 	keyFence         keyFenceState
 	hostHeaders      map[string]bool // headers that only hosts set; removed from callers' requests
@@ -146,6 +147,7 @@
 	n.settings.Store(n.Settings)
 	n.registry.MinLapse = n.cfg().Platform.minLapse()
 	n.pools = &UpstreamPools{Clock: n.Clock, Dialect: n.UpstreamDialect, Replies: replyBudget(n.cfg().MemoryMB)}
+	n.resources = newResources(n.cfg())
 	n.bodies = newBodyBudget(n.cfg().MemoryMB)
 	n.decisions = &decisionLog{log: n.Log, clock: n.Clock, limit: n.LogLimiter}
 	n.crashes = &crashGuard{Clock: n.Clock, Decisions: n.decisions, Withhold: n.withhold, Announce: func(events []quarantine.Event) { n.relay.AnnounceCrashEvents(events) }}
@@ -164,7 +166,10 @@
 	n.initRelay()
 	n.hosts.roster.Self = n.relay.Self
 	n.initWatchers()
-	n.server = &Server{ListenAddress: n.cfg().Listen.Caller, Log: n.Log, RequestIDHeader: n.CallerHeaders.RequestID, Limits: n.limits, Bodies: n.bodies, Handle: n.handle}
+	n.server = &Server{
+		ListenAddress: n.cfg().Listen.Caller, Log: n.Log, Clock: n.Clock, RequestIDHeader: n.CallerHeaders.RequestID, MaxConnections: n.resources.maxConnections,
+		Limits: n.limits, Bodies: n.bodies, Handle: n.handle,
+	}
 }
 
 // cfg returns the settings in force.
--- a/siskinpathd/entry/pools.go
+++ b/siskinpathd/entry/pools.go
@@ -29,8 +29,6 @@
 	replyMemoryShare = 0.125
 	// replyMemoryParts is how many replies may be as long as allowed at the same time.
 	replyMemoryParts = 4
-	// defaultMemoryMB replaces the memory limit if the settings give none.
-	defaultMemoryMB = 256
 )
 
 // replyBudget returns the limits on replies for a process with a memory limit.
--- a/siskinpathd/entry/server.go
+++ b/siskinpathd/entry/server.go
@@ -35,7 +35,9 @@
 type Server struct {
 	ListenAddress   string
 	Log             *slog.Logger
+	Clock           clock.Clock
 	RequestIDHeader string // holds the caller's id of a request
+	MaxConnections  int    // open at a time
 	// Limits returns the limits in force.
 	Limits func() config.Limits
 	// Bodies limits the bodies of requests that are being read or held.
@@ -69,11 +71,18 @@
 		}
 		if err != nil {
 			s.Log.Warn("cannot accept a connection; retrying", "err", err)
+			s.closeOne()
 			time.Sleep(acceptRetryDelay.Duration())
 			continue
 		}
 		connectionsAccepted.Inc()
-		go s.serveConn(nc)
+		if !s.makeRoom() {
+			s.refuseConn(nc)
+			continue
+		}
+		c := newConn(s, nc)
+		s.addConn(c)
+		go c.serve()
 	}
 }
 
@@ -115,12 +124,11 @@
 	return len(s.conns)
 }
 
-func (s *Server) addConn(c *conn) bool {
+func (s *Server) addConn(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = nil
 	connectionsOpen.Add(1)
-	return true
 }
 
 func (s *Server) removeConn(c *conn) {
@@ -128,6 +136,7 @@
 	defer s.mu.Unlock()
 	delete(s.conns, c)
 	connectionsOpen.Add(-1)
+	close(c.removed)
 }
 
 // recordMalformed counts and logs a request that could not be read, and keeps the error
--- a/siskinpathd/entry/settings.go
+++ b/siskinpathd/entry/settings.go
@@ -26,8 +26,9 @@
 	Shutdown         Shutdown   `toml:"shutdown"`
 	Log              LogLimit   `toml:"log"`
 	Experiment       Experiment `toml:"experiment"`
-	MemoryMB         int        `toml:"memory_mb"` // memory limit of the process
-	Cores            float64    `toml:"cores"`     // number of cores that the process may use
+	MemoryMB         int        `toml:"memory_mb"`       // memory limit of the process; 0 means defaultMemoryMB
+	MaxDescriptors   int        `toml:"max_descriptors"` // that the process may have open; 0 means the kernel's limit
+	Cores            float64    `toml:"cores"`           // number of cores that the process may use
 }
 
 // Listen holds the addresses that the host listens on, as ip:port.
@@ -162,6 +163,10 @@
 		}
 	}
 	switch {
+	case s.MemoryMB < 0:
+		return errors.Errorf("memory_mb is %d: must be 0 or more", s.MemoryMB)
+	case s.MaxDescriptors < 0 || s.MaxDescriptors > 0 && s.MaxDescriptors < minDescriptors:
+		return errors.Errorf("max_descriptors is %d: must be at least %d, or 0 for the kernel's limit", s.MaxDescriptors, minDescriptors)
 	case s.Platform.HeartbeatMs < 0:
 		return errors.Errorf("platform.heartbeat_ms is %v: must be 0 or more", s.Platform.HeartbeatMs)
 	case s.Budgets.ProbesPerSecond < 0:
