tcp: connections to the directory and the operators' ports are limited

What callers saw: connections without a request to the directory, the readiness check or the metrics took all descriptors of a host.

These ports listen through a listener that has a limit (a tenth and twice a twentieth of the descriptors, and parts of the memory). Beyond it a new connection takes the place of the one that was not used for longest; an error of accept closes that one too and is retried.

--- a/siskinpathd/entry/make_room_test.go
+++ b/siskinpathd/entry/make_room_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -74,7 +75,7 @@
 // closedByHost reports whether the other end of a connection has been closed.
 func closedByHost(nc net.Conn) bool {
 	_, err := nc.Read(make([]byte, 1))
-	return err == io.EOF
+	return errors.Is(err, io.EOF)
 }
 
 // TestSlowTransfer guards against clients that pass for fast ones by sending a byte now and then.
--- a/siskinpathd/entry/operator.go
+++ b/siskinpathd/entry/operator.go
@@ -15,6 +15,7 @@
 	"siskinpath/core/roster"
 	"siskinpath/siskinpathd/logs"
 	"siskinpath/siskinpathd/relay"
+	"siskinpath/siskinpathd/tcp"
 )
 
 // stateDump is the state of this process as shown to operators.
@@ -50,11 +51,12 @@
 	r.GET("/metrics", func(ctx *fasthttp.RequestCtx) { metrics.WritePrometheus(ctx, true) })
 	r.GET("/v1/state", n.serveState)
 	s := &fasthttp.Server{
-		Handler: r.Handler, NoDefaultServerHeader: true, IdleTimeout: time.Minute,
+		Handler: r.Handler, NoDefaultServerHeader: true, IdleTimeout: time.Minute, WriteTimeout: writeTimeout.Duration(),
 		Logger: logs.ConnectionLogger{Log: n.Log, Address: address},
 	}
+	limited := &tcp.Listener{Listener: ln, Limit: n.cfg().OperatorConnections(), Clock: n.Clock, Log: n.Log}
 	go func() {
-		if err := s.Serve(ln); err != nil {
+		if err := s.Serve(limited); err != nil {
 			n.Log.Error("operators' listener failed", "address", address, "err", err)
 		}
 	}()
--- a/siskinpathd/entry/resources.go
+++ b/siskinpathd/entry/resources.go
@@ -14,6 +14,10 @@
 	clientMemoryShare = 0.5
 	// connectionMemoryShare is the part of it for the connections themselves.
 	connectionMemoryShare = 0.1
+	// directoryMemoryShare and operatorMemoryShare are for the connections to the other ports,
+	// that of the directory and each of the others.
+	directoryMemoryShare = 0.02
+	operatorMemoryShare  = 0.01
 )
 
 const (
@@ -30,6 +34,9 @@
 	// callerDescriptorShare is the share of the others that callers' connections may take. The
 	// rest is for connections to upstreams, hosts and the store, and for the other listeners.
 	callerDescriptorShare = 0.4
+	// directoryDescriptorShare and operatorDescriptorShare are the same for the other ports.
+	directoryDescriptorShare = 0.1
+	operatorDescriptorShare  = 0.05
 	// minDescriptors is the smallest limit that the settings may give.
 	minDescriptors = 64
 )
@@ -41,14 +48,29 @@
 }
 
 func newResources(cfg *Settings) *resources {
-	total := memoryShare(cfg, 1)
-	callers := int(callerDescriptorShare * float64(socketDescriptors(cfg)))
 	return &resources{
 		memory:         &memory.Budget{Total: memoryShare(cfg, clientMemoryShare)},
-		maxConnections: max(1, min(callers, int(connectionMemoryShare*float64(total)/connectionBytes))),
+		maxConnections: connectionLimit(cfg, callerDescriptorShare, connectionMemoryShare),
 	}
 }
 
+// connectionLimit returns the number of connections that shares of the descriptors and of the
+// memory allow.
+func connectionLimit(cfg *Settings, descriptorShare, memory float64) int {
+	descriptors := int(descriptorShare * float64(socketDescriptors(cfg)))
+	return max(1, min(descriptors, int(memoryShare(cfg, memory)/connectionBytes)))
+}
+
+// DirectoryConnections returns the number of connections to the directory.
+func (s *Settings) DirectoryConnections() int {
+	return connectionLimit(s, directoryDescriptorShare, directoryMemoryShare)
+}
+
+// OperatorConnections returns the number of connections to each port for operators and checks.
+func (s *Settings) OperatorConnections() int {
+	return connectionLimit(s, operatorDescriptorShare, operatorMemoryShare)
+}
+
 // memoryShare returns a share of the process's memory limit in bytes.
 func memoryShare(cfg *Settings, share float64) int64 {
 	return int64(share * float64(cmp.Or(cfg.MemoryMB, defaultMemoryMB)<<20))
