--- a/siskinpathd/entry/operator.go
+++ b/siskinpathd/entry/operator.go
@@ -18,6 +18,10 @@
 	"siskinpath/siskinpathd/tcp"
 )
 
+// maxOperatorBodyBytes is the largest body of a request to the operators' port, where none is
+// used.
+const maxOperatorBodyBytes = 1024
+
 // stateDump is the state of this process as shown to operators.
 type stateDump struct {
 	ID            string                       `json:"id"`
@@ -52,7 +56,7 @@
 	r.GET("/v1/state", n.serveState)
 	s := &fasthttp.Server{
 		Handler: r.Handler, NoDefaultServerHeader: true, IdleTimeout: time.Minute, WriteTimeout: writeTimeout.Duration(),
-		Logger: logs.ConnectionLogger{Log: n.Log, Address: address},
+		GetOnly: true, MaxRequestBodySize: maxOperatorBodyBytes, Logger: logs.ConnectionLogger{Log: n.Log, Address: address},
 	}
 	limited := &tcp.Listener{Listener: ln, Limit: n.cfg().OperatorConnections(), Clock: n.Clock, Log: n.Log}
 	go func() {
