entry: responses count against the host's memory until their clients have taken them

What callers saw: a process that ran out of memory, and with it all answers. Clients asked for long answers, pipelined, and read none. The cause: a reply was counted while it was read from its upstream (ReplyBudget) and by nothing afterwards, though the host holds it until the client has taken it, for up to ten seconds a response; besides, each body was read into a pooled buffer that grows by doubling and copied once more, and the kernel's send buffer of a connection could grow to 4 MB.

A reply now belongs to the budget until its response has been written or nobody wants it any more. Where there is no memory for a long one, it waits for those that are being delivered, and the slowest client below 16 KB/s for a second is cut off (reset, so that nothing looks complete); short replies do not wait. Bodies of a known length are read into memory of that length, which is counted before, and are not copied. Callers' connections have send and receive buffers of 64 KB. Metrics upstream_reply_bytes, upstream_replies_waited_total, upstream_replies_no_memory_total and responses_cut_for_memory_total, log line 'response cut, as its client took it too slowly' with the request's id.

--- a/siskinpathd/entry/conn.go
+++ b/siskinpathd/entry/conn.go
@@ -56,6 +56,7 @@
 	received transfer      // of the request that is being read
 	sent     transfer      // of the response that is being written
 	removed  chan struct{} // closed when the connection has been closed and forgotten
+	aborted  atomic.Bool   // this host has closed it before the end of a request or response
 
 	writeMu sync.Mutex // held while a response, or 100 Continue between two, is written
 
@@ -272,5 +273,6 @@
 	if tc, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tc.SetLinger(0)
 	}
+	c.aborted.Store(true)
 	_ = c.Close()
 }
--- a/siskinpathd/entry/conn_write.go
+++ b/siskinpathd/entry/conn_write.go
@@ -27,7 +27,9 @@
 		resp := c.server.Handle(c.ctx, &req.Request, c.caller)
 		last := c.closesAfter(&req.Request)
 		req.release()
-		if err := c.write(w, &req.Request, resp, last); err != nil {
+		err := c.write(w, &req.Request, resp, last)
+		resp.release()
+		if err != nil {
 			c.server.recordUndelivered(c, &req.Request, err)
 			c.abort()
 			return
--- a/siskinpathd/entry/dispatcher.go
+++ b/siskinpathd/entry/dispatcher.go
@@ -47,6 +47,7 @@
 	content func() quarantine.Content // of the request
 	maxBody int
 	replies map[route.AttemptID]*upstream.Reply
+	ended   bool              // the outcome has been returned
 	final   chan place.Action // receives the final action
 	trail   []attemptRecord
 }
@@ -95,7 +96,23 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return outcome{action: end, reply: p.replies[end.Attempt], trail: slices.Clone(p.trail)}
+	return p.end(end)
+}
+
+// end returns the outcome of a request, and releases the replies that are not part of it. d.mu
+// must be held.
+func (p *pendingRequest) end(a place.Action) outcome {
+	o := outcome{action: a, trail: slices.Clone(p.trail)}
+	if a.Kind == route.Finish {
+		o.reply = p.replies[a.Attempt]
+	}
+	for _, r := range p.replies {
+		if r != o.reply {
+			r.Release()
+		}
+	}
+	p.ended = true
+	return o
 }
 
 // cancelRequest cancels a request whose caller has disconnected. If the request has
@@ -250,7 +267,10 @@
 	cancel := d.cancels[a.Attempt]
 	delete(d.cancels, a.Attempt)
 	cancel(nil)
-	if reply != nil {
+	switch {
+	case reply != nil && p.ended:
+		reply.Release()
+	case reply != nil:
 		p.replies[a.Attempt] = reply
 	}
 	p.recordEnd(a.Attempt, result.Status, d.Clock.Now())
--- a/siskinpathd/entry/forward.go
+++ b/siskinpathd/entry/forward.go
@@ -154,6 +154,7 @@
 		return &forwardpb.Reply{Outcome: forwardpb.Outcome_OUTCOME_NOT_TAKEN, Reason: reasonStopping}
 	}
 	end, resp := n.dispatch(ctx, d, c, r, int(m.GetMaxBodyBytes()))
+	defer resp.release()
 	return encodeForwardReply(end, resp)
 }
 
--- a/siskinpathd/entry/make_room.go
+++ b/siskinpathd/entry/make_room.go
@@ -12,12 +12,16 @@
 // removalWait is how long makeRoom waits for a connection that it has closed.
 const removalWait = 50 * clock.Millisecond
 
-// sendBufferBytes is the size of the kernel's send buffer of a caller's connection. As much of a
-// response is sent without the client taking it.
-const sendBufferBytes = 64 << 10
+// Sizes of the kernel's buffers of a caller's connection. The kernel takes up to twice as much of
+// a response as sendBufferBytes although the client takes nothing.
+const (
+	sendBufferBytes    = 64 << 10
+	receiveBufferBytes = 64 << 10
+)
 
 var (
 	connectionsRefused = metrics.NewCounter("caller_connections_refused_total")
+	responsesReclaimed = metrics.NewCounter("responses_cut_for_memory_total")
 	connectionsClosed  = map[standing]*metrics.Counter{
 		standingSilent: metrics.NewCounter(`caller_connections_closed_total{reason="silent"}`),
 		standingIdle:   metrics.NewCounter(`caller_connections_closed_total{reason="idle"}`),
@@ -108,6 +112,29 @@
 	return victim
 }
 
+// reclaimResponse ends the connection of the slowest client that takes a response, if there is
+// one below minTransferRate. It reports whether any response is being written, whose memory will
+// be free.
+func (s *Server) reclaimResponse() (writing bool) {
+	now := s.Clock.Now()
+	var slowest *conn
+	var oldest clock.Millis
+	s.mu.Lock()
+	for c := range s.conns {
+		since, slow := c.sent.slow(now, 2*sendBufferBytes)
+		writing = writing || since != 0
+		if slow && !c.aborted.Load() && (slowest == nil || since < oldest) {
+			slowest, oldest = c, since
+		}
+	}
+	s.mu.Unlock()
+	if slowest != nil {
+		responsesReclaimed.Inc()
+		slowest.abort()
+	}
+	return writing
+}
+
 // refuseConn closes a new connection. What its client sends has not been read.
 func (s *Server) refuseConn(nc net.Conn) {
 	connectionsRefused.Inc()
--- a/siskinpathd/entry/make_room_test.go
+++ b/siskinpathd/entry/make_room_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -56,7 +57,7 @@
 		})
 		Convey("keeps a new connection that had no time to send a request", func() {
 			now.Advance(firstRequestWait - 1)
-			So(s.closeOne(), ShouldNotBeNil)
+			So(s.closeOne() != nil, ShouldBeTrue)
 			So(closedByHost(open[standingIdle]), ShouldBeTrue)
 		})
 		Convey("closes silent ones first, then idle ones, then slow ones, and no others", func() {
@@ -72,6 +73,41 @@
 	})
 }
 
+// TestResponsesCutForMemory guards against clients that take a response slowly and are not told
+// from those that take it fast.
+func TestResponsesCutForMemory(t *testing.T) {
+	Convey("a server that writes responses to three clients", t, func() {
+		now := &clock.Manual{}
+		now.Advance(clock.Hour)
+		s := &Server{
+			Clock: now, Log: slog.New(slog.DiscardHandler), MaxConnections: 4, conns: map[*conn]*readError{},
+			Limits: func() config.Limits { return defaultLimits }, Bodies: &bodyBudget{Total: 1000},
+		}
+		So(s.reclaimResponse(), ShouldBeFalse)
+		write := func(bytes int) net.Conn {
+			host, client := net.Pipe()
+			c := newConn(s, host)
+			s.addConn(c)
+			c.sent.begin(now.Now())
+			c.sent.add(bytes)
+			now.Advance(1)
+			return client
+		}
+		slow, slower, fast := write(2*sendBufferBytes), write(2*sendBufferBytes), write(2*sendBufferBytes+2*minTransferRate)
+		So(s.reclaimResponse(), ShouldBeTrue)
+		now.Advance(slowAfter)
+		Convey("cuts the slow ones, the oldest first, and not the fast one", func() {
+			So(s.reclaimResponse(), ShouldBeTrue)
+			So(closedByHost(slow), ShouldBeTrue)
+			So(s.reclaimResponse(), ShouldBeTrue)
+			So(closedByHost(slower), ShouldBeTrue)
+			So(s.reclaimResponse(), ShouldBeTrue)
+			_ = fast.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+			So(closedByHost(fast), ShouldBeFalse)
+		})
+	})
+}
+
 // closedByHost reports whether the other end of a connection has been closed.
 func closedByHost(nc net.Conn) bool {
 	_, err := nc.Read(make([]byte, 1))
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -146,8 +146,9 @@
 func (n *Node) initialise() {
 	n.settings.Store(n.Settings)
 	n.registry.MinLapse = n.cfg().Platform.minLapse()
-	n.pools = &UpstreamPools{Clock: n.Clock, Dialect: n.UpstreamDialect, Replies: replyBudget(n.cfg().MemoryMB)}
 	n.resources = newResources(n.cfg())
+	n.resources.replies.Reclaim = func() bool { return n.server.reclaimResponse() }
+	n.pools = &UpstreamPools{Clock: n.Clock, Dialect: n.UpstreamDialect, Replies: n.resources.replies}
 	n.bodies = newBodyBudget(n.cfg().MemoryMB)
 	n.decisions = &decisionLog{log: n.Log, clock: n.Clock, limit: n.LogLimiter}
 	n.crashes = &crashGuard{Clock: n.Clock, Decisions: n.decisions, Withhold: n.withhold, Announce: func(events []quarantine.Event) { n.relay.AnnounceCrashEvents(events) }}
--- a/siskinpathd/entry/pools.go
+++ b/siskinpathd/entry/pools.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"cmp"
 	"context"
 	"sync"
 
@@ -24,24 +23,13 @@
 	// defaultIdleTimeout is how long an idle connection is kept if the upstream does
 	// not announce its own idle time-out.
 	defaultIdleTimeout = 5 * clock.Second
-	// replyMemoryShare is the share of the process's memory that the replies being read
-	// may have sent. Buffers that grow take about twice as much for a moment.
-	replyMemoryShare = 0.125
-	// replyMemoryParts is how many replies may be as long as allowed at the same time.
-	replyMemoryParts = 4
 )
 
-// replyBudget returns the limits on replies for a process with a memory limit.
-func replyBudget(memoryMB int) *upstream.ReplyBudget {
-	total := int64(replyMemoryShare * float64(cmp.Or(memoryMB, defaultMemoryMB)<<20))
-	return &upstream.ReplyBudget{PerReply: total / replyMemoryParts, Total: total}
-}
-
 // UpstreamPools holds the connection pools of all upstreams in discovery.
 type UpstreamPools struct {
 	Clock   clock.Clock
 	Dialect *upstream.Dialect
-	Replies *upstream.ReplyBudget // limits the replies being read; nil means no limit
+	Replies *upstream.ReplyBudget // limits the replies; nil means no limit
 
 	mu    sync.RWMutex
 	pools map[string]*pooledUpstream // by upstream id
--- a/siskinpathd/entry/resources.go
+++ b/siskinpathd/entry/resources.go
@@ -5,6 +5,7 @@
 	"syscall"
 
 	"siskinpath/siskinpathd/memory"
+	"siskinpath/siskinpathd/upstream"
 )
 
 // Shares of the process's memory limit. What is held for clients leaves room for the tables and
@@ -12,6 +13,13 @@
 const (
 	// clientMemoryShare is for all that is held for clients.
 	clientMemoryShare = 0.5
+	// replyMemoryShare and replyMaxShare are the parts of it for replies of upstreams that are
+	// being read or wait for their clients: for long ones, and for all. Buffers that grow take
+	// about twice as much for a moment.
+	replyMemoryShare = 0.125
+	replyMaxShare    = 0.15
+	// replyMemoryParts is how many replies may be as long as allowed at the same time.
+	replyMemoryParts = 4
 	// connectionMemoryShare is the part of it for the connections themselves.
 	connectionMemoryShare = 0.1
 	// directoryMemoryShare and operatorMemoryShare are for the connections to the other ports,
@@ -44,12 +52,16 @@
 // resources are the limits on what the host holds for its clients.
 type resources struct {
 	memory         *memory.Budget
+	replies        *upstream.ReplyBudget
 	maxConnections int // of callers
 }
 
 func newResources(cfg *Settings) *resources {
+	total := &memory.Budget{Total: memoryShare(cfg, clientMemoryShare)}
+	replies := memoryShare(cfg, replyMemoryShare)
 	return &resources{
-		memory:         &memory.Budget{Total: memoryShare(cfg, clientMemoryShare)},
+		memory:         total,
+		replies:        &upstream.ReplyBudget{PerReply: replies / replyMemoryParts, Total: replies, Max: memoryShare(cfg, replyMaxShare), Memory: total},
 		maxConnections: connectionLimit(cfg, callerDescriptorShare, connectionMemoryShare),
 	}
 }
--- a/siskinpathd/entry/response.go
+++ b/siskinpathd/entry/response.go
@@ -19,13 +19,22 @@
 	// Reason is why the host itself responded. It is empty for the response of an
 	// upstream.
 	Reason string
+
+	reply *upstream.Reply // that it comes from; nil for none
+}
+
+// release returns the memory of the response, which must not be used any more.
+func (r *Response) release() {
+	if r.reply != nil {
+		r.reply.Release()
+	}
 }
 
 // reasonHeader holds Response.Reason. It is meant for people who debug a request.
 const reasonHeader = "Siskin-Reason"
 
 func responseFromReply(r *upstream.Reply) *Response {
-	return &Response{Status: r.Status, Header: r.Header, Body: r.Body}
+	return &Response{Status: r.Status, Header: r.Header, Body: r.Body, reply: r}
 }
 
 // notRunResponse returns the response for a request that did not run and never will.
--- a/siskinpathd/entry/server.go
+++ b/siskinpathd/entry/server.go
@@ -16,6 +16,7 @@
 
 	"siskinpath/core/clock"
 	"siskinpath/core/config"
+	"siskinpath/siskinpathd/tcp"
 )
 
 var (
@@ -58,7 +59,7 @@
 // before anything else starts.
 func (s *Server) Bind() (err error) {
 	s.conns = map[*conn]*readError{}
-	s.ln, err = net.Listen("tcp", s.ListenAddress)
+	s.ln, err = tcp.Listen(s.ListenAddress, tcp.Buffers{Send: sendBufferBytes, Receive: receiveBufferBytes})
 	return errors.WithMessagef(err, "callers' listener %s", s.ListenAddress)
 }
 
@@ -169,6 +170,11 @@
 
 func (s *Server) recordUndelivered(c *conn, req *fasthttp.Request, err error) {
 	undeliveredResponses.Inc()
+	if c.aborted.Load() {
+		s.Log.Info("response cut, as its client took it too slowly", "id", string(req.Header.Peek(s.RequestIDHeader)),
+			"peer", c.RemoteAddr().String(), "bytes_sent", c.sent.bytes.Load())
+		return
+	}
 	s.Log.Debug("response not delivered", "peer", c.RemoteAddr().String(), "uri", string(req.RequestURI()), "err", err)
 }
 
--- a/siskinpathd/upstream/attempt.go
+++ b/siskinpathd/upstream/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"time"
 
@@ -31,13 +32,19 @@
 )
 
 // Reply is a complete reply of an upstream. It does not share memory with the
-// connection.
+// connection. It counts against the pool's budget until Release is called.
 type Reply struct {
 	Status int
 	Header [][2]string
 	Body   []byte
+
+	meter *replyMeter // nil for none
 }
 
+// Release returns the memory of the reply, which must not be used any more, to the budget. It
+// may be called more than once.
+func (r *Reply) Release() { r.meter.release() }
+
 // Attempt sends a request to one upstream once.
 type Attempt struct {
 	Call         *call.Call
@@ -69,11 +76,13 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	c.meter = p.Replies.meter()
-	defer c.meter.release()
+	meter := p.Replies.meter()
+	meter.done = ctx.Done()
+	c.meter = meter
 	err = p.roundTrip(c, a, resp)
 	c.meter = nil
 	if err != nil {
+		meter.release()
 		stop()
 		result.Status = statusAfterFailure(ctx, c.written.Load())
 		p.discard(c)
@@ -87,6 +96,7 @@
 	}
 	d := p.dialect()
 	reply = d.copyReply(resp)
+	reply.meter = meter
 	result.Status = d.statusOf(resp)
 	if result.AddressReassigned = d.addressReassigned(resp); !result.AddressReassigned {
 		// A reassigned address would report on another upstream.
@@ -240,16 +250,38 @@
 
 // readBody reads the body of a reply whose header has been read, with its trailer.
 func readBody(c *conn, resp *fasthttp.Response, maxBytes int) (err error) {
-	chunked := resp.Header.ContentLength() == chunkedLength
-	if err = resp.ReadBody(c.r, maxBytes); err != nil || !chunked {
+	length := resp.Header.ContentLength()
+	if length >= 0 {
+		return readSizedBody(c, resp, length, maxBytes)
+	}
+	if err = resp.ReadBody(c.r, maxBytes); err != nil {
 		return err
 	}
+	// The body leaves the library's pool, which would keep the largest buffers.
+	resp.SetBodyRaw(resp.SwapBody(nil))
+	if length != chunkedLength {
+		return nil
+	}
 	if err = http1.AwaitTrailer(c.r); err != nil {
 		return err
 	}
 	return resp.Header.ReadTrailer(c.r)
 }
 
+// readSizedBody reads a body of a known length into memory that has been counted before.
+func readSizedBody(c *conn, resp *fasthttp.Response, length, maxBytes int) (err error) {
+	if maxBytes > 0 && length > maxBytes {
+		return fasthttp.ErrBodyTooLarge
+	}
+	if err = c.meter.reserve(length - c.r.Buffered()); err != nil {
+		return err
+	}
+	body := make([]byte, length)
+	_, err = io.ReadFull(c.r, body)
+	resp.SetBodyRaw(body)
+	return err
+}
+
 // maxInterimReplies is the number of interim replies before a final one. Without a limit
 // an upstream that sends them without end keeps a processor busy until PerReply bytes of
 // them were read, which took longer than a request's time on a busy machine.
--- a/siskinpathd/upstream/dialect.go
+++ b/siskinpathd/upstream/dialect.go
@@ -244,7 +244,9 @@
 			r.Header = append(r.Header, [2]string{string(k), string(v)})
 		}
 	}
-	r.Body = append([]byte(nil), resp.Body()...)
+	if body := resp.Body(); len(body) > 0 {
+		r.Body = body
+	}
 	return r
 }
 
--- a/siskinpathd/upstream/pool.go
+++ b/siskinpathd/upstream/pool.go
@@ -38,7 +38,7 @@
 	// ReplyGracePeriod is how long past the deadline of a request its connection may
 	// still read the reply. It serves callers that end attempts through the context.
 	ReplyGracePeriod clock.Millis
-	Replies          *ReplyBudget // limits the replies being read; nil means no limit
+	Replies          *ReplyBudget // limits the replies; nil means no limit
 
 	mu     sync.Mutex
 	idle   []*conn // most recently used last
--- a/siskinpathd/upstream/reply_budget.go
+++ b/siskinpathd/upstream/reply_budget.go
@@ -2,8 +2,21 @@
 
 import (
 	"sync/atomic"
+	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
+
+	"siskinpath/core/clock"
+	"siskinpath/siskinpathd/memory"
+)
+
+const (
+	// maxWaitingReplies is the number of replies that may wait for memory. The kernel holds a
+	// part of each meanwhile.
+	maxWaitingReplies = 16
+	// replyWaitInterval is how often a waiting reply looks for memory.
+	replyWaitInterval = 10 * clock.Millisecond
 )
 
 var (
@@ -11,17 +24,36 @@
 	errRepliesTooLong = errors.New("the replies being read are longer together than this host accepts")
 )
 
-// ReplyBudget limits the bytes of the replies that are being read, so that an upstream
-// that sends without end can't take the host's memory. Set the exported fields before
-// use. It is safe for concurrent use.
+var (
+	repliesWaited   = metrics.NewCounter("upstream_replies_waited_total")
+	repliesUnread   = metrics.NewCounter("upstream_replies_no_memory_total")
+	replyBytesInUse atomic.Int64
+)
+
+func init() {
+	metrics.NewGauge("upstream_reply_bytes", func() float64 { return float64(replyBytesInUse.Load()) })
+}
+
+// ReplyBudget limits the bytes of the replies that are being read or have not been released, so
+// that neither an upstream that sends without end nor a caller that takes nothing can use up the
+// host's memory. Set the exported fields before use. It is safe for concurrent use.
 type ReplyBudget struct {
 	PerReply int64 // bytes of one reply, with its header and replies that were skipped
-	// Total is the number of bytes of all replies that are being read. Above it, replies that
-	// are longer than an equal share fail, so that long ones don't end short ones.
+	// Total is the number of bytes of all replies. Above it, replies that are longer than an
+	// equal share wait or fail, so that long ones don't end short ones.
 	Total int64
+	// Max is the number of bytes above which all replies wait or fail; 0 for none.
+	Max int64
+	// Memory is what the replies share with other parts of the process; nil for none.
+	Memory *memory.Budget
+	// Reclaim is called again and again while a reply waits. It may end the slowest delivery of
+	// another one, and reports whether replies are being delivered, so that there will be
+	// memory. Without it no reply waits.
+	Reclaim func() bool
 
 	inUse   atomic.Int64
-	replies atomic.Int64 // being read
+	replies atomic.Int64 // being read or not released
+	waiting atomic.Int64
 }
 
 // meter returns a meter for one reply. Call release at its end.
@@ -32,32 +64,109 @@
 	return &replyMeter{budget: b}
 }
 
-// replyMeter counts the bytes read for one reply. Without a budget there is no limit.
+// fits reports whether a reply of n bytes, which are counted, may go on.
+func (b *ReplyBudget) fits(n int64) bool {
+	total := b.inUse.Load()
+	return total <= b.Total || n <= b.Total/max(1, b.replies.Load()) && (b.Max == 0 || total <= b.Max)
+}
+
+// count counts n more bytes.
+func (b *ReplyBudget) count(n int64) {
+	b.inUse.Add(n)
+	replyBytesInUse.Add(n)
+}
+
+// replyMeter counts the bytes of one reply. Without a budget there is no limit.
 type replyMeter struct {
-	budget *ReplyBudget
-	bytes  int64
+	budget   *ReplyBudget
+	done     <-chan struct{} // closed when nobody waits for the reply
+	bytes    int64           // counted
+	reserved int64           // counted and not yet read
+	shared   int64           // taken of the shared memory
 }
 
-// add counts n bytes.
+// add counts n bytes that have been read.
 func (m *replyMeter) add(n int) error {
 	if m == nil || m.budget == nil {
 		return nil
 	}
-	m.bytes += int64(n)
-	total := m.budget.inUse.Add(int64(n))
-	switch {
-	case m.bytes > m.budget.PerReply:
+	early := min(m.reserved, int64(n))
+	m.reserved -= early
+	more := int64(n) - early
+	if more == 0 {
+		return nil
+	}
+	m.bytes += more
+	m.budget.count(more)
+	if m.bytes > m.budget.PerReply {
+		return errReplyTooLong
+	}
+	return m.wait(func() bool { return m.budget.fits(m.bytes) && m.share(more) })
+}
+
+// reserve counts n bytes before they are read. Nothing is counted while it waits.
+func (m *replyMeter) reserve(n int) error {
+	if m == nil || m.budget == nil || n <= 0 {
+		return nil
+	}
+	if m.bytes+int64(n) > m.budget.PerReply {
 		return errReplyTooLong
-	case total > m.budget.Total && m.bytes > m.budget.Total/max(1, m.budget.replies.Load()):
+	}
+	return m.wait(func() bool {
+		m.budget.count(int64(n))
+		if !m.budget.fits(m.bytes+int64(n)) || !m.share(int64(n)) {
+			m.budget.count(-int64(n))
+			return false
+		}
+		m.bytes += int64(n)
+		m.reserved += int64(n)
+		return true
+	})
+}
+
+// share takes n bytes of the shared memory.
+func (m *replyMeter) share(n int64) bool {
+	if !m.budget.Memory.Take(n) {
+		return false
+	}
+	m.shared += n
+	return true
+}
+
+// wait waits until fits returns true. It fails if there will be no memory, or if too many others
+// wait.
+func (m *replyMeter) wait(fits func() bool) error {
+	if fits() {
+		return nil
+	}
+	b := m.budget
+	defer b.waiting.Add(-1)
+	if b.waiting.Add(1) > maxWaitingReplies || b.Reclaim == nil {
+		repliesUnread.Inc()
 		return errRepliesTooLong
 	}
-	return nil
+	repliesWaited.Inc()
+	for b.Reclaim() {
+		select {
+		case <-m.done:
+			return errRepliesTooLong
+		case <-time.After(replyWaitInterval.Duration()):
+		}
+		if fits() {
+			return nil
+		}
+	}
+	repliesUnread.Inc()
+	return errRepliesTooLong
 }
 
-// release returns the counted bytes to the budget.
+// release returns the counted bytes to the budget. It may be called more than once.
 func (m *replyMeter) release() {
-	if m.budget != nil {
-		m.budget.inUse.Add(-m.bytes)
-		m.budget.replies.Add(-1)
+	if m == nil || m.budget == nil {
+		return
 	}
+	m.budget.count(-m.bytes)
+	m.budget.replies.Add(-1)
+	m.budget.Memory.Release(m.shared)
+	m.budget = nil
 }
