forward: messages between hosts count against the memory of both

What callers saw: hosts that ran out of memory while one of them did not reach the upstreams and others sent its requests. The cause: a message of another host was read whole, up to 65 MB, before anything counted it; the reply that a host passes on was released before it was written, though the encoded copy waits for the other host; and a request was encoded twice.

The size of a message is read first, and memory is reserved for it: of the replies for a reply, of the bodies for a request. A request without memory is not taken (NOT_TAKEN, so that it goes elsewhere), a reply without memory is not read. Encoded copies count against the memory that all parts share. A passed-on reply is released when it has been written, and until then it counts as one of the requests that a host serves for others.

--- a/siskinpathd/entry/forward.go
+++ b/siskinpathd/entry/forward.go
@@ -17,12 +17,15 @@
 	"siskinpath/siskinpathd/call"
 	"siskinpath/siskinpathd/forward"
 	"siskinpath/siskinpathd/forward/forwardpb"
+	"siskinpath/siskinpathd/memory"
 	"siskinpath/siskinpathd/upstream"
 )
 
 const (
 	// maxForwardHosts is the number of other hosts that requests may be passed to.
 	maxForwardHosts = 24
+	// reasonReplyMemory is the reason of a reply that could not be passed on.
+	reasonReplyMemory = "reply_memory"
 	// forwardMargin is how much earlier the other host gives up, so that its reply still
 	// arrives.
 	forwardMargin = 5 * clock.Millisecond
@@ -34,12 +37,19 @@
 	forwardsServed = metrics.NewCounter("forwards_served_total") // requests of other hosts
 )
 
-var errHostUnknown = errors.New("host is no longer known")
+var (
+	errHostUnknown   = errors.New("host is no longer known")
+	errForwardMemory = errors.New("no memory for a message of another host")
+)
 
 // forwarder passes requests to other hosts.
 type forwarder struct {
-	Clock  clock.Clock
-	client forward.Client
+	Clock clock.Clock
+	// Replies and Memory limit the replies, and the messages while they are sent or read; nil for
+	// no limit.
+	Replies *upstream.ReplyBudget
+	Memory  *memory.Budget
+	client  forward.Client
 
 	mu        sync.Mutex
 	addresses map[string]string // by host
@@ -66,7 +76,27 @@
 	if address == "" {
 		return nil, route.Result{Status: route.NotSent}, errHostUnknown
 	}
-	answer, sent, err := f.client.Call(ctx, address, encodeForward(p, a, f.Clock.Now()))
+	size := int64(len(p.call.Body))
+	if !f.Memory.Take(size) { // for the encoded request
+		return nil, route.Result{Status: route.NotSent}, errForwardMemory
+	}
+	defer f.Memory.Release(size)
+	var held *upstream.Reservation
+	var reading int64 // bytes of the encoded reply
+	defer func() {
+		f.Memory.Release(reading)
+		if reply == nil {
+			held.Release()
+		}
+	}()
+	answer, sent, err := f.client.CallReserved(ctx, address, encodeForward(p, a, f.Clock.Now()), func(bytes int) (err error) {
+		if !f.Memory.Take(int64(bytes)) {
+			return errForwardMemory
+		}
+		reading = int64(bytes)
+		held, err = f.Replies.Reserve(ctx, bytes)
+		return err
+	})
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return nil, route.Result{Status: route.Cancelled}, err
@@ -75,7 +105,10 @@
 	case err != nil:
 		return nil, route.Result{Status: route.ConnectionLost}, err
 	}
-	return decodeForwardReply(answer)
+	if reply, result, err = decodeForwardReply(answer); reply != nil {
+		reply.Hold(held)
+	}
+	return reply, result, err
 }
 
 func encodeForward(p *pendingRequest, a place.Action, now clock.Millis) *forwardpb.Request {
@@ -117,7 +150,14 @@
 	return reply, result, nil
 }
 
-// serveForward serves a request of another host, which has chosen its service and route.
+// reserveForward reserves memory for a request of another host while it is read and decoded.
+func (n *Node) reserveForward(bytes int) (release func(), ok bool) {
+	hold := &bodyHold{budget: n.bodies}
+	return hold.release, hold.grow(2 * bytes)
+}
+
+// serveForward serves a request of another host, which has chosen its service and route. Its
+// reply uses memory until ctx ends.
 func (n *Node) serveForward(ctx context.Context, m *forwardpb.Request) *forwardpb.Reply {
 	forwardsServed.Inc()
 	body := bodyHold{budget: n.bodies}
@@ -154,7 +194,15 @@
 		return &forwardpb.Reply{Outcome: forwardpb.Outcome_OUTCOME_NOT_TAKEN, Reason: reasonStopping}
 	}
 	end, resp := n.dispatch(ctx, d, c, r, int(m.GetMaxBodyBytes()))
-	defer resp.release()
+	size := int64(len(resp.Body))
+	if !n.memory().Take(size) { // for the encoded reply
+		resp.release()
+		return &forwardpb.Reply{Outcome: forwardpb.Outcome_OUTCOME_UNKNOWN, Reason: reasonReplyMemory}
+	}
+	context.AfterFunc(ctx, func() {
+		n.memory().Release(size)
+		resp.release()
+	})
 	return encodeForwardReply(end, resp)
 }
 
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -27,6 +27,7 @@
 	"siskinpath/core/route"
 	"siskinpath/siskinpathd/forward"
 	"siskinpath/siskinpathd/logs"
+	"siskinpath/siskinpathd/memory"
 	"siskinpath/siskinpathd/relay"
 	"siskinpath/siskinpathd/upstream"
 	"siskinpath/siskinpathd/watch"
@@ -152,9 +153,9 @@
 	n.bodies = newBodyBudget(n.cfg().MemoryMB)
 	n.decisions = &decisionLog{log: n.Log, clock: n.Clock, limit: n.LogLimiter}
 	n.crashes = &crashGuard{Clock: n.Clock, Decisions: n.decisions, Withhold: n.withhold, Announce: func(events []quarantine.Event) { n.relay.AnnounceCrashEvents(events) }}
-	n.forwarder = &forwarder{Clock: n.Clock}
+	n.forwarder = &forwarder{Clock: n.Clock, Replies: n.resources.replies, Memory: n.resources.memory}
 	if address := n.cfg().Listen.Forward; address != "" {
-		n.forwardServer = &forward.Server{ListenAddress: address, Log: n.Log, Serve: n.serveForward}
+		n.forwardServer = &forward.Server{ListenAddress: address, Log: n.Log, Serve: n.serveForward, Reserve: n.reserveForward}
 	}
 	n.initQuotas()
 	n.initSlots()
@@ -173,6 +174,14 @@
 	}
 }
 
+// memory returns what all that is held for clients shares; nil in tests without limits.
+func (n *Node) memory() *memory.Budget {
+	if n.resources == nil {
+		return nil
+	}
+	return n.resources.memory
+}
+
 // cfg returns the settings in force.
 func (n *Node) cfg() *Settings { return n.settings.Load() }
 
--- a/siskinpathd/forward/client.go
+++ b/siskinpathd/forward/client.go
@@ -4,10 +4,8 @@
 
 import (
 	"bufio"
-	"bytes"
 	"cmp"
 	"context"
-
 	"io"
 	"net"
 	"sync"
@@ -15,8 +13,6 @@
 
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/encoding/protodelim"
-	"google.golang.org/protobuf/proto"
 
 	"siskinpath/core/clock"
 	"siskinpath/siskinpathd/forward/forwardpb"
@@ -37,8 +33,6 @@
 	// serverKeepAlive is how often a server checks a session. Only this ends sessions
 	// whose client has vanished, and an idle one costs traffic for it.
 	serverKeepAlive = 10 * clock.Second
-	// maxMessageBytes limits a request or reply.
-	maxMessageBytes = 65 << 20
 	// streamWindow is how much yamux sends on a new stream before the other host reads.
 	streamWindow = 256 << 10
 )
@@ -92,6 +86,11 @@
 // whether the host may have got the request. When ctx ends, the host is told to give up,
 // and Call returns an error even if a reply arrives at that moment.
 func (c *Client) Call(ctx context.Context, address string, req *forwardpb.Request) (reply *forwardpb.Reply, sent bool, err error) {
+	return c.CallReserved(ctx, address, req, nil)
+}
+
+// CallReserved is like Call, but reserves memory for the reply. reserve may be nil.
+func (c *Client) CallReserved(ctx context.Context, address string, req *forwardpb.Request, reserve Reserve) (reply *forwardpb.Reply, sent bool, err error) {
 	defer func() { err = errors.WithMessagef(err, "forward to %s", address) }()
 	s, err := c.session(ctx, address)
 	if err != nil {
@@ -108,7 +107,7 @@
 	if ctx.Err() != nil {
 		return nil, false, ctx.Err()
 	}
-	if err = exchange(stream, req, &reply); ctx.Err() != nil {
+	if err = exchange(stream, req, reserve, &reply); ctx.Err() != nil {
 		// No reply in time may mean that the session is dead, which is worth a check
 		// now: calls that end sooner than keepAlive would not find out.
 		go s.ping()
@@ -118,28 +117,28 @@
 }
 
 // exchange sends a request on a stream and sets reply if there is one.
-func exchange(stream *mux.Stream, req *forwardpb.Request, reply **forwardpb.Reply) error {
-	var encoded bytes.Buffer
-	if _, err := protodelim.MarshalTo(&encoded, req); err != nil {
+func exchange(stream *mux.Stream, req *forwardpb.Request, reserve Reserve, reply **forwardpb.Reply) error {
+	encoded, err := encode(req)
+	if err != nil {
 		return err
 	}
-	if encoded.Len() <= streamWindow {
-		if _, err := stream.Write(encoded.Bytes()); err != nil {
+	if len(encoded) <= streamWindow {
+		if _, err := stream.Write(encoded); err != nil {
 			return err
 		}
-		return readReply(stream, reply)
+		return readReply(stream, reserve, reply)
 	}
 	// The other host may stop reading. It closes the stream then, but yamux goes on waiting
 	// for room in the window: only a read tells.
 	written := make(chan error, 1)
 	go func() {
-		_, err := stream.Write(encoded.Bytes())
+		_, err := stream.Write(encoded)
 		if err != nil {
 			stream.SetReadDeadline(past)
 		}
 		written <- err
 	}()
-	err := readReply(stream, reply)
+	err = readReply(stream, reserve, reply)
 	stream.SetWriteDeadline(past)
 	select {
 	case writeErr := <-written:
@@ -149,9 +148,9 @@
 	}
 }
 
-func readReply(stream *mux.Stream, reply **forwardpb.Reply) error {
+func readReply(stream *mux.Stream, reserve Reserve, reply **forwardpb.Reply) error {
 	m := &forwardpb.Reply{}
-	if err := read(bufio.NewReader(stream), m); err != nil {
+	if err := readReserved(bufio.NewReader(stream), m, reserve); err != nil {
 		return err
 	}
 	*reply = m
@@ -319,7 +318,3 @@
 	default: // the dial ends by itself, and nobody waits for it
 	}
 }
-
-func read(r *bufio.Reader, m proto.Message) error {
-	return protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}.UnmarshalFrom(r, m)
-}
--- a/siskinpathd/forward/server.go
+++ b/siskinpathd/forward/server.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/encoding/protodelim"
 
 	"siskinpath/core/clock"
 	"siskinpath/siskinpathd/forward/forwardpb"
@@ -30,8 +29,11 @@
 type Server struct {
 	ListenAddress string
 	Log           *slog.Logger
-	// Serve returns the reply to a request. ctx is cancelled when the other host gives up.
+	// Serve returns the reply to a request. ctx is cancelled when the other host gives up, and
+	// when the reply has been written.
 	Serve func(ctx context.Context, req *forwardpb.Request) *forwardpb.Reply
+	// Reserve reserves memory while a request is read. Without it there is no limit.
+	Reserve func(bytes int) (release func(), ok bool)
 	// Grant returns the reply to a request for tokens. It must not block: such requests
 	// do not count towards maxConcurrent. Without it the host is no holder.
 	Grant func(*forwardpb.Tokens) *forwardpb.TokensReply
@@ -105,7 +107,17 @@
 // serveRequest serves a request, and reports whether another may follow on the stream.
 func (s *Server) serveRequest(ctx context.Context, stream *mux.Stream, progress *progressReader, r *bufio.Reader) (more bool) {
 	req := &forwardpb.Request{}
-	if err := read(r, req); err != nil {
+	release := func() {}
+	err := readReserved(r, req, func(bytes int) (err error) {
+		release, err = s.reserve(bytes)
+		return err
+	})
+	release()
+	if errors.Is(err, errNoMemory) {
+		s.refuse(stream)
+		return false
+	}
+	if err != nil {
 		s.Log.Warn("request of another host can't be read", "peer", stream.RemoteAddr().String(), "err", err)
 		return false
 	}
@@ -115,11 +127,12 @@
 		s.serveSlots(ctx, stream, r, req.GetSlots().GetHost())
 		return false
 	}
-	reply := s.reply(ctx, stream, req)
-	w := bufio.NewWriter(progressWriter{stream, s.Timeouts.write()})
-	_, err := protodelim.MarshalTo(w, reply)
-	if err == nil {
-		err = w.Flush()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if req.GetTokens() != nil {
+		err = s.write(stream, s.grant(req.GetTokens()))
+	} else {
+		err = s.serveOne(ctx, cancel, stream, req)
 	}
 	if err != nil {
 		s.Log.Info("reply not delivered to another host", "id", req.GetId(), "peer", stream.RemoteAddr().String(), "err", err)
@@ -127,6 +140,40 @@
 	return err == nil && req.GetTokens() != nil
 }
 
+var errNoMemory = errors.New("no memory for the request of another host")
+
+func (s *Server) reserve(bytes int) (release func(), err error) {
+	if s.Reserve == nil {
+		return func() {}, nil
+	}
+	release, ok := s.Reserve(bytes)
+	if !ok {
+		return func() {}, errNoMemory
+	}
+	return release, nil
+}
+
+// refuse tells the other host that its request was not taken. Nothing of it has been read.
+func (s *Server) refuse(stream *mux.Stream) {
+	s.Log.Warn("request of another host refused", "peer", stream.RemoteAddr().String(), "err", errNoMemory)
+	if err := s.write(stream, notTaken("no_memory")); err != nil {
+		s.Log.Info("refusal not delivered to another host", "peer", stream.RemoteAddr().String(), "err", err)
+	}
+}
+
+func notTaken(reason string) *forwardpb.Reply {
+	return &forwardpb.Reply{Outcome: forwardpb.Outcome_OUTCOME_NOT_TAKEN, Reason: reason}
+}
+
+func (s *Server) write(stream *mux.Stream, reply *forwardpb.Reply) error {
+	encoded, err := encode(reply)
+	if err != nil {
+		return err
+	}
+	_, err = progressWriter{stream, s.Timeouts.write()}.Write(encoded)
+	return err
+}
+
 // progressReader reads from a stream as long as there are bytes every readTimeout, or
 // without limit between messages.
 type progressReader struct {
@@ -162,24 +209,20 @@
 	return n, nil
 }
 
-// reply returns the reply to a request that has been read from a stream.
-func (s *Server) reply(ctx context.Context, stream *mux.Stream, req *forwardpb.Request) *forwardpb.Reply {
-	if req.GetTokens() != nil {
-		return s.grant(req.GetTokens())
-	}
+// serveOne serves a request that has been read from a stream, and writes the reply. It calls
+// cancel when the other host gives up.
+func (s *Server) serveOne(ctx context.Context, cancel func(), stream *mux.Stream, req *forwardpb.Request) error {
 	select {
 	case s.slots <- struct{}{}:
 	default:
-		return &forwardpb.Reply{Outcome: forwardpb.Outcome_OUTCOME_NOT_TAKEN, Reason: "host_busy"}
+		return s.write(stream, notTaken("host_busy"))
 	}
 	defer func() { <-s.slots }()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	go func() {
 		_, _ = io.Copy(io.Discard, stream)
 		cancel()
 	}()
-	return s.Serve(ctx, req)
+	return s.write(stream, s.Serve(ctx, req))
 }
 
 func (s *Server) grant(tokens *forwardpb.Tokens) *forwardpb.Reply {
--- a/siskinpathd/upstream/reply_budget.go
+++ b/siskinpathd/upstream/reply_budget.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -64,6 +65,35 @@
 	return &replyMeter{budget: b}
 }
 
+// Reserve counts a reply of n bytes that comes from another host before it is read. It waits for
+// memory until ctx ends. Pass the reservation to Reply.Hold, or release it.
+func (b *ReplyBudget) Reserve(ctx context.Context, n int) (*Reservation, error) {
+	m := b.meter()
+	m.done = ctx.Done()
+	if err := m.reserve(n); err != nil {
+		m.release()
+		return nil, err
+	}
+	return &Reservation{meter: m}, nil
+}
+
+// Reservation is memory that is counted for a reply.
+type Reservation struct{ meter *replyMeter }
+
+// Release returns the memory to the budget. It may be called more than once, and on nil.
+func (r *Reservation) Release() {
+	if r != nil {
+		r.meter.release()
+	}
+}
+
+// Hold makes Release of the reply release a reservation, which may be nil.
+func (r *Reply) Hold(memory *Reservation) {
+	if memory != nil {
+		r.meter = memory.meter
+	}
+}
+
 // fits reports whether a reply of n bytes, which are counted, may go on.
 func (b *ReplyBudget) fits(n int64) bool {
 	total := b.inUse.Load()
