entry: headers count against the host's memory, also those that are read ahead

What callers saw: a host at 823 to 845 MB that answered nobody but with 503, while clients pipelined large headers behind a slow request. The cause: the budget for requests counted bodies only. Of a header of 15 KB the host keeps about four copies, and it read up to 17 requests ahead on each connection.

A request now takes 4 KB and four times the length of its header of the memory for headers (.075 of memory_mb) until its response has been written; larger read buffers and what the kernel holds of a client that pipelines more than 16 requests count too. These, and requests read ahead, may use one half of it. Where that is used up, no further request of the connection is read: those that were read are answered, the last response closes the connection, so that its client sends the others again. Such connections give way when there are too many. The first request of a connection may use all of the memory and gets 503 with Retry-After otherwise (header_memory; it has not run). Metrics request_header_bytes, request_headers_refused_total, requests_not_read_ahead_total; client_memory_bytes and the limits.

--- a/siskinpathd/entry/conn.go
+++ b/siskinpathd/entry/conn.go
@@ -49,6 +49,10 @@
 	requests  chan *heldRequest
 	inFlight  atomic.Int32 // requests read or being read, and not yet answered
 	lingering atomic.Bool  // the last response was written
+	// noMore is set when no further request is read, so that the last response closes the
+	// connection.
+	noMore atomic.Bool
+	buffer int64 // memory taken for an enlarged read buffer
 	// ctx is cancelled when the connection has ended.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -81,6 +85,7 @@
 	go c.writeResponses()
 	err := c.readRequests()
 	c.handleReadEnd(err)
+	c.releaseBuffer()
 }
 
 // Read reads from the connection and counts the bytes.
@@ -93,19 +98,31 @@
 // headerBufferBytes returns the size of the read buffer that holds any header.
 func headerBufferBytes(limits config.Limits) int { return limits.MaxHeaderBytes + requestLineBytes }
 
-// enlargeBuffer replaces the read buffer by one of a size.
-func (c *conn) enlargeBuffer(size int) {
+// enlargeBuffer replaces the read buffer by one of a size. It returns an error if there is no
+// memory for it.
+func (c *conn) enlargeBuffer(size int) error {
+	if err := c.takeHeaderMemory(int64(size), longHeldShare); err != nil {
+		return err
+	}
+	c.buffer += int64(size)
 	buffered, _ := c.r.Peek(c.r.Buffered())
 	c.r = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c), size)
+	return nil
 }
 
 // shrinkBuffer replaces an enlarged read buffer that holds nothing.
 func (c *conn) shrinkBuffer() {
 	if c.r.Size() > readBufferBytes && c.r.Buffered() == 0 {
 		c.r = bufio.NewReaderSize(c, readBufferBytes)
+		c.releaseBuffer()
 	}
 }
 
+func (c *conn) releaseBuffer() {
+	c.server.Headers.Release(c.buffer)
+	c.buffer = 0
+}
+
 // callerAddress returns the address of the peer of a connection without its port.
 func callerAddress(nc net.Conn) string {
 	if a, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
@@ -139,13 +156,19 @@
 		c.received.begin(c.server.Clock.Now())
 		req, err := c.readRequest(c.server.Limits())
 		c.received.end()
+		if errors.Is(err, errReadAhead) {
+			return c.stopReading()
+		}
 		if err != nil {
 			return err
 		}
 		c.shrinkBuffer()
-		if !c.enqueue(req) {
+		if err = c.enqueueRequest(req); err != nil {
 			req.release()
-			return net.ErrClosed
+			if errors.Is(err, errReadAhead) {
+				return c.stopReading()
+			}
+			return err
 		}
 		if req.ConnectionClose() {
 			return c.awaitClose()
@@ -153,6 +176,38 @@
 	}
 }
 
+// enqueueRequest passes a request to writeResponses. While it waits for those before, the
+// kernel holds what the client still sends.
+func (c *conn) enqueueRequest(req *heldRequest) error {
+	select {
+	case c.requests <- req:
+		return nil
+	default:
+	}
+	const held = 2 * receiveBufferBytes
+	if err := c.takeHeaderMemory(held, longHeldShare); err != nil {
+		return err
+	}
+	defer c.server.Headers.Release(held)
+	if !c.enqueue(req) {
+		return net.ErrClosed
+	}
+	return nil
+}
+
+// stopReading ends the connection after the responses to the requests that were read before the
+// present one. What the client still sends is discarded.
+func (c *conn) stopReading() error {
+	readAheadStopped.Inc()
+	c.server.Log.Info("pipelined requests not read, as there is no memory for their headers", "peer", c.RemoteAddr().String())
+	c.noMore.Store(true)
+	c.inFlight.Add(-1)
+	if !c.enqueue(endOfRequests) {
+		return net.ErrClosed
+	}
+	return c.awaitClose()
+}
+
 // enqueue passes a request to writeResponses; nil stands for one that could not be
 // read. It returns false if the connection has ended.
 func (c *conn) enqueue(req *heldRequest) bool {
--- a/siskinpathd/entry/conn_read.go
+++ b/siskinpathd/entry/conn_read.go
@@ -9,6 +9,7 @@
 
 	"siskinpath/core/clock"
 	"siskinpath/core/config"
+	"siskinpath/siskinpathd/memory"
 )
 
 // readError reports a request that cannot be read.
@@ -23,18 +24,27 @@
 
 func (e *readError) Error() string { return e.reason }
 
-// heldRequest is a request whose body counts against the budget until it is released.
+// heldRequest is a request whose header and body use memory until it is released.
 type heldRequest struct {
 	fasthttp.Request
-	body bodyHold
+	body    bodyHold
+	headers *memory.Part
+	header  int64 // bytes taken of headers
 }
 
-// release returns the body's bytes to the budget.
-func (r *heldRequest) release() { r.body.release() }
+// endOfRequests stands for the end of the requests that are read from a connection.
+var endOfRequests = &heldRequest{}
+
+// release returns the memory of the header and the body.
+func (r *heldRequest) release() {
+	r.body.release()
+	r.headers.Release(r.header)
+	r.header = 0
+}
 
 // readRequest reads a request with its body. The caller must release it.
 func (c *conn) readRequest(limits config.Limits) (req *heldRequest, err error) {
-	held := &heldRequest{body: bodyHold{budget: c.server.Bodies}}
+	held := &heldRequest{body: bodyHold{budget: c.server.Bodies}, headers: c.server.Headers}
 	req = held
 	req.Header.SetNoDefaultContentType(true)
 	defer func() {
@@ -49,6 +59,9 @@
 	if err = c.readHeader(&req.Header, limits); err != nil {
 		return nil, classifyHeaderError(err)
 	}
+	if err = c.holdHeader(req); err != nil {
+		return nil, err
+	}
 	toOriginForm(&req.Header)
 	maxBytes := limits.MaxBodyBytes
 	if req.Header.ContentLength() > maxBytes {
@@ -69,7 +82,10 @@
 		return nil, err
 	}
 	if size := headerBufferBytes(limits); req.Header.ContentLength() == chunkedLength && c.r.Size() < size {
-		c.enlargeBuffer(size) // it must hold the trailer
+		// The buffer must hold the trailer.
+		if err = c.enlargeBuffer(size); err != nil {
+			return nil, err
+		}
 	}
 	if err = req.readBody(c.r, maxBytes); err != nil {
 		return nil, classifyBodyError(err)
@@ -84,7 +100,9 @@
 		if err = h.Read(c.r); !errors.As(err, &small) || c.r.Size() >= headerBufferBytes(limits) {
 			return err
 		}
-		c.enlargeBuffer(headerBufferBytes(limits))
+		if err = c.enlargeBuffer(headerBufferBytes(limits)); err != nil {
+			return err
+		}
 	}
 }
 
@@ -99,8 +117,11 @@
 // fasthttp quote the request and are not passed on: its headers may contain a key.
 func classifyHeaderError(err error) error {
 	var small *fasthttp.ErrSmallBuffer
+	var readErr *readError
 	var netErr net.Error
 	switch {
+	case errors.As(err, &readErr), errors.Is(err, errReadAhead):
+		return err
 	case errors.As(err, &small):
 		return &readError{status: fasthttp.StatusRequestHeaderFieldsTooLarge, reason: "header too large"}
 	case errors.As(err, &netErr) && netErr.Timeout():
--- a/siskinpathd/entry/conn_write.go
+++ b/siskinpathd/entry/conn_write.go
@@ -24,10 +24,14 @@
 			c.writeReadError(w)
 			return
 		}
+		if req == endOfRequests {
+			c.linger()
+			return
+		}
 		resp := c.server.Handle(c.ctx, &req.Request, c.caller)
 		last := c.closesAfter(&req.Request)
-		req.release()
 		err := c.write(w, &req.Request, resp, last)
+		req.release()
 		resp.release()
 		if err != nil {
 			c.server.recordUndelivered(c, &req.Request, err)
@@ -86,6 +90,9 @@
 func (c *conn) closesAfter(req *fasthttp.Request) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.noMore.Load() && c.inFlight.Load() == 1 {
+		return true
+	}
 	return req.ConnectionClose() || c.closeWhenIdle || c.server.keepAliveDisabled.Load()
 }
 
--- a/siskinpathd/entry/make_room.go
+++ b/siskinpathd/entry/make_room.go
@@ -26,6 +26,7 @@
 		standingSilent: metrics.NewCounter(`caller_connections_closed_total{reason="silent"}`),
 		standingIdle:   metrics.NewCounter(`caller_connections_closed_total{reason="idle"}`),
 		standingSlow:   metrics.NewCounter(`caller_connections_closed_total{reason="slow"}`),
+		standingGreedy: metrics.NewCounter(`caller_connections_closed_total{reason="greedy"}`),
 	}
 )
 
@@ -37,10 +38,11 @@
 	standingSilent standing = iota // has sent nothing
 	standingIdle                   // waits for another request
 	standingSlow                   // sends a request, or takes a response, below minTransferRate
+	standingGreedy                 // has pipelined more requests than there is memory for
 	standingBusy                   // is not closed
 )
 
-func (s standing) String() string { return [...]string{"silent", "idle", "slow", "busy"}[s] }
+func (s standing) String() string { return [...]string{"silent", "idle", "slow", "greedy", "busy"}[s] }
 
 // standing returns the standing of the connection and since when it has it.
 func (c *conn) standing(now clock.Millis) (s standing, since clock.Millis) {
@@ -50,6 +52,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
+	case c.noMore.Load():
+		return standingGreedy, c.idleSince
 	case c.closeWhenIdle, c.inFlight.Load() > 1:
 		return standingBusy, 0
 	case c.inFlight.Load() == 1:
@@ -104,10 +108,11 @@
 	connectionsClosed[lowest].Inc()
 	s.Log.Info("connection closed to make room", "peer", victim.RemoteAddr().String(), "state", lowest.String(), "for_ms", now-oldest,
 		"open", open, "limit", s.MaxConnections)
-	if lowest == standingSlow {
-		victim.abort()
-	} else {
+	switch lowest {
+	case standingSilent, standingIdle:
 		victim.closeIdle()
+	default:
+		victim.abort()
 	}
 	return victim
 }
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -170,7 +170,7 @@
 	n.initWatchers()
 	n.server = &Server{
 		ListenAddress: n.cfg().Listen.Caller, Log: n.Log, Clock: n.Clock, RequestIDHeader: n.CallerHeaders.RequestID, MaxConnections: n.resources.maxConnections,
-		Limits: n.limits, Bodies: n.bodies, Handle: n.handle,
+		Limits: n.limits, Bodies: n.bodies, Headers: n.resources.headers, Handle: n.handle,
 	}
 }
 
--- a/siskinpathd/entry/resources.go
+++ b/siskinpathd/entry/resources.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"sync/atomic"
 	"syscall"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"siskinpath/siskinpathd/memory"
 	"siskinpath/siskinpathd/upstream"
 )
@@ -20,6 +23,8 @@
 	replyMaxShare    = 0.15
 	// replyMemoryParts is how many replies may be as long as allowed at the same time.
 	replyMemoryParts = 4
+	// headerMemoryShare is the part of it for the headers of requests.
+	headerMemoryShare = 0.075
 	// connectionMemoryShare is the part of it for the connections themselves.
 	connectionMemoryShare = 0.1
 	// directoryMemoryShare and operatorMemoryShare are for the connections to the other ports,
@@ -53,17 +58,43 @@
 type resources struct {
 	memory         *memory.Budget
 	replies        *upstream.ReplyBudget
+	headers        *memory.Part
 	maxConnections int // of callers
 }
 
+// limitsInForce holds the resources of the process, for its metrics.
+var limitsInForce atomic.Pointer[resources]
+
+func init() {
+	for name, value := range map[string]func(*resources) int64{
+		"client_memory_bytes":        func(r *resources) int64 { return r.memory.InUse() },
+		"client_memory_limit_bytes":  func(r *resources) int64 { return r.memory.Total },
+		"request_header_bytes":       func(r *resources) int64 { return r.headers.InUse() },
+		"caller_connections_limit":   func(r *resources) int64 { return int64(r.maxConnections) },
+		"upstream_reply_limit_bytes": func(r *resources) int64 { return r.replies.Total },
+		"request_header_limit_bytes": func(r *resources) int64 { return r.headers.Limit },
+	} {
+		metrics.NewGauge(name, func() float64 {
+			r := limitsInForce.Load()
+			if r == nil {
+				return 0
+			}
+			return float64(value(r))
+		})
+	}
+}
+
 func newResources(cfg *Settings) *resources {
 	total := &memory.Budget{Total: memoryShare(cfg, clientMemoryShare)}
 	replies := memoryShare(cfg, replyMemoryShare)
-	return &resources{
+	r := &resources{
 		memory:         total,
 		replies:        &upstream.ReplyBudget{PerReply: replies / replyMemoryParts, Total: replies, Max: memoryShare(cfg, replyMaxShare), Memory: total},
+		headers:        &memory.Part{Limit: memoryShare(cfg, headerMemoryShare), Budget: total},
 		maxConnections: connectionLimit(cfg, callerDescriptorShare, connectionMemoryShare),
 	}
+	limitsInForce.Store(r)
+	return r
 }
 
 // connectionLimit returns the number of connections that shares of the descriptors and of the
--- a/siskinpathd/entry/server.go
+++ b/siskinpathd/entry/server.go
@@ -16,6 +16,7 @@
 
 	"siskinpath/core/clock"
 	"siskinpath/core/config"
+	"siskinpath/siskinpathd/memory"
 	"siskinpath/siskinpathd/tcp"
 )
 
@@ -43,6 +44,8 @@
 	Limits func() config.Limits
 	// Bodies limits the bodies of requests that are being read or held.
 	Bodies *bodyBudget
+	// Headers limits the memory of headers that are being read or held; nil for no limit.
+	Headers *memory.Part
 	// Handle returns the final response to a request of the caller at an address. ctx is
 	// cancelled when the caller has disconnected.
 	Handle func(ctx context.Context, req *fasthttp.Request, caller string) *Response
@@ -147,9 +150,12 @@
 	if !errors.As(err, &readErr) {
 		return // the connection has ended
 	}
-	if readErr == errBodyMemory {
+	switch readErr {
+	case errBodyMemory:
 		bodiesRefused.Inc()
-	} else {
+	case errHeaderMemory:
+		headersRefused.Inc()
+	default:
 		malformedRequests.Inc()
 	}
 	metrics.GetOrCreateCounter(fmt.Sprintf(`requests_total{route="none",status="%d",reason=%q}`, readErr.status, readErr.reason)).Inc()
--- a/siskinpathd/memory/memory.go
+++ b/siskinpathd/memory/memory.go
@@ -40,7 +40,7 @@
 }
 
 // Part is a part of a budget with a limit of its own. Set the exported fields before use. It
-// is safe for concurrent use.
+// is safe for concurrent use. A nil Part has no limit.
 type Part struct {
 	Limit  int64   // bytes
 	Budget *Budget // nil for none
@@ -50,11 +50,14 @@
 
 // Take takes n bytes of the part and of its budget. It returns false, and takes nothing, if
 // they do not fit.
-func (p *Part) Take(n int64) bool { return p.TakeBelow(n, p.Limit) }
+func (p *Part) Take(n int64) bool { return p.TakeWithin(n, 1) }
 
-// TakeBelow takes n bytes if the part then has at most limit bytes.
-func (p *Part) TakeBelow(n, limit int64) bool {
-	if p.inUse.Add(n) > min(limit, p.Limit) || !p.Budget.Take(n) {
+// TakeWithin takes n bytes if at most a share of the part, from 0 to 1, is then in use.
+func (p *Part) TakeWithin(n int64, share float64) bool {
+	if p == nil {
+		return true
+	}
+	if p.inUse.Add(n) > int64(share*float64(p.Limit)) || !p.Budget.Take(n) {
 		p.inUse.Add(-n)
 		return false
 	}
@@ -63,9 +66,17 @@
 
 // Release returns n bytes that were taken.
 func (p *Part) Release(n int64) {
+	if p == nil {
+		return
+	}
 	p.inUse.Add(-n)
 	p.Budget.Release(n)
 }
 
 // InUse returns the number of bytes that are taken.
-func (p *Part) InUse() int64 { return p.inUse.Load() }
+func (p *Part) InUse() int64 {
+	if p == nil {
+		return 0
+	}
+	return p.inUse.Load()
+}
