entry: uploads that stop midway end when others need their memory

What callers saw: no upload was taken, 503 body_memory, for as long as some clients had announced bodies and stopped in their middle, up to 30 s each. The cause: the budget of bodies is first come, first served, and nothing told a client that sends from one that holds.

A client counts as slow when it has sent nothing for two seconds, or less than 16 KB/s since it fell behind; what it sent before that buys no more time. When a body does not fit, the slowest such upload ends with 408 (it has not run), and the new one waits up to 200 ms for its memory. The same measure now tells slow headers and responses. Log line 'upload ended to make room', counter request_bodies_ended_for_memory_total.

TestSlowTransfer, TestBodiesEndedForMemory.

--- a/siskinpathd/entry/body_budget.go
+++ b/siskinpathd/entry/body_budget.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http/httputil"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
@@ -21,6 +22,10 @@
 	bodyMemoryShare = 0.125
 	// bodyMemoryRetryAfter is the retry delay of a request whose body does not fit.
 	bodyMemoryRetryAfter = 200 * clock.Millisecond
+	// bodyWait is how long a body waits for others that are ended for it, and bodyWaitInterval
+	// how often it looks.
+	bodyWait         = 200 * clock.Millisecond
+	bodyWaitInterval = 5 * clock.Millisecond
 	// bodyStepBytes is how much of a body of unknown length is read at a time.
 	bodyStepBytes = 16 << 10
 	// reasonBodyMemory is the reason of the refusal of a request whose body does not fit.
@@ -47,6 +52,9 @@
 // that large requests can't take the host's memory. It is safe for concurrent use.
 type bodyBudget struct {
 	Total int64 // bytes of all bodies
+	// Reclaim is called again and again while a body waits. It may end the reading of another
+	// one, and reports whether there will be memory. Without it no body waits.
+	Reclaim func() bool
 
 	inUse atomic.Int64
 }
@@ -69,15 +77,34 @@
 	if n <= 0 {
 		return true
 	}
-	if h.budget.inUse.Add(int64(n)) > h.budget.Total {
-		h.budget.inUse.Add(-int64(n))
+	return h.tryGrow(int64(n)) || h.wait(int64(n))
+}
+
+func (h *bodyHold) tryGrow(n int64) bool {
+	if h.budget.inUse.Add(n) > h.budget.Total {
+		h.budget.inUse.Add(-n)
 		return false
 	}
-	h.bytes += int64(n)
-	bodyBytesInUse.Add(int64(n))
+	h.bytes += n
+	bodyBytesInUse.Add(n)
 	return true
 }
 
+// wait waits for the memory of others that are ended for this one.
+func (h *bodyHold) wait(n int64) bool {
+	b := h.budget
+	if b.Reclaim == nil || h.bytes+n > b.Total {
+		return false
+	}
+	for waited := clock.Millis(0); waited < bodyWait && b.Reclaim(); waited += bodyWaitInterval {
+		time.Sleep(bodyWaitInterval.Duration())
+		if h.tryGrow(n) {
+			return true
+		}
+	}
+	return false
+}
+
 // release returns all bytes to the budget.
 func (h *bodyHold) release() {
 	if h.bytes == 0 {
--- a/siskinpathd/entry/conn.go
+++ b/siskinpathd/entry/conn.go
@@ -61,6 +61,8 @@
 	sent     transfer      // of the response that is being written
 	removed  chan struct{} // closed when the connection has been closed and forgotten
 	aborted  atomic.Bool   // this host has closed it before the end of a request or response
+	body     atomic.Bool   // a body is being read
+	stopped  atomic.Bool   // the client was too slow, and its body is not read any more
 
 	writeMu sync.Mutex // held while a response, or 100 Continue between two, is written
 
@@ -91,7 +93,7 @@
 // Read reads from the connection and counts the bytes.
 func (c *conn) Read(b []byte) (n int, err error) {
 	n, err = c.Conn.Read(b)
-	c.received.add(n)
+	c.received.add(c.server.Clock.Now(), n)
 	return n, err
 }
 
@@ -322,6 +324,12 @@
 	}
 }
 
+// stopBody ends the reading of a body.
+func (c *conn) stopBody() {
+	c.stopped.Store(true)
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+}
+
 // abort closes the connection and drops what the kernel still has to send, which it would keep
 // for minutes where the client takes nothing.
 func (c *conn) abort() {
--- a/siskinpathd/entry/conn_read.go
+++ b/siskinpathd/entry/conn_read.go
@@ -87,6 +87,8 @@
 			return nil, err
 		}
 	}
+	c.body.Store(true)
+	defer c.body.Store(false)
 	if err = req.readBody(c.r, maxBytes); err != nil {
 		return nil, classifyBodyError(err)
 	}
--- a/siskinpathd/entry/conn_write.go
+++ b/siskinpathd/entry/conn_write.go
@@ -128,16 +128,16 @@
 	return w.Flush()
 }
 
-// writePieceBytes is the number of bytes that are written at once, so that it can be told how
-// fast a client takes a response.
-const writePieceBytes = 64 << 10
+// writePieceBytes is the number of bytes that are written at once. A client that takes them at
+// minTransferRate does so within slowAfter.
+const writePieceBytes = 32 << 10
 
 // Write writes to the connection and counts the bytes.
 func (c *conn) Write(b []byte) (n int, err error) {
 	for len(b) > n && err == nil {
 		var written int
 		written, err = c.Conn.Write(b[n:min(len(b), n+writePieceBytes)])
-		c.sent.add(written)
+		c.sent.add(c.server.Clock.Now(), written)
 		n += written
 	}
 	return n, err
--- a/siskinpathd/entry/make_room.go
+++ b/siskinpathd/entry/make_room.go
@@ -12,8 +12,7 @@
 // removalWait is how long makeRoom waits for a connection that it has closed.
 const removalWait = 50 * clock.Millisecond
 
-// Sizes of the kernel's buffers of a caller's connection. The kernel takes up to twice as much of
-// a response as sendBufferBytes although the client takes nothing.
+// Sizes of the kernel's buffers of a caller's connection. The kernel uses up to twice as much.
 const (
 	sendBufferBytes    = 64 << 10
 	receiveBufferBytes = 64 << 10
@@ -21,6 +20,7 @@
 
 var (
 	connectionsRefused = metrics.NewCounter("caller_connections_refused_total")
+	bodiesReclaimed    = metrics.NewCounter("request_bodies_ended_for_memory_total")
 	responsesReclaimed = metrics.NewCounter("responses_cut_for_memory_total")
 	connectionsClosed  = map[standing]*metrics.Counter{
 		standingSilent: metrics.NewCounter(`caller_connections_closed_total{reason="silent"}`),
@@ -46,7 +46,7 @@
 
 // standing returns the standing of the connection and since when it has it.
 func (c *conn) standing(now clock.Millis) (s standing, since clock.Millis) {
-	if since, slow := c.sent.slow(now, 2*sendBufferBytes); slow {
+	if since, slow := c.sent.slow(now); slow {
 		return standingSlow, since
 	}
 	c.mu.Lock()
@@ -57,7 +57,7 @@
 	case c.closeWhenIdle, c.inFlight.Load() > 1:
 		return standingBusy, 0
 	case c.inFlight.Load() == 1:
-		if since, slow := c.received.slow(now, 0); slow {
+		if since, slow := c.received.slow(now); slow {
 			return standingSlow, since
 		}
 		return standingBusy, 0
@@ -126,7 +126,7 @@
 	var oldest clock.Millis
 	s.mu.Lock()
 	for c := range s.conns {
-		since, slow := c.sent.slow(now, 2*sendBufferBytes)
+		since, slow := c.sent.slow(now)
 		writing = writing || since != 0
 		if slow && !c.aborted.Load() && (slowest == nil || since < oldest) {
 			slowest, oldest = c, since
@@ -140,6 +140,35 @@
 	return writing
 }
 
+// reclaimBody ends the slowest upload, if there is one below minTransferRate. It reports whether
+// the memory of any upload that was ended will be free.
+func (s *Server) reclaimBody() (ending bool) {
+	now := s.Clock.Now()
+	var slowest *conn
+	var oldest clock.Millis
+	s.mu.Lock()
+	for c := range s.conns {
+		if !c.body.Load() {
+			continue
+		}
+		if c.stopped.Load() {
+			ending = true
+			continue
+		}
+		if since, slow := c.received.slow(now); slow && (slowest == nil || since < oldest) {
+			slowest, oldest = c, since
+		}
+	}
+	s.mu.Unlock()
+	if slowest == nil {
+		return ending
+	}
+	bodiesReclaimed.Inc()
+	s.Log.Info("upload ended to make room", "peer", slowest.RemoteAddr().String(), "for_ms", now-oldest, "bytes", slowest.received.bytes.Load())
+	slowest.stopBody()
+	return true
+}
+
 // refuseConn closes a new connection. What its client sends has not been read.
 func (s *Server) refuseConn(nc net.Conn) {
 	connectionsRefused.Inc()
--- a/siskinpathd/entry/make_room_test.go
+++ b/siskinpathd/entry/make_room_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/valyala/fasthttp"
 
 	"siskinpath/core/clock"
 	"siskinpath/core/config"
@@ -84,18 +86,21 @@
 			Limits: func() config.Limits { return defaultLimits }, Bodies: &bodyBudget{Total: 1000},
 		}
 		So(s.reclaimResponse(), ShouldBeFalse)
-		write := func(bytes int) net.Conn {
+		write := func() (*conn, net.Conn) {
 			host, client := net.Pipe()
 			c := newConn(s, host)
 			s.addConn(c)
 			c.sent.begin(now.Now())
-			c.sent.add(bytes)
+			c.sent.add(now.Now(), 2*sendBufferBytes)
 			now.Advance(1)
-			return client
+			return c, client
 		}
-		slow, slower, fast := write(2*sendBufferBytes), write(2*sendBufferBytes), write(2*sendBufferBytes+2*minTransferRate)
+		_, slow := write()
+		_, slower := write()
+		taken, fast := write()
 		So(s.reclaimResponse(), ShouldBeTrue)
 		now.Advance(slowAfter)
+		taken.sent.add(now.Now(), minTransferRate)
 		Convey("cuts the slow ones, the oldest first, and not the fast one", func() {
 			So(s.reclaimResponse(), ShouldBeTrue)
 			So(closedByHost(slow), ShouldBeTrue)
@@ -114,28 +119,94 @@
 	return errors.Is(err, io.EOF)
 }
 
-// TestSlowTransfer guards against clients that pass for fast ones by sending a byte now and then.
+// TestSlowTransfer guards against clients that pass for fast ones because they sent much at first,
+// or send a byte now and then.
 func TestSlowTransfer(t *testing.T) {
-	for _, c := range []struct {
-		after clock.Millis
-		bytes int
-		slow  bool
-	}{
-		{slowAfter - 1, 0, false}, {slowAfter, 0, true}, {slowAfter, minTransferRate - 1, true}, {slowAfter, minTransferRate, false},
-		{10 * slowAfter, 10*minTransferRate - 1, true}, {10 * slowAfter, 10 * minTransferRate, false},
-	} {
-		Convey(fmt.Sprintf("%d bytes in %d ms", c.bytes, c.after), t, func() {
-			tr := &transfer{}
-			tr.begin(clock.Hour)
-			tr.add(c.bytes)
-			since, slow := tr.slow(clock.Hour+c.after, 0)
+	Convey("a transfer", t, func() {
+		now := clock.Hour
+		tr := &transfer{}
+		shouldBeSlow := func(want bool) {
+			since, slow := tr.slow(now)
 			So(since, ShouldEqual, clock.Hour)
-			So(slow, ShouldEqual, c.slow)
+			So(slow, ShouldEqual, want)
+		}
+		tr.begin(now)
+		shouldBeSlow(false)
+		Convey("is slow when nothing has come", func() {
+			now += slowAfter - 1
+			shouldBeSlow(false)
+			now++
+			shouldBeSlow(true)
+		})
+		Convey("is slow as soon although much has come before", func() {
+			tr.add(now, 100*minTransferRate)
+			now += slowAfter
+			shouldBeSlow(true)
+		})
+		Convey("is slow although a byte comes now and then", func() {
+			for range 2 * slowAfter / 10 {
+				now += 10
+				tr.add(now, 1)
+			}
+			shouldBeSlow(true)
+		})
+		Convey("is not slow at the rate that is asked, nor afterwards", func() {
+			for range 100 {
+				now += slowAfter - 1
+				tr.add(now, 2*minTransferRate)
+				shouldBeSlow(false)
+			}
+		})
+		Convey("is not slow after its end", func() {
+			now += slowAfter
 			tr.end()
-			_, slow = tr.slow(clock.Hour+c.after, 0)
+			_, slow := tr.slow(now)
 			So(slow, ShouldBeFalse)
 		})
-	}
+	})
+}
+
+// TestBodiesEndedForMemory guards against uploads that stop and keep others from being taken.
+func TestBodiesEndedForMemory(t *testing.T) {
+	Convey("an upload that stopped midway uses up the budget", t, func() {
+		now := &clock.Manual{}
+		now.Advance(clock.Hour)
+		s := &Server{
+			Clock: now, Log: slog.New(slog.DiscardHandler), MaxConnections: 4, conns: map[*conn]*readError{},
+			Limits: func() config.Limits { return defaultLimits }, Bodies: &bodyBudget{Total: 1000},
+		}
+		s.Bodies.Reclaim = s.reclaimBody
+		host, client := net.Pipe()
+		c := newConn(s, host)
+		s.addConn(c)
+		go c.serve()
+		Reset(func() { _ = client.Close() })
+		_, err := io.WriteString(client, "PUT /x HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\nhalf")
+		So(err, ShouldBeNil)
+		for !c.body.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		other := bodyHold{budget: s.Bodies}
+		Convey("and goes on as long as it is not slow", func() {
+			now.Advance(slowAfter / 2)
+			So(other.grow(200), ShouldBeFalse)
+			So(c.stopped.Load(), ShouldBeFalse)
+		})
+		Convey("and ends for another one with a status that promises that it did not run", func() {
+			now.Advance(slowAfter)
+			taken := make(chan bool)
+			go func() { taken <- other.grow(200) }()
+			resp := &fasthttp.Response{}
+			So(resp.Read(bufio.NewReader(client)), ShouldBeNil)
+			So(resp.StatusCode(), ShouldEqual, fasthttp.StatusRequestTimeout)
+			So(<-taken, ShouldBeTrue)
+		})
+		Convey("and does not end for one that can't be taken at all", func() {
+			now.Advance(slowAfter)
+			So(other.grow(1001), ShouldBeFalse)
+			So(c.stopped.Load(), ShouldBeFalse)
+		})
+	})
 }
 
 func TestConnectionLimit(t *testing.T) {
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -151,6 +151,7 @@
 	n.resources.replies.Reclaim = func() bool { return n.server.reclaimResponse() }
 	n.pools = &UpstreamPools{Clock: n.Clock, Dialect: n.UpstreamDialect, Replies: n.resources.replies}
 	n.bodies = newBodyBudget(n.cfg().MemoryMB)
+	n.bodies.Reclaim = func() bool { return n.server.reclaimBody() }
 	n.decisions = &decisionLog{log: n.Log, clock: n.Clock, limit: n.LogLimiter}
 	n.crashes = &crashGuard{Clock: n.Clock, Decisions: n.decisions, Withhold: n.withhold, Announce: func(events []quarantine.Event) { n.relay.AnnounceCrashEvents(events) }}
 	n.forwarder = &forwarder{Clock: n.Clock, Replies: n.resources.replies, Memory: n.resources.memory}
