entry: a body without others may use nearly all of the memory for clients

What callers saw: an upload of 64 MB, which max_body_bytes allows, got 503 at every try on a host of 136 MB, also in calm. The cause: the limit on one body was that on all of them, an eighth of memory_mb.

A body may now have .48 of memory_mb while no other one is held. It is safe as all parts (bodies, replies, headers, connections, messages of hosts) take their memory of one budget of .55 of memory_mb, which leaves .08 to the others meanwhile, and .15 below the collector's limit to the tables. Bodies of a known length are read into memory of that length; those in chunks count twice, as they are copied while they grow.

--- a/siskinpathd/entry/body_budget.go
+++ b/siskinpathd/entry/body_budget.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"io"
 	"net/http/httputil"
 	"sync/atomic"
@@ -13,13 +12,10 @@
 	"github.com/valyala/fasthttp"
 
 	"siskinpath/core/clock"
+	"siskinpath/siskinpathd/memory"
 )
 
 const (
-	// bodyMemoryShare is the share of the process's memory that the bodies of requests may
-	// have that are being read or held. Buffers that grow take about twice as much for a
-	// moment.
-	bodyMemoryShare = 0.125
 	// bodyMemoryRetryAfter is the retry delay of a request whose body does not fit.
 	bodyMemoryRetryAfter = 200 * clock.Millisecond
 	// bodyWait is how long a body waits for others that are ended for it, and bodyWaitInterval
@@ -28,6 +24,9 @@
 	bodyWaitInterval = 5 * clock.Millisecond
 	// bodyStepBytes is how much of a body of unknown length is read at a time.
 	bodyStepBytes = 16 << 10
+	// smallBodyBytes is the length above which a body in chunks counts twice, as it is copied
+	// while it grows.
+	smallBodyBytes = 64 << 10
 	// reasonBodyMemory is the reason of the refusal of a request whose body does not fit.
 	reasonBodyMemory = "body_memory"
 )
@@ -52,6 +51,10 @@
 // that large requests can't take the host's memory. It is safe for concurrent use.
 type bodyBudget struct {
 	Total int64 // bytes of all bodies
+	// Lone is the number of bytes that a body may have beyond Total if there is no other one.
+	Lone int64
+	// Memory is what the bodies share with other parts of the process; nil for none.
+	Memory *memory.Budget
 	// Reclaim is called again and again while a body waits. It may end the reading of another
 	// one, and reports whether there will be memory. Without it no body waits.
 	Reclaim func() bool
@@ -61,7 +64,7 @@
 
 // newBodyBudget returns the budget of a process with a memory limit; 0 means the default.
 func newBodyBudget(memoryMB int) *bodyBudget {
-	return &bodyBudget{Total: int64(bodyMemoryShare * float64(cmp.Or(memoryMB, defaultMemoryMB)<<20))}
+	return &bodyBudget{Total: memoryShare(&Settings{MemoryMB: memoryMB}, bodyMemoryShare)}
 }
 
 // bodyHold is the part of the budget that one body takes. It is not safe for concurrent
@@ -81,8 +84,11 @@
 }
 
 func (h *bodyHold) tryGrow(n int64) bool {
-	if h.budget.inUse.Add(n) > h.budget.Total {
-		h.budget.inUse.Add(-n)
+	b := h.budget
+	total := b.inUse.Add(n)
+	lone := total == h.bytes+n && total <= b.Lone
+	if total > b.Total && !lone || !b.Memory.Take(n) {
+		b.inUse.Add(-n)
 		return false
 	}
 	h.bytes += n
@@ -93,7 +99,7 @@
 // wait waits for the memory of others that are ended for this one.
 func (h *bodyHold) wait(n int64) bool {
 	b := h.budget
-	if b.Reclaim == nil || h.bytes+n > b.Total {
+	if b.Reclaim == nil || h.bytes+n > max(b.Total, b.Lone) {
 		return false
 	}
 	for waited := clock.Millis(0); waited < bodyWait && b.Reclaim(); waited += bodyWaitInterval {
@@ -111,16 +117,23 @@
 		return
 	}
 	h.budget.inUse.Add(-h.bytes)
+	h.budget.Memory.Release(h.bytes)
 	bodyBytesInUse.Add(-h.bytes)
 	h.bytes = 0
 }
 
 // readBody reads the body, whose length, if known, has been taken of the budget.
 func (r *heldRequest) readBody(from *bufio.Reader, maxBytes int) error {
-	if r.Header.ContentLength() != chunkedLength {
-		return r.ContinueReadBody(from, maxBytes, false)
+	length := r.Header.ContentLength()
+	if length == chunkedLength {
+		return r.readChunks(from, maxBytes)
+	}
+	body := make([]byte, length)
+	if _, err := io.ReadFull(from, body); err != nil {
+		return err
 	}
-	return r.readChunks(from, maxBytes)
+	r.SetBodyRaw(body)
+	return nil
 }
 
 // readChunks reads a body in chunks and its trailer, and takes each part of the budget
@@ -148,7 +161,11 @@
 		if len(dst)+n > maxBytes {
 			return nil, errBodyTooLarge
 		}
-		if !r.body.grow(n) {
+		cost := n
+		if len(dst)+n > smallBodyBytes {
+			cost = 2 * n
+		}
+		if !r.body.grow(cost) {
 			return nil, errBodyMemory
 		}
 		dst = append(dst, part[:n]...)
--- a/siskinpathd/entry/body_budget_test.go
+++ b/siskinpathd/entry/body_budget_test.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"siskinpath/siskinpathd/forward/forwardpb"
+	"siskinpath/siskinpathd/memory"
 )
 
 const chunkedHeader = "POST /write/1 HTTP/1.1\r\nHost: shop.example\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -59,6 +60,33 @@
 			So(b.inUse.Load(), ShouldEqual, 3)
 			req.release()
 		})
+		Convey("gives all of a larger budget to a body without others, and to no second one", func() {
+			b.Lone, b.Memory = 1000, &memory.Budget{Total: 1100}
+			lone, other := bodyHold{budget: b}, bodyHold{budget: b}
+			So(lone.grow(1001), ShouldBeFalse)
+			So(lone.grow(600), ShouldBeTrue)
+			So(lone.grow(400), ShouldBeTrue)
+			So(other.grow(1), ShouldBeFalse)
+			So(b.Memory.InUse(), ShouldEqual, 1000)
+			lone.release()
+			So(other.grow(1), ShouldBeTrue)
+			So(lone.grow(100), ShouldBeFalse)
+			other.release()
+			So(b.Memory.Take(200), ShouldBeTrue)
+			So(lone.grow(901), ShouldBeFalse)
+			So(lone.grow(900), ShouldBeTrue)
+		})
+		Convey("counts a long body in chunks twice, as it is copied while it grows", func() {
+			b.Total = 1 << 20
+			text := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", 3*smallBodyBytes, strings.Repeat("x", 3*smallBodyBytes))
+			req, _, err := readChunkedRequest(text, b, 1<<20)
+			So(err, ShouldBeNil)
+			So(len(req.Body()), ShouldEqual, 3*smallBodyBytes)
+			So(b.inUse.Load(), ShouldBeGreaterThan, 4*smallBodyBytes)
+			So(b.inUse.Load(), ShouldBeLessThanOrEqualTo, 6*smallBodyBytes)
+			req.release()
+			So(b.inUse.Load(), ShouldEqual, 0)
+		})
 		Convey("counts what a body in chunks has, and leaves the next request unread", func() {
 			req, rest, err := readChunkedRequest("3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nX-Sum: 1\r\n\r\nGET / HTTP/1.1\r\n", b, 5)
 			So(err, ShouldBeNil)
--- a/siskinpathd/entry/make_room.go
+++ b/siskinpathd/entry/make_room.go
@@ -71,10 +71,10 @@
 	return standingSilent, c.idleSince
 }
 
-// makeRoom closes another connection if there are as many as allowed. It returns false if a new
-// one can't be taken.
+// makeRoom takes the memory of a new connection. It closes another one if there are as many as
+// allowed, and returns false if the new one can't be taken.
 func (s *Server) makeRoom() bool {
-	if s.OpenConnections() < s.MaxConnections {
+	if s.takeConnection() {
 		return true
 	}
 	victim := s.closeOne()
@@ -83,10 +83,13 @@
 	}
 	select {
 	case <-victim.removed:
-		return true
 	case <-time.After(removalWait.Duration()):
-		return s.OpenConnections() < s.MaxConnections
 	}
+	return s.takeConnection()
+}
+
+func (s *Server) takeConnection() bool {
+	return s.OpenConnections() < s.MaxConnections && s.Connections.Take(connectionBytes)
 }
 
 // closeOne closes the connection with the lowest standing, the oldest of these. It returns nil
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -150,7 +150,7 @@
 	n.resources = newResources(n.cfg())
 	n.resources.replies.Reclaim = func() bool { return n.server.reclaimResponse() }
 	n.pools = &UpstreamPools{Clock: n.Clock, Dialect: n.UpstreamDialect, Replies: n.resources.replies}
-	n.bodies = newBodyBudget(n.cfg().MemoryMB)
+	n.bodies = n.resources.bodies
 	n.bodies.Reclaim = func() bool { return n.server.reclaimBody() }
 	n.decisions = &decisionLog{log: n.Log, clock: n.Clock, limit: n.LogLimiter}
 	n.crashes = &crashGuard{Clock: n.Clock, Decisions: n.decisions, Withhold: n.withhold, Announce: func(events []quarantine.Event) { n.relay.AnnounceCrashEvents(events) }}
@@ -171,7 +171,7 @@
 	n.initWatchers()
 	n.server = &Server{
 		ListenAddress: n.cfg().Listen.Caller, Log: n.Log, Clock: n.Clock, RequestIDHeader: n.CallerHeaders.RequestID, MaxConnections: n.resources.maxConnections,
-		Limits: n.limits, Bodies: n.bodies, Headers: n.resources.headers, Handle: n.handle,
+		Limits: n.limits, Bodies: n.bodies, Headers: n.resources.headers, Connections: n.resources.connections, Handle: n.handle,
 	}
 }
 
--- a/siskinpathd/entry/resources.go
+++ b/siskinpathd/entry/resources.go
@@ -15,7 +15,12 @@
 // the runtime, for garbage, and for the kernel's buffers; see docs/resources.md.
 const (
 	// clientMemoryShare is for all that is held for clients.
-	clientMemoryShare = 0.5
+	clientMemoryShare = 0.55
+	// bodyMemoryShare is the part of it for the bodies of requests that are being read or held,
+	// and loneBodyShare for a body while there is no other one. Buffers that grow take about
+	// twice as much for a moment.
+	bodyMemoryShare = 0.125
+	loneBodyShare   = 0.48
 	// replyMemoryShare and replyMaxShare are the parts of it for replies of upstreams that are
 	// being read or wait for their clients: for long ones, and for all. Buffers that grow take
 	// about twice as much for a moment.
@@ -57,8 +62,10 @@
 // resources are the limits on what the host holds for its clients.
 type resources struct {
 	memory         *memory.Budget
+	bodies         *bodyBudget
 	replies        *upstream.ReplyBudget
 	headers        *memory.Part
+	connections    *memory.Part
 	maxConnections int // of callers
 }
 
@@ -89,10 +96,13 @@
 	replies := memoryShare(cfg, replyMemoryShare)
 	r := &resources{
 		memory:         total,
+		bodies:         newBodyBudget(cfg.MemoryMB),
 		replies:        &upstream.ReplyBudget{PerReply: replies / replyMemoryParts, Total: replies, Max: memoryShare(cfg, replyMaxShare), Memory: total},
 		headers:        &memory.Part{Limit: memoryShare(cfg, headerMemoryShare), Budget: total},
+		connections:    &memory.Part{Limit: memoryShare(cfg, connectionMemoryShare), Budget: total},
 		maxConnections: connectionLimit(cfg, callerDescriptorShare, connectionMemoryShare),
 	}
+	r.bodies.Lone, r.bodies.Memory = memoryShare(cfg, loneBodyShare), total
 	limitsInForce.Store(r)
 	return r
 }
--- a/siskinpathd/entry/server.go
+++ b/siskinpathd/entry/server.go
@@ -46,6 +46,8 @@
 	Bodies *bodyBudget
 	// Headers limits the memory of headers that are being read or held; nil for no limit.
 	Headers *memory.Part
+	// Connections limits the memory of the connections themselves; nil for no limit.
+	Connections *memory.Part
 	// Handle returns the final response to a request of the caller at an address. ctx is
 	// cancelled when the caller has disconnected.
 	Handle func(ctx context.Context, req *fasthttp.Request, caller string) *Response
@@ -140,6 +142,7 @@
 	defer s.mu.Unlock()
 	delete(s.conns, c)
 	connectionsOpen.Add(-1)
+	s.Connections.Release(connectionBytes)
 	close(c.removed)
 }
 
