entry: what the kernel holds of responses that clients do not take is limited

What was seen: clients that ask for one response each and read nothing left it in the kernel's buffers of their connections, which the process does not see: its own budget counts a response until it has been written. On 400 clients with answers of 100 KB made 36 MB of such queues, 79 to 80 MB together with the process, of 64 MB. With the buffers of 64 KB that came before this change it is 21 MB with answers of 60 KB; on a machine of 136 MB with 870 connections it would be more than half of it.

Each response is counted when it has been written, up to what the kernel's buffer holds, against .08 of memory_mb. Where that is used up the kernel is asked what is left of each (SIOCOUTQ), and the connections that have taken nothing for longest are reset. An idle connection that times out with a response in the kernel is reset too; the kernel would keep it for minutes.

--- a/siskinpathd/entry/conn.go
+++ b/siskinpathd/entry/conn.go
@@ -14,6 +14,7 @@
 
 	"siskinpath/core/clock"
 	"siskinpath/core/config"
+	"siskinpath/siskinpathd/tcp"
 )
 
 const (
@@ -144,10 +145,22 @@
 		close(c.requests)
 		return
 	}
+	if c.isStuck() {
+		c.abort()
+	}
 	c.cancel()
 	close(c.requests)
 }
 
+// isStuck reports whether the client of an idle connection has not taken the last response for
+// so long that the kernel should not keep it.
+func (c *conn) isStuck() bool {
+	c.mu.Lock()
+	idle := c.idle && c.inFlight.Load() == 0 && c.server.Clock.Now() >= c.idleSince+slowAfter
+	c.mu.Unlock()
+	return idle && tcp.Unsent(c.Conn) > 0
+}
+
 // readRequests reads requests until the connection ends, and returns the reason. Each is
 // subject to the limits in force when it begins.
 func (c *conn) readRequests() (err error) {
--- a/siskinpathd/entry/conn_write.go
+++ b/siskinpathd/entry/conn_write.go
@@ -125,7 +125,11 @@
 	if err = resp.Write(w); err != nil {
 		return err
 	}
-	return w.Flush()
+	if err = w.Flush(); err != nil {
+		return err
+	}
+	c.server.Unread.add(c, int(c.sent.bytes.Load()))
+	return nil
 }
 
 // writePieceBytes is the number of bytes that are written at once. A client that takes them at
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -171,7 +171,8 @@
 	n.initWatchers()
 	n.server = &Server{
 		ListenAddress: n.cfg().Listen.Caller, Log: n.Log, Clock: n.Clock, RequestIDHeader: n.CallerHeaders.RequestID, MaxConnections: n.resources.maxConnections,
-		Limits: n.limits, Bodies: n.bodies, Headers: n.resources.headers, Connections: n.resources.connections, Handle: n.handle,
+		Limits: n.limits, Bodies: n.bodies, Headers: n.resources.headers, Unread: n.resources.unread,
+		Connections: n.resources.connections, Handle: n.handle,
 	}
 }
 
--- a/siskinpathd/entry/resources.go
+++ b/siskinpathd/entry/resources.go
@@ -38,6 +38,10 @@
 	operatorMemoryShare  = 0.01
 )
 
+// unreadMemoryShare is the share of the process's memory limit, besides clientMemoryShare, that
+// the kernel may hold of responses that clients have not taken.
+const unreadMemoryShare = 0.08
+
 const (
 	// connectionBytes is what an idle connection takes: its read buffer, two goroutines and
 	// the kernel's socket.
@@ -66,6 +70,7 @@
 	replies        *upstream.ReplyBudget
 	headers        *memory.Part
 	connections    *memory.Part
+	unread         *unreadBudget
 	maxConnections int // of callers
 }
 
@@ -79,6 +84,7 @@
 		"request_header_bytes":       func(r *resources) int64 { return r.headers.InUse() },
 		"caller_connections_limit":   func(r *resources) int64 { return int64(r.maxConnections) },
 		"upstream_reply_limit_bytes": func(r *resources) int64 { return r.replies.Total },
+		"unread_response_bytes":      func(r *resources) int64 { return r.unread.Memory.InUse() },
 		"request_header_limit_bytes": func(r *resources) int64 { return r.headers.Limit },
 	} {
 		metrics.NewGauge(name, func() float64 {
@@ -99,6 +105,7 @@
 		bodies:         newBodyBudget(cfg.MemoryMB),
 		replies:        &upstream.ReplyBudget{PerReply: replies / replyMemoryParts, Total: replies, Max: memoryShare(cfg, replyMaxShare), Memory: total},
 		headers:        &memory.Part{Limit: memoryShare(cfg, headerMemoryShare), Budget: total},
+		unread:         newUnreadBudget(memoryShare(cfg, unreadMemoryShare)),
 		connections:    &memory.Part{Limit: memoryShare(cfg, connectionMemoryShare), Budget: total},
 		maxConnections: connectionLimit(cfg, callerDescriptorShare, connectionMemoryShare),
 	}
--- a/siskinpathd/entry/server.go
+++ b/siskinpathd/entry/server.go
@@ -46,6 +46,8 @@
 	Bodies *bodyBudget
 	// Headers limits the memory of headers that are being read or held; nil for no limit.
 	Headers *memory.Part
+	// Unread limits what the kernel holds of responses; nil for no limit.
+	Unread *unreadBudget
 	// Connections limits the memory of the connections themselves; nil for no limit.
 	Connections *memory.Part
 	// Handle returns the final response to a request of the caller at an address. ctx is
@@ -138,6 +140,7 @@
 }
 
 func (s *Server) removeConn(c *conn) {
+	s.Unread.remove(c)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
