logs: lines that wait for a slow reader are limited in bytes

What was seen (by reading, then by a test): 1,024 lines may wait until the log is read, and lines quote the id of a request, which a caller may make as long as a header: 20.5 MB of lines of 20 KB waited in the test. The limit counted lines only. Lines that wait have 1 MB together now; others are left out and counted, as before. TestLongLinesAtSlowReader: 20,562,952 bytes before, at most 1.1 MB now.

--- a/siskinpathd/logs/logs.go
+++ b/siskinpathd/logs/logs.go
@@ -9,6 +9,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -19,6 +20,8 @@
 const (
 	// maxQueuedLines is the number of lines that may wait to be written.
 	maxQueuedLines = 1024
+	// maxQueuedBytes is the size of these lines together. Lines quote ids that callers choose.
+	maxQueuedBytes = 1 << 20
 	// maxWriteBytes is the size at which no further line is added to a write.
 	maxWriteBytes = 32 << 10
 	// closeTimeout is how long Close waits for a slow reader of the log.
@@ -33,10 +36,11 @@
 
 // Writer queues whole lines and writes them in order in the background.
 type Writer struct {
-	out   io.Writer
-	lines chan []byte
-	done  chan struct{}
-	once  sync.Once
+	out    io.Writer
+	lines  chan []byte
+	queued atomic.Int64 // bytes of lines
+	done   chan struct{}
+	once   sync.Once
 }
 
 // NewWriter returns a Writer that writes to out.
@@ -48,10 +52,17 @@
 
 // Write queues a line. It never blocks and never fails.
 func (w *Writer) Write(line []byte) (int, error) {
+	size := int64(len(line))
+	if w.queued.Add(size) > maxQueuedBytes {
+		w.queued.Add(-size)
+		linesDropped.Inc()
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 		linesWritten.Inc()
 	default:
+		w.queued.Add(-size)
 		linesDropped.Inc()
 	}
 	return len(line), nil
@@ -71,10 +82,12 @@
 	defer close(w.done)
 	var buf []byte
 	for line := range w.lines {
+		w.queued.Add(-int64(len(line)))
 		buf = append(buf[:0], line...)
 		for more := true; more && len(buf) < maxWriteBytes; {
 			select {
 			case next, open := <-w.lines:
+				w.queued.Add(-int64(len(next)))
 				buf = append(buf, next...)
 				more = open
 			default:
--- a/siskinpathd/logs/logs_test.go
+++ b/siskinpathd/logs/logs_test.go
@@ -56,3 +56,32 @@
 	_ = r.Close()
 	w.Close()
 }
+
+// TestLongLinesAtSlowReader guards against lines that quote long texts of callers and are queued
+// while the log is not read.
+func TestLongLinesAtSlowReader(t *testing.T) {
+	Convey("long lines are logged while nobody reads", t, func() {
+		r, out := io.Pipe()
+		w := NewWriter(out)
+		log := slog.New(slog.NewJSONHandler(w, nil))
+		for range maxQueuedLines {
+			log.Info("refused", "id", strings.Repeat("x", 20_000))
+		}
+		Convey("no more is written later than may be queued, and lines are written again", func() {
+			written := make(chan int64)
+			go func() {
+				n, _ := io.Copy(io.Discard, r)
+				written <- n
+			}()
+			for w.queued.Load() > 0 {
+				time.Sleep(time.Millisecond)
+			}
+			before := linesWritten.Get()
+			log.Info("refused", "id", "short")
+			So(linesWritten.Get(), ShouldEqual, before+1)
+			w.Close()
+			_ = out.Close()
+			So(<-written, ShouldBeBetween, 0, maxQueuedBytes+2*maxWriteBytes)
+		})
+	})
+}
