upstream: connections to all upstreams together are limited

Read in the code: each pool has a limit of its own, the operators', and where they name none there is none; callers that are all served at once, and those that leave midway, could make a host open as many connections to upstreams as there are descriptors, and the store and other hosts get none. Only suspected: with the limit on callers' connections no test of processes has reached it.

A host opens as many as .3 of its descriptors and .05 of its memory allow. Beyond it an idle one of another upstream is closed; where all are in use nothing is sent, as with the operators' limit. Counter upstream_connections_not_opened_total.

--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -149,7 +149,8 @@
 	n.registry.MinLapse = n.cfg().Platform.minLapse()
 	n.resources = newResources(n.cfg())
 	n.resources.replies.Reclaim = func() bool { return n.server.reclaimResponse() }
-	n.pools = &UpstreamPools{Clock: n.Clock, Dialect: n.UpstreamDialect, Replies: n.resources.replies}
+	n.pools = &UpstreamPools{Clock: n.Clock, Dialect: n.UpstreamDialect, Replies: n.resources.replies, Connections: n.resources.upstreams}
+	n.resources.upstreams.MakeRoom = n.pools.closeIdle
 	n.bodies = n.resources.bodies
 	n.bodies.Reclaim = func() bool { return n.server.reclaimBody() }
 	n.decisions = &decisionLog{log: n.Log, clock: n.Clock, limit: n.LogLimiter}
--- a/siskinpathd/entry/pools.go
+++ b/siskinpathd/entry/pools.go
@@ -31,6 +31,8 @@
 	Dialect *upstream.Dialect
 	Replies *upstream.ReplyBudget // limits the replies; nil means no limit
 
+	Connections *upstream.ConnectionLimit // limits the connections; nil means no limit
+
 	mu    sync.RWMutex
 	pools map[string]*pooledUpstream // by upstream id
 }
@@ -58,6 +60,7 @@
 		if t == nil || t.Address != k.Address {
 			t = &pooledUpstream{id: k.ID, Pool: &upstream.Pool{
 				Address: k.Address, DialTimeout: dialTimeout, Clock: p.Clock, Dialect: p.Dialect, IdleTimeout: defaultIdleTimeout, ReplyGracePeriod: replyGrace, Replies: p.Replies,
+				Connections: p.Connections,
 			}}
 		} else {
 			t = &pooledUpstream{id: k.ID, Pool: t.Pool}
@@ -105,6 +108,18 @@
 	return result, err
 }
 
+// closeIdle closes an idle connection of any upstream, and reports whether there was one.
+func (p *UpstreamPools) closeIdle() bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, t := range p.pools {
+		if t.CloseIdle() {
+			return true
+		}
+	}
+	return false
+}
+
 // Sweep closes connections that have been idle for too long.
 func (p *UpstreamPools) Sweep() {
 	p.mu.RLock()
--- a/siskinpathd/entry/resources.go
+++ b/siskinpathd/entry/resources.go
@@ -32,6 +32,8 @@
 	headerMemoryShare = 0.075
 	// connectionMemoryShare is the part of it for the connections themselves.
 	connectionMemoryShare = 0.1
+	// upstreamMemoryShare is the part of it for connections to upstreams.
+	upstreamMemoryShare = 0.05
 	// directoryMemoryShare and operatorMemoryShare are for the connections to the other ports,
 	// that of the directory and each of the others.
 	directoryMemoryShare = 0.02
@@ -56,6 +58,8 @@
 	// callerDescriptorShare is the share of the others that callers' connections may take. The
 	// rest is for connections to upstreams, hosts and the store, and for the other listeners.
 	callerDescriptorShare = 0.4
+	// upstreamDescriptorShare is the same for connections to upstreams.
+	upstreamDescriptorShare = 0.3
 	// directoryDescriptorShare and operatorDescriptorShare are the same for the other ports.
 	directoryDescriptorShare = 0.1
 	operatorDescriptorShare  = 0.05
@@ -71,6 +75,7 @@
 	headers        *memory.Part
 	connections    *memory.Part
 	unread         *unreadBudget
+	upstreams      *upstream.ConnectionLimit
 	maxConnections int // of callers
 }
 
@@ -105,6 +110,7 @@
 		bodies:         newBodyBudget(cfg.MemoryMB),
 		replies:        &upstream.ReplyBudget{PerReply: replies / replyMemoryParts, Total: replies, Max: memoryShare(cfg, replyMaxShare), Memory: total},
 		headers:        &memory.Part{Limit: memoryShare(cfg, headerMemoryShare), Budget: total},
+		upstreams:      &upstream.ConnectionLimit{Max: connectionLimit(cfg, upstreamDescriptorShare, upstreamMemoryShare)},
 		unread:         newUnreadBudget(memoryShare(cfg, unreadMemoryShare)),
 		connections:    &memory.Part{Limit: memoryShare(cfg, connectionMemoryShare), Budget: total},
 		maxConnections: connectionLimit(cfg, callerDescriptorShare, connectionMemoryShare),
--- a/siskinpathd/upstream/pool.go
+++ b/siskinpathd/upstream/pool.go
@@ -20,12 +20,16 @@
 const DefaultIdleTimeout = 60 * clock.Second
 
 var (
-	connectionsOpened = metrics.NewCounter("upstream_connections_opened_total")
-	connectionsStale  = metrics.NewCounter("upstream_connections_found_stale_total")
+	connectionsOpened  = metrics.NewCounter("upstream_connections_opened_total")
+	connectionsLacking = metrics.NewCounter("upstream_connections_not_opened_total") // for lack of descriptors or memory
+	connectionsStale   = metrics.NewCounter("upstream_connections_found_stale_total")
 )
 
-// errConnectionLimit is returned if MaxConnections connections are already open.
-var errConnectionLimit = errors.New("connection limit of the upstream reached; raise connections in its row")
+// Errors of connections that are not opened. Nothing has been sent.
+var (
+	errConnectionLimit     = errors.New("connection limit of the upstream reached; raise connections in its row")
+	errHostConnectionLimit = errors.New("this host has as many connections to upstreams as its descriptors and memory allow")
+)
 
 // Pool manages the connections of this host to one upstream.
 type Pool struct {
@@ -38,7 +42,8 @@
 	// ReplyGracePeriod is how long past the deadline of a request its connection may
 	// still read the reply. It serves callers that end attempts through the context.
 	ReplyGracePeriod clock.Millis
-	Replies          *ReplyBudget // limits the replies; nil means no limit
+	Replies          *ReplyBudget     // limits the replies; nil means no limit
+	Connections      *ConnectionLimit // limits the connections of all pools; nil means no limit
 
 	mu     sync.Mutex
 	idle   []*conn // most recently used last
@@ -96,7 +101,12 @@
 
 func (p *Pool) dial(ctx context.Context) (c *conn, err error) {
 	defer func() { err = errors.WithMessagef(err, "connect to upstream %s", p.Address) }()
+	if !p.Connections.take() {
+		connectionsLacking.Inc()
+		return nil, errHostConnectionLimit
+	}
 	if !p.reserve() {
+		p.Connections.release()
 		return nil, errConnectionLimit
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.DialTimeout.Duration())
@@ -125,6 +135,22 @@
 	p.mu.Lock()
 	p.open--
 	p.mu.Unlock()
+	p.Connections.release()
+}
+
+// CloseIdle closes the connection that has been idle for longest, and reports whether there was
+// one.
+func (p *Pool) CloseIdle() bool {
+	p.mu.Lock()
+	if len(p.idle) == 0 {
+		p.mu.Unlock()
+		return false
+	}
+	c := p.idle[0]
+	p.idle = p.idle[1:]
+	p.mu.Unlock()
+	p.discard(c)
+	return true
 }
 
 // put returns a reusable connection to the pool.
