entry: clients are not cut off for a response that they have just got

What was seen, in a test of clients that read nothing: connections were cut a millisecond after their response had been written, as the limit on what the kernel holds had no regard to age. A client that takes its response at the next round trip would have been cut too, on a host with many at once.

Above half of the limit (now .15 of memory_mb) those are cut off that have taken nothing for two seconds; only above the limit the oldest of all.

--- a/siskinpathd/entry/resources.go
+++ b/siskinpathd/entry/resources.go
@@ -42,7 +42,7 @@
 
 // unreadMemoryShare is the share of the process's memory limit, besides clientMemoryShare, that
 // the kernel may hold of responses that clients have not taken.
-const unreadMemoryShare = 0.08
+const unreadMemoryShare = 0.15
 
 const (
 	// connectionBytes is what an idle connection takes: its read buffer, two goroutines and
--- a/siskinpathd/entry/unread.go
+++ b/siskinpathd/entry/unread.go
@@ -14,6 +14,9 @@
 // of its buffer, and a packet that it takes before it looks at the size.
 const maxUnread = 3 * sendBufferBytes
 
+// unreadSoftShare is the share of the limit above which slow clients are cut off.
+const unreadSoftShare = 0.5
+
 var unreadCut = metrics.NewCounter("connections_cut_unread_total")
 
 // unreadBudget limits what the kernel holds of responses that were written and that clients have
@@ -39,8 +42,9 @@
 	}
 }
 
-// add counts n bytes that were written to a connection. If there is no room, it cuts off the
-// connections that have taken nothing for longest; never c itself.
+// add counts n bytes that were written to a connection. Above half of the limit it cuts off the
+// connections that have been slow for longest, and above the limit the oldest ones; never c
+// itself.
 func (b *unreadBudget) add(c *conn, n int) {
 	if b == nil || n <= 0 {
 		return
@@ -54,17 +58,31 @@
 	}
 	u.since = c.server.Clock.Now()
 	more := min(int64(n), maxUnread-u.bytes)
-	if !b.Memory.Take(more) {
+	if !b.Memory.TakeWithin(more, unreadSoftShare) {
 		b.refresh()
-		for !b.Memory.Take(more) {
-			if !b.cutOldest(c) {
-				return
-			}
+		if !b.makeRoom(c, more) {
+			return
 		}
 	}
 	u.bytes += more
 }
 
+// makeRoom takes n bytes for a connection after it has cut off others if need be. b.mu must be
+// held.
+func (b *unreadBudget) makeRoom(c *conn, n int64) bool {
+	for slow := true; slow; slow = b.cutOldest(c, slowAfter) {
+		if b.Memory.TakeWithin(n, unreadSoftShare) {
+			return true
+		}
+	}
+	for oldest := true; oldest; oldest = b.cutOldest(c, 0) {
+		if b.Memory.Take(n) {
+			return true
+		}
+	}
+	return false
+}
+
 // refresh asks the kernel what is left of the counted bytes. b.mu must be held.
 func (b *unreadBudget) refresh() {
 	for c, u := range b.conns {
@@ -75,11 +93,12 @@
 }
 
 // cutOldest cuts off the connection, other than one, with the oldest bytes that the kernel still
-// holds. b.mu must be held.
-func (b *unreadBudget) cutOldest(other *conn) bool {
+// holds, if they have a minimum age. b.mu must be held.
+func (b *unreadBudget) cutOldest(other *conn, minAge clock.Millis) bool {
 	var victim *conn
+	newest := other.server.Clock.Now() - minAge
 	for c, u := range b.conns {
-		if c != other && u.bytes > 0 && (victim == nil || u.since < b.conns[victim].since) {
+		if c != other && u.bytes > 0 && u.since <= newest && (victim == nil || u.since < b.conns[victim].since) {
 			victim = c
 		}
 	}
