place, upstream: an upstream is not blamed for the host's lack of memory or connections

What callers saw: sound upstreams went out of use (ejected after three failures) while clients that read nothing used up the memory for replies; requests of others were refused or went elsewhere, and the host looked three times whether the upstream had crashed. The cause: a reply for which the host had no memory ended its attempt as a lost connection, and a connection that the host did not open for its own limit as an unreachable upstream.

Such an attempt ends as cancelled, by this host, with the reason reply_memory (502, as it may have run), and is not sent again: there would be no memory for another reply either. One that was not sent says so (BlockedLocally).

--- a/core/place/forward.go
+++ b/core/place/forward.go
@@ -123,8 +123,14 @@
 		delete(p.avoidedHosts, a.host)
 		r.lastReason, r.retryAfter = res.Reason, res.Notice.RetryAfter
 	case route.NotSent:
-		p.avoidHost(now, a.host)
+		if !res.BlockedLocally {
+			p.avoidHost(now, a.host)
+		}
 		r.lastReason = route.ReasonNoUpstream
+	case route.Cancelled:
+		r.arrivals += a.sends
+		r.mayHaveRun = true
+		r.lastReason = route.ReasonReplyMemory
 	default:
 		p.avoidHost(now, a.host)
 		r.arrivals += a.sends
--- a/core/place/retry.go
+++ b/core/place/retry.go
@@ -43,10 +43,14 @@
 	case route.Refused:
 		r.arrivals++
 		r.lastReason = route.ReasonUpstreamRefused
-	case route.ConnectionLost, route.Cancelled:
+	case route.ConnectionLost:
 		r.arrivals++
 		r.mayHaveRun = true
 		r.lastReason = route.ReasonConnectionLost
+	case route.Cancelled:
+		r.arrivals++
+		r.mayHaveRun = true
+		r.lastReason = route.ReasonReplyMemory
 	case route.NotSent:
 		r.lastReason = route.ReasonNoUpstream
 	}
@@ -91,6 +95,9 @@
 	if now >= r.GiveUp || len(r.tried) >= maxTries {
 		return false
 	}
+	if status == route.Cancelled {
+		return false // there would be no memory for another reply either
+	}
 	if status == route.NotSent && r.arrivals == 0 {
 		return true
 	}
--- a/core/route/types.go
+++ b/core/route/types.go
@@ -53,7 +53,7 @@
 	Refused                      // the upstream reports that it did not run the request
 	NotSent                      // no byte reached the upstream
 	ConnectionLost               // the connection failed after the first byte; the request may have run
-	Cancelled                    // cancelled by this host
+	Cancelled                    // ended by this host, which says nothing about the upstream; the request may have run
 )
 
 // LoadReport is the load that an upstream reports in a reply or an answer to a
@@ -129,6 +129,7 @@
 	ReasonQuarantined     Reason = "quarantined"      // it crashes the upstreams that run it
 	ReasonEvacuated       Reason = "evacuated"        // all upstreams are in evacuated availability zones
 	ReasonStopping        Reason = "stopping"         // the host may stop before it is answered
+	ReasonReplyMemory     Reason = "reply_memory"     // the host had no memory for the reply; only with Unknown
 )
 
 // Action is something the driver of a Shard must do.
--- a/siskinpathd/entry/forward.go
+++ b/siskinpathd/entry/forward.go
@@ -24,8 +24,6 @@
 const (
 	// maxForwardHosts is the number of other hosts that requests may be passed to.
 	maxForwardHosts = 24
-	// reasonReplyMemory is the reason of a reply that could not be passed on.
-	reasonReplyMemory = "reply_memory"
 	// forwardMargin is how much earlier the other host gives up, so that its reply still
 	// arrives.
 	forwardMargin = 5 * clock.Millisecond
@@ -38,8 +36,7 @@
 )
 
 var (
-	errHostUnknown   = errors.New("host is no longer known")
-	errForwardMemory = errors.New("no memory for a message of another host")
+	errHostUnknown = errors.New("host is no longer known")
 )
 
 // forwarder passes requests to other hosts.
@@ -78,7 +75,7 @@
 	}
 	size := int64(len(p.call.Body))
 	if !f.Memory.Take(size) { // for the encoded request
-		return nil, route.Result{Status: route.NotSent}, errForwardMemory
+		return nil, route.Result{Status: route.NotSent, BlockedLocally: true}, upstream.ErrNoMemory
 	}
 	defer f.Memory.Release(size)
 	var held *upstream.Reservation
@@ -91,7 +88,7 @@
 	}()
 	answer, sent, err := f.client.CallReserved(ctx, address, encodeForward(p, a, f.Clock.Now()), func(bytes int) (err error) {
 		if !f.Memory.Take(int64(bytes)) {
-			return errForwardMemory
+			return upstream.ErrNoMemory
 		}
 		reading = int64(bytes)
 		held, err = f.Replies.Reserve(ctx, bytes)
@@ -100,6 +97,8 @@
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return nil, route.Result{Status: route.Cancelled}, err
+	case errors.Is(err, upstream.ErrNoMemory):
+		return nil, route.Result{Status: route.Cancelled}, err
 	case err != nil && !sent:
 		return nil, route.Result{Status: route.NotSent}, err
 	case err != nil:
@@ -197,7 +196,7 @@
 	size := int64(len(resp.Body))
 	if !n.memory().Take(size) { // for the encoded reply
 		resp.release()
-		return &forwardpb.Reply{Outcome: forwardpb.Outcome_OUTCOME_UNKNOWN, Reason: reasonReplyMemory}
+		return &forwardpb.Reply{Outcome: forwardpb.Outcome_OUTCOME_UNKNOWN, Reason: string(route.ReasonReplyMemory)}
 	}
 	context.AfterFunc(ctx, func() {
 		n.memory().Release(size)
--- a/siskinpathd/upstream/attempt.go
+++ b/siskinpathd/upstream/attempt.go
@@ -63,7 +63,7 @@
 func (p *Pool) Do(ctx context.Context, a *Attempt) (reply *Reply, result route.Result, err error) {
 	c, err := p.get(ctx)
 	if err != nil {
-		result.Status = statusNotSent(ctx)
+		result.Status, result.BlockedLocally = statusNotSent(ctx), errors.Is(err, errHostConnectionLimit)
 		return nil, result, err
 	}
 	if !a.MaySend() {
@@ -84,7 +84,7 @@
 	if err != nil {
 		meter.release()
 		stop()
-		result.Status = statusAfterFailure(ctx, c.written.Load())
+		result.Status = statusAfterFailure(ctx, err, c.written.Load())
 		p.discard(c)
 		return nil, result, err
 	}
@@ -118,12 +118,14 @@
 	return route.NotSent
 }
 
-// statusAfterFailure returns the status of an attempt that failed after written
+// statusAfterFailure returns the status of an attempt that failed with err after written
 // bytes of the request were sent. If no byte was sent, the request cannot have run.
-func statusAfterFailure(ctx context.Context, written int64) route.Status {
+func statusAfterFailure(ctx context.Context, err error, written int64) route.Status {
 	switch {
 	case written == 0:
 		return statusNotSent(ctx)
+	case errors.Is(err, ErrNoMemory):
+		return route.Cancelled
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		return route.Cancelled
 	default:
--- a/siskinpathd/upstream/connection_limit_test.go
+++ b/siskinpathd/upstream/connection_limit_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"net"
 	"testing"
 
@@ -49,6 +50,8 @@
 		Convey("nothing is sent when all are in use, and what is closed can be opened again", func() {
 			one, other := hold(first, "b"), hold(second, "c")
 			shouldEndWith(first, attemptFor(first, "d"), route.NotSent)
+			_, result, _ := first.Do(context.Background(), attemptFor(first, "e"))
+			So(result.BlockedLocally, ShouldBeTrue)
 			close(release)
 			So(<-one, ShouldEqual, route.Succeeded)
 			So(<-other, ShouldEqual, route.Succeeded)
--- a/siskinpathd/upstream/reply_budget.go
+++ b/siskinpathd/upstream/reply_budget.go
@@ -20,10 +20,11 @@
 	replyWaitInterval = 10 * clock.Millisecond
 )
 
-var (
-	errReplyTooLong   = errors.New("the reply is longer than this host accepts")
-	errRepliesTooLong = errors.New("the replies being read are longer together than this host accepts")
-)
+// ErrNoMemory means that this host has no memory for a reply, which says nothing about the
+// upstream.
+var ErrNoMemory = errors.New("the replies are longer together than this host accepts")
+
+var errReplyTooLong = errors.New("the reply is longer than this host accepts")
 
 var (
 	repliesWaited   = metrics.NewCounter("upstream_replies_waited_total")
@@ -184,13 +185,13 @@
 	defer b.waiting.Add(-1)
 	if b.waiting.Add(1) > maxWaitingReplies || b.Reclaim == nil {
 		repliesUnread.Inc()
-		return errRepliesTooLong
+		return ErrNoMemory
 	}
 	repliesWaited.Inc()
 	for b.Reclaim() {
 		select {
 		case <-m.done:
-			return errRepliesTooLong
+			return ErrNoMemory
 		case <-time.After(replyWaitInterval.Duration()):
 		}
 		if fits() {
@@ -198,7 +199,7 @@
 		}
 	}
 	repliesUnread.Inc()
-	return errRepliesTooLong
+	return ErrNoMemory
 }
 
 // release returns the counted bytes to the budget. It may be called more than once.
--- a/siskinpathd/upstream/reply_budget_test.go
+++ b/siskinpathd/upstream/reply_budget_test.go
@@ -21,7 +21,7 @@
 			So(short.add(600), ShouldBeNil)
 		})
 		Convey("one above it is not", func() {
-			So(short.add(601), ShouldEqual, errRepliesTooLong)
+			So(short.add(601), ShouldEqual, ErrNoMemory)
 		})
 		Convey("and one longer than allowed is not", func() {
 			So(short.add(1001), ShouldEqual, errReplyTooLong)
@@ -62,7 +62,7 @@
 		})
 		Convey("it fails if nothing is being delivered", func() {
 			b.Reclaim = func() bool { return false }
-			So(next.reserve(800), ShouldEqual, errRepliesTooLong)
+			So(next.reserve(800), ShouldEqual, ErrNoMemory)
 			So(b.inUse.Load(), ShouldEqual, 900)
 		})
 		Convey("it fails when nobody waits for it any more", func() {
@@ -70,17 +70,17 @@
 			done := make(chan struct{})
 			close(done)
 			next.done = done
-			So(next.reserve(800), ShouldEqual, errRepliesTooLong)
+			So(next.reserve(800), ShouldEqual, ErrNoMemory)
 		})
 		Convey("it fails at once if too many others wait", func() {
 			b.Reclaim = func() bool { return true }
 			b.waiting.Store(maxWaitingReplies)
-			So(next.reserve(800), ShouldEqual, errRepliesTooLong)
+			So(next.reserve(800), ShouldEqual, ErrNoMemory)
 			So(b.waiting.Load(), ShouldEqual, maxWaitingReplies)
 		})
 		Convey("a short one does not wait, up to the limit of all replies", func() {
 			So(next.reserve(500), ShouldBeNil)
-			So(b.meter().reserve(200), ShouldEqual, errRepliesTooLong)
+			So(b.meter().reserve(200), ShouldEqual, ErrNoMemory)
 		})
 		Convey("bytes that were counted before they are read are counted once", func() {
 			So(next.reserve(400), ShouldBeNil)
@@ -97,8 +97,8 @@
 		})
 		Convey("no reply is read when other parts have taken the shared memory", func() {
 			So(shared.Take(3100), ShouldBeTrue)
-			So(next.reserve(50), ShouldEqual, errRepliesTooLong)
-			So(next.add(50), ShouldEqual, errRepliesTooLong)
+			So(next.reserve(50), ShouldEqual, ErrNoMemory)
+			So(next.add(50), ShouldEqual, ErrNoMemory)
 		})
 	})
 }
