--- a/Makefile
+++ b/Makefile
@@ -9,9 +9,12 @@
 # Each line of KNOWN-RED.txt that is no comment: test, package, then command, seed, what was seen, issue.
 KNOWN_RED  := $(shell [ -f KNOWN-RED.txt ] && grep -v '^\#' KNOWN-RED.txt | awk 'NF {print $$1}' | paste -sd'|')
 
+# Tests that press the memory of processes: they run one at a time, with nothing beside them.
+ALONE      := $(shell grep -oh '^func Test[A-Za-z]*' platform/misbehaving_clients_test.go | sed 's/func //' | paste -sd'|')
+
 export GOFLAGS := -buildvcs=false
 
-.PHONY: build demo test unit lint format generate tools prove prove-processes soak soak-mutants bench bench-processes known-red clean
+.PHONY: build demo test unit alone lint format generate tools prove prove-processes soak soak-mutants bench bench-processes known-red clean
 
 build:
 	@mkdir -p $(BIN)
@@ -26,9 +29,13 @@
 	@$(MAKE) --no-print-directory lint
 	@$(MAKE) --no-print-directory known-red
 	@$(MAKE) --no-print-directory unit
+	@$(MAKE) --no-print-directory alone
 
 unit:
-	$(GO) test -race -timeout 40m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(addprefix ./,$(addsuffix /...,$(MODULES)))
+	$(GO) test -race -timeout 40m -skip '^($(ALONE)$(if $(KNOWN_RED),|$(KNOWN_RED)))$$' $(addprefix ./,$(addsuffix /...,$(MODULES)))
+
+alone:
+	$(GO) test -race -count=1 -timeout 20m -run '^($(ALONE))$$' $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./platform
 
 lint: $(BIN)/golangci-lint
 	@out=$$(gofmt -l $(MODULES)); if [ -n "$$out" ]; then echo "not formatted, run make format: $$out"; exit 1; fi
