--- a/siskinpathd/entry/resources.go
+++ b/siskinpathd/entry/resources.go
@@ -15,7 +15,7 @@
 // the runtime, for garbage, and for the kernel's buffers; see docs/resources.md.
 const (
 	// clientMemoryShare is for all that is held for clients.
-	clientMemoryShare = 0.55
+	clientMemoryShare = 0.57
 	// bodyMemoryShare is the part of it for the bodies of requests that are being read or held,
 	// and loneBodyShare for a body while there is no other one. Buffers that grow take about
 	// twice as much for a moment.
@@ -31,9 +31,10 @@
 	// headerMemoryShare is the part of it for the headers of requests.
 	headerMemoryShare = 0.075
 	// connectionMemoryShare is the part of it for the connections themselves.
-	connectionMemoryShare = 0.1
-	// upstreamMemoryShare is the part of it for connections to upstreams.
-	upstreamMemoryShare = 0.05
+	connectionMemoryShare = 0.08
+	// upstreamMemoryShare is the part of it for connections to upstreams. There is one for each
+	// request that runs, so that it is above connectionMemoryShare.
+	upstreamMemoryShare = 0.1
 	// directoryMemoryShare and operatorMemoryShare are for the connections to the other ports,
 	// that of the directory and each of the others.
 	directoryMemoryShare = 0.02
@@ -57,12 +58,12 @@
 	fileDescriptors = 200
 	// callerDescriptorShare is the share of the others that callers' connections may take. The
 	// rest is for connections to upstreams, hosts and the store, and for the other listeners.
-	callerDescriptorShare = 0.4
+	callerDescriptorShare = 0.35
 	// upstreamDescriptorShare is the same for connections to upstreams.
-	upstreamDescriptorShare = 0.3
+	upstreamDescriptorShare = 0.4
 	// directoryDescriptorShare and operatorDescriptorShare are the same for the other ports.
-	directoryDescriptorShare = 0.1
-	operatorDescriptorShare  = 0.05
+	directoryDescriptorShare = 0.06
+	operatorDescriptorShare  = 0.03
 	// minDescriptors is the smallest limit that the settings may give.
 	minDescriptors = 64
 )
