entry: an aborted connection ends although its reader waits

The host chose the same connection again and again (422 lines 'connection closed to make room') and took no new one. abort now cancels the connection, and those that are aborted are not chosen again.

--- a/siskinpathd/entry/conn.go
+++ b/siskinpathd/entry/conn.go
@@ -350,5 +350,6 @@
 		_ = tc.SetLinger(0)
 	}
 	c.aborted.Store(true)
+	c.cancel() // a reader that waits to pass on a request does not notice the close
 	_ = c.Close()
 }
--- a/siskinpathd/entry/make_room.go
+++ b/siskinpathd/entry/make_room.go
@@ -46,6 +46,9 @@
 
 // standing returns the standing of the connection and since when it has it.
 func (c *conn) standing(now clock.Millis) (s standing, since clock.Millis) {
+	if c.aborted.Load() {
+		return standingBusy, 0
+	}
 	if since, slow := c.sent.slow(now); slow {
 		return standingSlow, since
 	}
