--- a/siskinpathd/entry/make_room_test.go
+++ b/siskinpathd/entry/make_room_test.go
@@ -132,7 +132,9 @@
 		c := newConn(s, host)
 		s.addConn(c)
 		go c.serve()
-		go func() { _, _ = io.WriteString(client, strings.Repeat("GET / HTTP/1.1\r\nHost: a\r\n\r\n", 3*maxPipelined)) }()
+		go func() {
+			_, _ = io.WriteString(client, strings.Repeat("GET / HTTP/1.1\r\nHost: a\r\n\r\n", 3*maxPipelined))
+		}()
 		for len(c.requests) < maxPipelined {
 			time.Sleep(time.Millisecond)
 		}
