entry: the end of a connection's requests is shared and not written to

Read in the code: the value that stands for the end of the requests of a connection is one for all, and releasing it wrote a zero to it, a data race between connections. A connection whose upload was to end but was complete at that moment also passed for one that is being ended at its next upload.

--- a/siskinpathd/entry/conn_read.go
+++ b/siskinpathd/entry/conn_read.go
@@ -38,8 +38,10 @@
 // release returns the memory of the header and the body.
 func (r *heldRequest) release() {
 	r.body.release()
-	r.headers.Release(r.header)
-	r.header = 0
+	if r.header > 0 {
+		r.headers.Release(r.header)
+		r.header = 0
+	}
 }
 
 // readRequest reads a request with its body. The caller must release it.
@@ -87,6 +89,7 @@
 			return nil, err
 		}
 	}
+	c.stopped.Store(false)
 	c.body.Store(true)
 	defer c.body.Store(false)
 	if err = req.readBody(c.r, maxBytes); err != nil {
