--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review
 cd review/lab3
-GOWORK=off GOFLAGS=-buildvcs=false go build -o ../../target/review/lab3 .
+GOWORK=off GOPROXY=off GOTOOLCHAIN=local GOFLAGS=-buildvcs=false go build -o ../../target/review/lab3 .
