--- a/review/lab3/case_stopping.go
+++ b/review/lab3/case_stopping.go
@@ -10,28 +10,37 @@
 
 func init() { cases["stopping"] = playStopping }
 
-// playStopping plays a service whose callers ask for more than its upstreams can do, as long as
+// playStopping plays two services whose callers ask for more than the upstreams can do, as long as
 // the case lasts. One host after another gets SIGTERM and is started again. It reports whether
 // connections ended without an answer, later than the slack, to requests that no upstream got.
 func playStopping(f *fleet) (broken bool) {
 	const (
-		hosts     = 5
-		upstreams = 10
-		perSecond = 56
-		callers   = 60
-		deadline  = 8 * time.Second
+		hosts     = 3
+		upstreams = 40 // of each service
+		perSecond = 312
+		callers   = 240
+		deadline  = 12 * time.Second
+		timeout   = 6 * time.Second // of the route
 		grace     = 6 * time.Second
 		lossSlack = 200 * time.Millisecond
-		stops     = 5
+		stops     = 10
 		// lateShare is the share of its time budget from which a request does not count.
 		lateShare = 0.7
 		stopEvery = 7500 * time.Millisecond
 	)
-	f.publish(1, []string{"survey-archive"}, []route{{
-		name: "archive-browse", prefix: "/browse/", kind: "safe", service: "survey-archive", timeoutMs: 8000, targetMs: 1200, priority: 2, maxAttempts: 2,
-	}})
+	services := []string{"survey-archive", "survey-archive-2"}
+	var routes []route
+	for _, service := range services {
+		routes = append(routes, route{
+			name: "browse-" + service, prefix: "/" + service + "/", kind: "safe", service: service, timeoutMs: int(timeout.Milliseconds()), targetMs: 2000,
+			priority: 2, maxAttempts: 2,
+		})
+	}
+	f.publish(1, services, routes)
 	for i := range upstreams {
-		f.startUpstream("survey-archive", zones[i%len(zones)], 3, 480*time.Millisecond)
+		for _, service := range services {
+			f.startUpstream(service, zones[i%len(zones)], 3, 720*time.Millisecond)
+		}
 	}
 	f.startHosts(hosts)
 	time.Sleep(4 * time.Second) // all hosts are in touch
@@ -65,7 +74,7 @@
 		defer func() { _ = c.nc.Close() }()
 		id, sentAt := newID(), time.Now()
 		f.recordf("request %s sent to host %s", id, h.id)
-		_, _ = c.nc.Write([]byte(get("/browse/1", id, deadline)))
+		_, _ = c.nc.Write([]byte(get(routes[rand.IntN(len(routes))].prefix+"1", id, deadline)))
 		a, err := c.read(sentAt.Add(deadline))
 		took := time.Since(sentAt)
 		mu.Lock()
@@ -106,7 +115,7 @@
 	})
 	time.Sleep(8 * time.Second)
 	for i := range stops {
-		h := f.hosts[i]
+		h := f.hosts[i%hosts]
 		if f.trouble {
 			mu.Lock()
 			stoppedAt[h] = time.Now()
--- a/review/lab3/fleet.go
+++ b/review/lab3/fleet.go
@@ -125,6 +125,10 @@
 	f.exit(exitNotRun)
 }
 
+// Ports of hosts are below those that the kernel gives to outgoing connections, so that none is
+// taken between the look and the start of a host.
+const firstPort, ports = 15_000, 15_000
+
 // freePorts returns addresses on which nothing listens.
 func freePorts(n int) (addresses []string, err error) {
 	var open []net.Listener
@@ -133,10 +137,13 @@
 			_ = ln.Close()
 		}
 	}()
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(addresses) < n; tries++ {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
 		if err != nil {
-			return nil, err
+			if tries > 100+10*n {
+				return nil, err
+			}
+			continue
 		}
 		open = append(open, ln)
 		addresses = append(addresses, ln.Addr().String())
--- a/review/lab3/upstream.go
+++ b/review/lab3/upstream.go
@@ -45,21 +45,18 @@
 			go u.serve(nc)
 		}
 	}()
-	go u.register()
+	u.register()
 	f.upstreams = append(f.upstreams, u)
 	return u
 }
 
-// register writes the upstream's row, and writes it again with each heartbeat.
+// register writes the upstream's row. Heartbeats change nothing but its sequence, and so not the
+// entry.
 func (u *upstream) register() {
-	born := time.Now().UnixMilli()
-	for sequence := 1; ; sequence++ {
-		u.fleet.store.put("servers", u.id, map[string]any{
-			"service": u.service, "address": u.ln.Addr().String(), "zone": u.zone, "version": "v1", "slots": u.slots, "state": "ready",
-			"warmup_left_ms": 0, "sequence": sequence, "born": born,
-		})
-		time.Sleep(heartbeat)
-	}
+	u.fleet.store.put("servers", u.id, map[string]any{
+		"service": u.service, "address": u.ln.Addr().String(), "zone": u.zone, "version": "v1", "slots": u.slots, "state": "ready",
+		"warmup_left_ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+	})
 }
 
 func (u *upstream) load() string {
