--- a/review/lab3/caller.go
+++ b/review/lab3/caller.go
@@ -63,12 +63,4 @@
 	}
 }
 
-// reset closes a connection at once.
-func (c *connection) reset() {
-	if tc, ok := c.nc.(*net.TCPConn); ok {
-		_ = tc.SetLinger(0)
-	}
-	_ = c.nc.Close()
-}
-
 var errTimeBudget = errors.New("no answer within the time budget")
