--- a/review/lab3/case_stopping.go
+++ b/review/lab3/case_stopping.go
@@ -130,6 +130,7 @@
 			default:
 				f.cannotRun(fmt.Errorf("host %s still runs %v after SIGTERM", h.id, stopEvery))
 			}
+			f.recordStop(h)
 			f.restart(h)
 		}
 	}
--- a/review/lab3/fleet.go
+++ b/review/lab3/fleet.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 )
@@ -203,6 +204,19 @@
 	}(h.command)
 }
 
+// recordStop copies what the host itself says of its stop from its log to the record.
+func (f *fleet) recordStop(h *host) {
+	b, err := os.ReadFile(filepath.Join(f.folder, h.id+".log"))
+	if err != nil {
+		f.cannotRun(err)
+	}
+	for line := range strings.Lines(string(b)) {
+		if strings.Contains(line, "\"msg\":\"stopping with requests in flight\"") {
+			f.recordf("log of %s: %s", h.id, strings.TrimSpace(line))
+		}
+	}
+}
+
 // restart starts a host again whose process has ended, and waits until it is ready. The settings
 // then no longer say that the whole fleet starts.
 func (f *fleet) restart(h *host) {
