entry: log which requests have no answer when a host stops

A host that stops logged how many requests were in flight, not which, so that from the id of a request whose connection ended without an answer no line led to a cause.

Each such request now has a line with its phase (waiting for a slot here or at an allocator, probing, at an upstream), the time that it waited and had left, and its attempts.

--- a/siskinpathd/entry/decision_log.go
+++ b/siskinpathd/entry/decision_log.go
@@ -31,6 +31,7 @@
 	msgProbeFailed    = "probe failed"
 	msgLossChecked    = "upstream after a lost attempt"
 	msgForwarded      = "forwarded"
+	msgHeld           = "request without an answer at the stop"
 )
 
 // statusNames are the names of attempt statuses in log lines and metrics.
@@ -62,6 +63,15 @@
 	d.log.Info(msgAttemptEnded, "id", p.id, "service", service, "upstream", a.Upstream, "status", statusNames[res.Status], "err", err)
 }
 
+// logHeld logs a request that has no answer when this host stops.
+func (d *decisionLog) logHeld(service string, p *pendingRequest, h place.HeldRequest) {
+	if !d.limit.Allow(msgHeld) {
+		return
+	}
+	d.log.Warn(msgHeld, "id", p.id, "route", p.in.Route, "service", service, "phase", h.Phase, "allocator", h.Allocator, "waited_ms", h.Waited,
+		"left_ms", h.Left, "idempotent", p.in.Idempotent, "arrivals", h.Arrivals, "trail", p.trail)
+}
+
 // logForward logs that a request is passed to another host, and why.
 func (d *decisionLog) logForward(service string, p *pendingRequest, a place.Action) {
 	if !d.limit.Allow(msgForwarded) {
--- a/siskinpathd/entry/drain.go
+++ b/siskinpathd/entry/drain.go
@@ -64,6 +64,9 @@
 		if elapsed >= fractionOf(grace, stopFraction) {
 			if left := n.InFlight(); left > 0 {
 				n.Log.Warn("stopping with requests in flight", "in_flight", left)
+				for _, d := range n.allDispatchers() {
+					d.logHeld()
+				}
 			}
 			return
 		}
@@ -97,3 +100,14 @@
 	defer d.mu.Unlock()
 	return d.placer.Outlasted(now, giveUp, idempotent)
 }
+
+// logHeld logs the requests that have no answer.
+func (d *Dispatcher) logHeld() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, h := range d.placer.Held(d.Clock.Now()) {
+		if p := d.pending[h.ID]; p != nil {
+			d.Decisions.logHeld(d.Service, p, h)
+		}
+	}
+}
