place: requests that wait are refused when a stopping host can't send them any more

What callers saw: at a planned stop under load, idempotent requests sent 1 to 3 s after the SIGTERM got no answer.

Cause: a stopping host asks whether a request may still be sent at two moments only, at the SIGTERM and when the request looks for a slot. A request that is accepted before LongUntil, and then waits at an allocator as long as its own deadline, gets no event between LongUntil and the end of the process: no timer knew of the stop, and the process ended with it.

Why this works: the placer's timer of each request that waits, in whatever phase, ends when the request can no longer be sent. It is then refused, which is true, as nothing was sent. That moment is LongUntil, or sooner when a slot would come too late for the usual time of the route; a refused caller finds another host within milliseconds and has the rest of its time.

--- a/core/place/slot.go
+++ b/core/place/slot.go
@@ -155,7 +155,7 @@
 // findSlot asks an allocator for a slot for r, or looks for one by itself, unless this host
 // may stop before r is answered.
 func (p *Placer) findSlot(now clock.Millis, r *request) {
-	if p.Outlasted(now, r.GiveUp, r.Idempotent) {
+	if p.Outlasted(now, r.Request) {
 		p.refuse(now, r, route.ReasonStopping)
 		return
 	}
--- a/core/place/stop.go
+++ b/core/place/stop.go
@@ -21,26 +21,35 @@
 	LongUntil clock.Millis
 }
 
-// outlasted reports whether a request that is sent now may still be unanswered when the host
-// stops.
-func (s Stop) outlasted(now, giveUp clock.Millis, idempotent bool) bool {
-	return s.At > 0 && giveUp > s.At && (!idempotent || now >= s.LongUntil)
+// Outlasted reports whether a request that is sent now may still be unanswered when this
+// host stops. Of the request, only Route, Target, GiveUp and Idempotent are used.
+func (p *Placer) Outlasted(now clock.Millis, r Request) bool {
+	return p.limitedByStop(r) && now >= p.lastSend(r)
 }
 
-// Outlasted reports whether a request that is sent now may still be unanswered when this
-// host stops. giveUp is the latest time of its answer.
-func (p *Placer) Outlasted(now, giveUp clock.Millis, idempotent bool) bool {
-	return p.stop.outlasted(now, giveUp, idempotent)
+// limitedByStop reports whether this host may stop before the latest answer to r.
+func (p *Placer) limitedByStop(r Request) bool { return p.stop.At > 0 && r.GiveUp > p.stop.At }
+
+// lastSend returns from when on r, which is limited by the stop, is not sent. One that may
+// run more than once is sent as long as it is likely to be answered.
+func (p *Placer) lastSend(r Request) clock.Millis {
+	if !r.Idempotent {
+		return 0
+	}
+	return min(p.stop.LongUntil, p.stop.At-clock.Millis(lastStart*p.typicalTime(r.Route, r.Target)))
 }
 
-// SetStop makes this host refuse the requests that it may not answer before it stops. Those
-// that are at an upstream go on.
+// waits reports whether r of this host is at no upstream and no other host.
+func (r *request) waits() bool { return r.asker == nil && r.phase != ended && len(r.running) == 0 }
+
+// SetStop makes this host refuse the requests that it may not answer before it stops: those
+// that wait as soon as they can't be sent any more. Those that are at an upstream go on.
 func (p *Placer) SetStop(now clock.Millis, s Stop) []Action {
 	p.init()
 	p.stop = s
 	var waiting []*request
 	for _, r := range p.requests {
-		if r.asker == nil && len(r.running) == 0 && p.Outlasted(now, r.GiveUp, r.Idempotent) {
+		if r.waits() && p.Outlasted(now, r.Request) {
 			waiting = append(waiting, r)
 		}
 	}
--- a/core/place/timer.go
+++ b/core/place/timer.go
@@ -12,7 +12,7 @@
 func (p *Placer) Tick(now clock.Millis) []Action {
 	var due []*request
 	for _, r := range p.requests {
-		if r.wakeAt() <= now {
+		if p.wakeAt(r) <= now {
 			due = append(due, r)
 		}
 	}
@@ -33,7 +33,7 @@
 func (p *Placer) NextTick() clock.Millis {
 	var next clock.Millis
 	for _, r := range p.requests {
-		if at := r.wakeAt(); next == 0 || at < next {
+		if at := p.wakeAt(r); next == 0 || at < next {
 			next = at
 		}
 	}
@@ -47,7 +47,16 @@
 }
 
 // wakeAt returns when the next timer of r expires.
-func (r *request) wakeAt() clock.Millis {
+func (p *Placer) wakeAt(r *request) clock.Millis {
+	at := r.phaseTimer()
+	if r.waits() && p.limitedByStop(r.Request) {
+		at = min(at, p.lastSend(r.Request))
+	}
+	return at
+}
+
+// phaseTimer returns when the next timer of r expires that comes from its phase.
+func (r *request) phaseTimer() clock.Millis {
 	switch r.phase {
 	case probing, hedgeProbing:
 		return min(r.GiveUp, r.probeUntil)
@@ -73,6 +82,8 @@
 	switch {
 	case now >= r.GiveUp:
 		p.giveUp(now, r)
+	case r.waits() && p.Outlasted(now, r.Request):
+		p.refuse(now, r, route.ReasonStopping)
 	case r.phase == probing:
 		p.choose(now, r)
 	case r.phase == hedgeProbing:
--- a/siskinpathd/entry/dispatcher.go
+++ b/siskinpathd/entry/dispatcher.go
@@ -215,7 +215,7 @@
 // upstream may have become cold, and this host may have been told to stop.
 func (d *Dispatcher) maySend(ctx context.Context, p *pendingRequest, a place.Action) bool {
 	now := d.Clock.Now()
-	if ctx.Err() != nil || now >= p.call.Deadline || d.outlasts(now, p.in.GiveUp, p.in.Idempotent) {
+	if ctx.Err() != nil || now >= p.call.Deadline || d.outlasts(now, p.in) {
 		return false
 	}
 	if !a.Sent.Limited || !place.LateWrite(now, a.Sent.At) {
--- a/siskinpathd/entry/drain.go
+++ b/siskinpathd/entry/drain.go
@@ -94,11 +94,11 @@
 }
 
 // outlasts reports whether a request that is sent now may still be unanswered when this
-// host stops.
-func (d *Dispatcher) outlasts(now, giveUp clock.Millis, idempotent bool) bool {
+// host stops; see place.Placer.
+func (d *Dispatcher) outlasts(now clock.Millis, in place.Request) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.placer.Outlasted(now, giveUp, idempotent)
+	return d.placer.Outlasted(now, in)
 }
 
 // logHeld logs the requests that have no answer.
--- a/siskinpathd/entry/request.go
+++ b/siskinpathd/entry/request.go
@@ -102,7 +102,8 @@
 	if r.deadline <= r.arrived {
 		return n.decisions.logRefusal(r, string(route.ReasonDeadline), notRunResponse(string(route.ReasonDeadline), 0))
 	}
-	if dispatcher.outlasts(r.arrived, r.giveUp(), r.route.Idempotent) {
+	in := place.Request{Route: r.route.Name, Target: r.route.Target, GiveUp: r.giveUp(), Idempotent: r.route.Idempotent}
+	if dispatcher.outlasts(r.arrived, in) {
 		return n.decisions.logRefusal(r, reasonStopping, notRunResponse(reasonStopping, place.StoppingRetryAfter))
 	}
 	if resp := n.admitQuota(ctx, r); resp != nil {
