entry: requests that may outlast a stopping host are sent for 3 s, whatever its grace

What callers saw: at a host with a grace of 10 s, requests sent 3.1 and 3.8 s after the SIGTERM were cut off at the end of the grace while an upstream was at work on them (two of some 2,600, reported by the users; not played again here).

Cause: such requests were sent during half of the grace period. At a grace of 6 s that is the 3 s after which callers no longer expect to be cut off, but only by chance.

Change: the span is a setting, shutdown.long_requests_ms, 3 s by default, less 100 ms by which the signal may be noticed late; half of the grace is its limit.

--- a/siskinpathd/entry/drain.go
+++ b/siskinpathd/entry/drain.go
@@ -25,9 +25,11 @@
 	// stopFraction is the part of the grace period after which the process stops even
 	// if requests are in flight.
 	stopFraction = 0.96
-	// longFraction is the part of the grace period during which requests are sent that may
-	// run more than once and may take until after its end.
+	// longFraction is the part of the grace period during which requests are sent at most that
+	// may run more than once and may take until after its end.
 	longFraction = 0.5
+	// signalMargin is how much later than the signal was sent this host may notice it.
+	signalMargin = 100 * clock.Millisecond
 	// lastAnswerMargin is how long before that stop the last answer is due, so that it is
 	// written although timers are late.
 	lastAnswerMargin = 100 * clock.Millisecond
@@ -40,11 +42,12 @@
 func (n *Node) drain() {
 	start := n.Clock.Now()
 	n.drainStart.Store(int64(start))
-	grace := n.cfg().Shutdown.GraceMs
+	shutdown := n.cfg().Shutdown
+	grace := shutdown.GraceMs
 	n.Log.Info("leaving", "grace_ms", grace, "in_flight", n.InFlight())
 	n.relay.SetReady(false)
 	for _, d := range n.allDispatchers() {
-		d.setStop(stopAfter(start, grace))
+		d.setStop(stopAfter(start, shutdown))
 	}
 	n.slots.leave()
 	n.server.DisableKeepAlive()
@@ -79,10 +82,10 @@
 }
 
 // stopAfter returns what is sent until when by a host that drains from start on.
-func stopAfter(start, grace clock.Millis) place.Stop {
+func stopAfter(start clock.Millis, s Shutdown) place.Stop {
 	return place.Stop{
-		At:        start + fractionOf(grace, stopFraction) - lastAnswerMargin,
-		LongUntil: start + fractionOf(grace, longFraction),
+		At:        start + fractionOf(s.GraceMs, stopFraction) - lastAnswerMargin,
+		LongUntil: start + max(0, min(fractionOf(s.GraceMs, longFraction), s.longRequests()-signalMargin)),
 	}
 }
 
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -430,7 +430,7 @@
 		d.placer.AllocatorLinked(host)
 	}
 	if at := n.drainStart.Load(); at != 0 {
-		d.setStop(stopAfter(clock.Millis(at), n.cfg().Shutdown.GraceMs))
+		d.setStop(stopAfter(clock.Millis(at), n.cfg().Shutdown))
 	}
 	return d
 }
--- a/siskinpathd/entry/settings.go
+++ b/siskinpathd/entry/settings.go
@@ -129,8 +129,18 @@
 // Shutdown holds the settings of a shutdown.
 type Shutdown struct {
 	GraceMs clock.Millis `toml:"grace_ms"` // time from the stop signal until the process is killed
+	// LongRequestsMs is how long after the signal requests are sent that may run more than
+	// once and may take until after the grace period; 0 for defaultLongRequests. They are sent
+	// during half of the grace period at most.
+	LongRequestsMs clock.Millis `toml:"long_requests_ms"`
 }
 
+// defaultLongRequests is LongRequestsMs if the settings give none.
+const defaultLongRequests = 3 * clock.Second
+
+// longRequests returns LongRequestsMs or its default.
+func (s Shutdown) longRequests() clock.Millis { return cmp.Or(s.LongRequestsMs, defaultLongRequests) }
+
 // LogLimit holds the log level and the rate limit of log lines.
 type LogLimit struct {
 	Level          string `toml:"level"`
@@ -186,6 +196,8 @@
 		return errors.Errorf("warm_up: overage is %v and slack %v: must be 0 or more", s.WarmUp.Overage, s.WarmUp.Slack)
 	case s.Shutdown.GraceMs <= 0:
 		return errors.Errorf("shutdown.grace_ms is %d: must be greater than 0", s.Shutdown.GraceMs)
+	case s.Shutdown.LongRequestsMs < 0:
+		return errors.Errorf("shutdown.long_requests_ms is %d: must be 0 or more", s.Shutdown.LongRequestsMs)
 	}
 	_, err := s.Experiment.tuning()
 	return err
