place, entry: a host that stops answers what it still holds at its end

What callers saw: a request that an upstream has received and neither runs nor answers (it waits in a queue there, or the upstream is silent) got no response when its host stopped: its connection just closed. The same held for a request that another host had taken over.

Cause: the end of the grace period ended the process, and with it whatever requests were in flight. Nothing excuses that for a request that no upstream is at work on.

Change: 50 ms before the process ends the placer closes: 502 for a request that an upstream may have run, which promises nothing, and else 503, which is true. Upstreams are not cut off sooner by it: the process ended then anyway. Requests of other hosts get the same, so that they can go on.

--- a/core/place/stop.go
+++ b/core/place/stop.go
@@ -59,3 +59,21 @@
 	}
 	return p.takeActions()
 }
+
+// Close ends all requests of this host, which ends itself. What happens at an upstream that has
+// one is not known any more.
+func (p *Placer) Close(now clock.Millis) []Action {
+	p.init()
+	var open []*request
+	for _, r := range p.requests {
+		if r.asker == nil {
+			open = append(open, r)
+		}
+	}
+	slices.SortFunc(open, byPriority)
+	for _, r := range open {
+		r.mayHaveRun = r.mayHaveRun || len(r.running) > 0
+		p.refuse(now, r, route.ReasonStopping)
+	}
+	return p.takeActions()
+}
--- a/core/place/stop_test.go
+++ b/core/place/stop_test.go
@@ -104,5 +104,20 @@
 			So(s.refused, ShouldBeEmpty)
 			So(s.unknown[1], ShouldBeTrue)
 		})
+		Convey("ends what is left with an answer when it closes", func() {
+			s.offer(2000, 1, true)
+			s.do(s.p.SetStop(2010, place.Stop{At: 3000, LongUntil: 3000}))
+			for id := range route.RequestID(6) {
+				s.offer(2000, id+2, true)
+			}
+			s.do(s.p.Close(2050))
+			for id := range route.RequestID(7) {
+				_, refused := s.refused[id+1]
+				So(refused, ShouldEqual, s.sent[id+1] == 0) // what may have run is not called refused
+				So(s.unknown[id+1], ShouldEqual, s.sent[id+1] != 0)
+			}
+			So(s.refused, ShouldNotBeEmpty)
+			So(s.unknown, ShouldNotBeEmpty)
+		})
 	})
 }
--- a/siskinpathd/entry/drain.go
+++ b/siskinpathd/entry/drain.go
@@ -31,14 +31,17 @@
 	// signalMargin is how much later than the signal was sent this host may notice it.
 	signalMargin = 100 * clock.Millisecond
 	// lastAnswerMargin is how long before that stop the last answer is due, so that it is
-	// written although timers are late.
+	// written although timers are late, and closeMargin how long before it the requests are
+	// ended that have none.
 	lastAnswerMargin = 100 * clock.Millisecond
+	closeMargin      = 50 * clock.Millisecond
 	// drainPollInterval is how often the drain checks for requests in flight.
 	drainPollInterval = 20 * clock.Millisecond
 )
 
 // drain goes on serving until callers have moved to other hosts and all requests have
-// been answered, or until stopFraction of the grace period has passed.
+// been answered, or until stopFraction of the grace period has passed. Requests that have no
+// answer by then get one, as a connection that just ends tells a caller nothing.
 func (n *Node) drain() {
 	start := n.Clock.Now()
 	n.drainStart.Store(int64(start))
@@ -51,7 +54,7 @@
 	}
 	n.slots.leave()
 	n.server.DisableKeepAlive()
-	accepting := true
+	accepting, closed := true, false
 	for {
 		elapsed := n.Clock.Now() - start
 		if elapsed >= idleCloseDelay {
@@ -64,12 +67,15 @@
 		if !accepting && n.InFlight() == 0 && n.server.OpenConnections() == 0 {
 			return
 		}
+		if !closed && elapsed >= fractionOf(grace, stopFraction)-closeMargin {
+			closed = true
+			for _, d := range n.allDispatchers() {
+				d.close()
+			}
+		}
 		if elapsed >= fractionOf(grace, stopFraction) {
 			if left := n.InFlight(); left > 0 {
 				n.Log.Warn("stopping with requests in flight", "in_flight", left)
-				for _, d := range n.allDispatchers() {
-					d.logHeld()
-				}
 			}
 			return
 		}
@@ -104,13 +110,15 @@
 	return d.placer.Outlasted(now, in)
 }
 
-// logHeld logs the requests that have no answer.
-func (d *Dispatcher) logHeld() {
+// close ends the requests that have no answer, and logs them.
+func (d *Dispatcher) close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, h := range d.placer.Held(d.Clock.Now()) {
+	now := d.Clock.Now()
+	for _, h := range d.placer.Held(now) {
 		if p := d.pending[h.ID]; p != nil {
 			d.Decisions.logHeld(d.Service, p, h)
 		}
 	}
+	d.execute(d.placer.Close(now))
 }
