place: a request that a stopping host passes on is given up before it stops

A host that is cut off from its upstreams passes requests to other hosts and told them the requests' own latest answer. One that stops would end before that, while the other host still held the request: its caller got 502 although nobody had run it.

The other host is now told when this one stops, and refuses what still waits by then, so that the caller gets a 503 with its promise. TestForwardedUntilAfterStop fails without the change (1000 in place of 800 ms).

--- a/core/place/forward.go
+++ b/core/place/forward.go
@@ -29,6 +29,9 @@
 type ForwardDetail struct {
 	AttemptsLeft int // upstreams that it may still be sent to
 	Unanswered   int // upstreams that have not answered this host since one last did
+	// GiveUp is the latest time of the other host's reply: that of the request, or when this
+	// host stops.
+	GiveUp clock.Millis
 }
 
 // turnAway passes r to another host if this one does not reach most of the upstreams, and
@@ -60,11 +63,19 @@
 	r.triedHosts = append(r.triedHosts, h)
 	p.actions = append(p.actions, Action{
 		Action:  route.Action{Kind: route.Forward, Request: r.ID, Attempt: a.id, Host: h},
-		Forward: ForwardDetail{AttemptsLeft: left, Unanswered: len(p.reach.failed)},
+		Forward: ForwardDetail{AttemptsLeft: left, Unanswered: len(p.reach.failed), GiveUp: p.latestReply(r)},
 	})
 	return true
 }
 
+// latestReply returns until when this host can pass on a reply to r.
+func (p *Placer) latestReply(r *request) clock.Millis {
+	if p.limitedByStop(r.Request) {
+		return p.stop.At
+	}
+	return r.GiveUp
+}
+
 // chooseHost returns the host that r may be passed to, "" for none. Hosts of other
 // availability zones come first, as those of this one may be cut off too.
 func (p *Placer) chooseHost(now clock.Millis, r *request) string {
--- a/core/place/stop_waiting_test.go
+++ b/core/place/stop_waiting_test.go
@@ -82,3 +82,29 @@
 		})
 	})
 }
+
+// TestForwardedUntilAfterStop guards against requests that another host still holds when the host
+// that has passed them on stops.
+func TestForwardedUntilAfterStop(t *testing.T) {
+	Convey("a host that reaches no upstream, and passes requests on", t, func() {
+		r := newReached(8, 6)
+		r.cutOff(8)
+		r.pass(3 * clock.Second)
+		r.takeEnded()
+		forwardedUntil := func() clock.Millis {
+			r.offer(place.Request{Idempotent: true})
+			open := r.takeOpen()
+			So(open, ShouldHaveLength, 1)
+			So(open[0].Kind, ShouldEqual, route.Forward)
+			return open[0].Forward.GiveUp
+		}
+		Convey("asks for a reply by their latest answer", func() {
+			So(forwardedUntil(), ShouldEqual, r.now+1000)
+		})
+		Convey("asks for one before it stops", func() {
+			at := r.now + 800
+			r.perform(r.placer.SetStop(r.now, place.Stop{At: at, LongUntil: r.now + 500}))
+			So(forwardedUntil(), ShouldEqual, at)
+		})
+	})
+}
--- a/siskinpathd/entry/forward.go
+++ b/siskinpathd/entry/forward.go
@@ -115,7 +115,7 @@
 	req := &forwardpb.Request{
 		Id: p.id, Caller: p.caller, Service: c.Service, Method: c.Method, Uri: c.URI, Host: c.Host, Body: c.Body,
 		Route: in.Route, Priority: int32(in.Priority), Idempotent: in.Idempotent, AttemptsLeft: uint32(a.Forward.AttemptsLeft),
-		WaitedMs: uint32(now - in.Arrived), TargetMs: uint32(in.Target), GiveUpMs: uint32(max(0, in.GiveUp-forwardMargin-in.Arrived)),
+		WaitedMs: uint32(now - in.Arrived), TargetMs: uint32(in.Target), GiveUpMs: uint32(max(0, a.Forward.GiveUp-forwardMargin-in.Arrived)),
 		DeadlineMs: uint32(c.Deadline - in.Arrived), MaxBodyBytes: uint32(p.maxBody),
 	}
 	for _, h := range c.Header {
