entry: uploads that a stopping host can't answer any more are refused, not read to its end

What callers saw: an upload whose body was still being read when its host stopped ended with EOF. A client can't tell that from a request that ran; one that may run once is lost for it.

Cause: only requests that had been read whole were asked whether the host can still answer them.

Change: while a host stops, a body whose request could not be answered if it ended now is not read any further: 503 with Retry-After, which is true, as a request that has not been read was not sent. That is asked of the header of a new request and of all bodies that are being read, and at the end of the grace all bodies that are left are refused.

--- a/core/place/stop.go
+++ b/core/place/stop.go
@@ -21,6 +21,12 @@
 	LongUntil clock.Millis
 }
 
+// Excludes reports whether a request that is sent now is certain not to be sent because of the
+// stop, whatever its route. giveUp is its latest answer.
+func (s Stop) Excludes(now, giveUp clock.Millis, idempotent bool) bool {
+	return s.At > 0 && giveUp > s.At && (!idempotent || now >= s.LongUntil)
+}
+
 // Outlasted reports whether a request that is sent now may still be unanswered when this
 // host stops. Of the request, only Route, Target, GiveUp and Idempotent are used.
 func (p *Placer) Outlasted(now clock.Millis, r Request) bool {
--- a/siskinpathd/entry/conn.go
+++ b/siskinpathd/entry/conn.go
@@ -63,7 +63,9 @@
 	removed  chan struct{} // closed when the connection has been closed and forgotten
 	aborted  atomic.Bool   // this host has closed it before the end of a request or response
 	body     atomic.Bool   // a body is being read
-	stopped  atomic.Bool   // the client was too slow, and its body is not read any more
+	stopped  atomic.Bool   // its body is not read any more, as the client was too slow or with refused
+	refused  atomic.Bool   // this host stops before it could answer the request
+	reading  atomic.Pointer[bodyRequest]
 
 	writeMu sync.Mutex // held while a response, or 100 Continue between two, is written
 
--- a/siskinpathd/entry/conn_read.go
+++ b/siskinpathd/entry/conn_read.go
@@ -72,6 +72,9 @@
 	if !req.body.grow(req.Header.ContentLength()) {
 		return nil, errBodyMemory
 	}
+	if err = c.admitBody(&req.Header); err != nil {
+		return nil, err
+	}
 	if req.MayContinue() {
 		if err = c.writeContinue(); err != nil {
 			return nil, err
@@ -93,11 +96,30 @@
 	c.body.Store(true)
 	defer c.body.Store(false)
 	if err = req.readBody(c.r, maxBytes); err != nil {
+		if c.refused.Load() {
+			return nil, errBodyStopping
+		}
 		return nil, classifyBodyError(err)
 	}
 	return req, nil
 }
 
+// admitBody returns an error if the request has a body that is not worth reading.
+func (c *conn) admitBody(h *fasthttp.RequestHeader) error {
+	if length := h.ContentLength(); length == 0 || length == identityLength {
+		return nil
+	}
+	var b bodyRequest
+	if c.server.DescribeBody != nil {
+		b = c.server.DescribeBody(h)
+	}
+	c.reading.Store(&b)
+	if c.server.refusesBody(b) {
+		return errBodyStopping
+	}
+	return nil
+}
+
 // readHeader reads a header, for which it enlarges the buffer if need be.
 func (c *conn) readHeader(h *fasthttp.RequestHeader, limits config.Limits) (err error) {
 	var small *fasthttp.ErrSmallBuffer
--- a/siskinpathd/entry/drain.go
+++ b/siskinpathd/entry/drain.go
@@ -49,8 +49,10 @@
 	grace := shutdown.GraceMs
 	n.Log.Info("leaving", "grace_ms", grace, "in_flight", n.InFlight())
 	n.relay.SetReady(false)
+	stop := stopAfter(start, shutdown)
+	n.server.SetStop(stop)
 	for _, d := range n.allDispatchers() {
-		d.setStop(stopAfter(start, shutdown))
+		d.setStop(stop)
 	}
 	n.slots.leave()
 	n.server.DisableKeepAlive()
@@ -69,6 +71,7 @@
 		}
 		if !closed && elapsed >= fractionOf(grace, stopFraction)-closeMargin {
 			closed = true
+			n.server.RefuseBodies(true)
 			for _, d := range n.allDispatchers() {
 				d.close()
 			}
@@ -79,6 +82,7 @@
 			}
 			return
 		}
+		n.server.RefuseBodies(false)
 		time.Sleep(drainPollInterval.Duration())
 	}
 }
--- a/siskinpathd/entry/node.go
+++ b/siskinpathd/entry/node.go
@@ -173,7 +173,7 @@
 	n.server = &Server{
 		ListenAddress: n.cfg().Listen.Caller, Log: n.Log, Clock: n.Clock, RequestIDHeader: n.CallerHeaders.RequestID, MaxConnections: n.resources.maxConnections,
 		Limits: n.limits, Bodies: n.bodies, Headers: n.resources.headers, Unread: n.resources.unread,
-		Connections: n.resources.connections, Handle: n.handle,
+		Connections: n.resources.connections, Handle: n.handle, DescribeBody: n.describeBody,
 	}
 }
 
--- a/siskinpathd/entry/request.go
+++ b/siskinpathd/entry/request.go
@@ -94,7 +94,7 @@
 	if resp, key := n.authenticate(cfg, age, &req.Header, string(path), r); resp != nil {
 		return n.decisions.logRefusal(r, resp.Reason, resp, "route", r.route.Name, "key_digest", key)
 	}
-	r.deadline = r.arrived + n.timeLeft(req, r.route)
+	r.deadline = r.arrived + n.timeLeft(&req.Header, r.route)
 	dispatcher := n.dispatcherFor(r)
 	if dispatcher == nil {
 		return n.decisions.logRefusal(r, reasonNoService, notRunResponse(reasonNoService, startRetryAfter))
@@ -161,8 +161,8 @@
 
 // timeLeft returns how long the caller waits for a response. The default is the route's
 // timeout.
-func (n *Node) timeLeft(req *fasthttp.Request, rt *config.Route) clock.Millis {
-	v, err := strconv.ParseInt(string(req.Header.Peek(n.CallerHeaders.Deadline)), 10, 64)
+func (n *Node) timeLeft(h *fasthttp.RequestHeader, rt *config.Route) clock.Millis {
+	v, err := strconv.ParseInt(string(h.Peek(n.CallerHeaders.Deadline)), 10, 64)
 	if err != nil {
 		return rt.Timeout
 	}
--- a/siskinpathd/entry/server.go
+++ b/siskinpathd/entry/server.go
@@ -16,6 +16,7 @@
 
 	"siskinpath/core/clock"
 	"siskinpath/core/config"
+	"siskinpath/core/place"
 	"siskinpath/siskinpathd/memory"
 	"siskinpath/siskinpathd/tcp"
 )
@@ -54,8 +55,12 @@
 	// cancelled when the caller has disconnected.
 	Handle func(ctx context.Context, req *fasthttp.Request, caller string) *Response
 
+	// DescribeBody returns what a header says of its request; nil if that is not known.
+	DescribeBody func(h *fasthttp.RequestHeader) bodyRequest
+
 	ln                net.Listener
 	keepAliveDisabled atomic.Bool
+	stop              atomic.Pointer[place.Stop] // nil until the host stops
 
 	mu     sync.Mutex
 	conns  map[*conn]*readError // open connections; not nil if a request could not be read
@@ -161,6 +166,7 @@
 		bodiesRefused.Inc()
 	case errHeaderMemory:
 		headersRefused.Inc()
+	case errBodyStopping:
 	default:
 		malformedRequests.Inc()
 	}
