logs: a line that is logged while the process ends does not crash it

What was seen: nothing yet at callers. The review's race detector saw the log written to after it was closed; a line in that moment sends on a closed channel, and the process ends with a panic, with the responses that it was writing.

Change: the channel of lines is never closed. The writer is told of the close, writes what is queued, and leaves out later lines, counted as such.

TestLineAtEndOfProcess panics without the change (send on closed channel).

--- a/siskinpathd/logs/logs.go
+++ b/siskinpathd/logs/logs.go
@@ -38,20 +38,28 @@
 type Writer struct {
 	out    io.Writer
 	lines  chan []byte
+	buf    []byte       // of the lines that are being written
 	queued atomic.Int64 // bytes of lines
-	done   chan struct{}
+	closed chan struct{}
+	done   chan struct{} // closed when the lines queued before the close have been written
 	once   sync.Once
 }
 
 // NewWriter returns a Writer that writes to out.
 func NewWriter(out io.Writer) *Writer {
-	w := &Writer{out: out, lines: make(chan []byte, maxQueuedLines), done: make(chan struct{})}
+	w := &Writer{out: out, lines: make(chan []byte, maxQueuedLines), closed: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
 
-// Write queues a line. It never blocks and never fails.
+// Write queues a line. It never blocks and never fails. Lines after Close are left out.
 func (w *Writer) Write(line []byte) (int, error) {
+	select {
+	case <-w.closed:
+		linesDropped.Inc()
+		return len(line), nil
+	default:
+	}
 	size := int64(len(line))
 	if w.queued.Add(size) > maxQueuedBytes {
 		w.queued.Add(-size)
@@ -69,9 +77,9 @@
 }
 
 // Close writes the queued lines, but gives up if the reader does not take them within
-// closeTimeout. Write must not be called after Close.
+// closeTimeout.
 func (w *Writer) Close() {
-	w.once.Do(func() { close(w.lines) })
+	w.once.Do(func() { close(w.closed) })
 	select {
 	case <-w.done:
 	case <-time.After(closeTimeout.Duration()):
@@ -80,24 +88,45 @@
 
 func (w *Writer) run() {
 	defer close(w.done)
-	var buf []byte
-	for line := range w.lines {
-		w.queued.Add(-int64(len(line)))
-		buf = append(buf[:0], line...)
-		for more := true; more && len(buf) < maxWriteBytes; {
-			select {
-			case next, open := <-w.lines:
-				w.queued.Add(-int64(len(next)))
-				buf = append(buf, next...)
-				more = open
-			default:
-				more = false
-			}
+	for {
+		select {
+		case line := <-w.lines:
+			w.write(line)
+		case <-w.closed:
+			w.writeQueued()
+			return
 		}
-		if _, err := w.out.Write(buf); err != nil {
-			linesDropped.Inc() // there is no other place to report the error
+	}
+}
+
+// writeQueued writes the lines that are queued.
+func (w *Writer) writeQueued() {
+	for {
+		select {
+		case line := <-w.lines:
+			w.write(line)
+		default:
+			return
+		}
+	}
+}
+
+// write writes a line and those that are queued behind it.
+func (w *Writer) write(line []byte) {
+	w.queued.Add(-int64(len(line)))
+	w.buf = append(w.buf[:0], line...)
+	for more := true; more && len(w.buf) < maxWriteBytes; {
+		select {
+		case next := <-w.lines:
+			w.queued.Add(-int64(len(next)))
+			w.buf = append(w.buf, next...)
+		default:
+			more = false
 		}
 	}
+	if _, err := w.out.Write(w.buf); err != nil {
+		linesDropped.Inc() // there is no other place to report the error
+	}
 }
 
 // Limiter limits the number of lines per second for each kind of line. It is meant
--- a/siskinpathd/logs/logs_test.go
+++ b/siskinpathd/logs/logs_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -85,3 +86,30 @@
 		})
 	})
 }
+
+// TestLineAtEndOfProcess guards against a panic when a request is still answered while the log is
+// closed.
+func TestLineAtEndOfProcess(t *testing.T) {
+	Convey("lines that are logged while the log is closed, and after it", t, func() {
+		var out bytes.Buffer
+		w := NewWriter(&out)
+		log := slog.New(slog.NewJSONHandler(w, nil))
+		log.Info("before")
+		var writers sync.WaitGroup
+		for range 4 {
+			writers.Go(func() {
+				for range 1000 {
+					log.Info("meanwhile")
+				}
+			})
+		}
+		w.Close()
+		writers.Wait()
+		Convey("do not end the process, and those before it are written", func() {
+			So(out.String(), ShouldContainSubstring, `"msg":"before"`)
+			before := linesDropped.Get()
+			log.Info("after")
+			So(linesDropped.Get(), ShouldEqual, before+1)
+		})
+	})
+}
