entry: a host that stops waits until its replies to other hosts have been written

What could be seen: a request that a stopping host has taken over for another one, and that its upstream has run, ends as lost there: the session ends between the end of the request and the write of its reply. A request that may run once then gets 502 although it ran.

Cause: such a request no longer counted as in flight when its outcome was known, and a drain that finds nothing in flight and no connection of callers ends the process at once.

Change: it counts until its reply has been written, as its memory already does. TestReplyToHostLostAtStop fails without it.

--- a/siskinpathd/entry/forward.go
+++ b/siskinpathd/entry/forward.go
@@ -188,7 +188,7 @@
 	d := n.dispatchers[r.service]
 	n.mu.Unlock()
 	n.forwardsInFlight.Add(1)
-	defer n.forwardsInFlight.Add(-1)
+	context.AfterFunc(ctx, func() { n.forwardsInFlight.Add(-1) })
 	if d == nil || n.drainStart.Load() != 0 {
 		return &forwardpb.Reply{Outcome: forwardpb.Outcome_OUTCOME_NOT_TAKEN, Reason: reasonStopping}
 	}
--- a/siskinpathd/entry/forward_test.go
+++ b/siskinpathd/entry/forward_test.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -30,3 +32,20 @@
 		})
 	}
 }
+
+// TestReplyToHostLostAtStop guards against a host that stops after it has served a request of
+// another host, and before it has written the reply.
+func TestReplyToHostLostAtStop(t *testing.T) {
+	Convey("a request of another host counts as in flight until its reply has been written", t, func() {
+		n := bareNode()
+		n.bodies = &bodyBudget{Total: 10}
+		ctx, written := context.WithCancel(context.Background())
+		n.serveForward(ctx, &forwardpb.Request{Service: "booking"})
+		So(n.forwardsInFlight.Load(), ShouldEqual, 1)
+		written()
+		for end := time.Now().Add(time.Second); n.forwardsInFlight.Load() > 0 && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		So(n.forwardsInFlight.Load(), ShouldEqual, 0)
+	})
+}
