entry: connections that have been made are accepted before the listener closes

What callers saw: of the connections made within 1 ms of the closing of the listener three got no answer (TestRequestsCutAtEndOfGrace, once, beside load): the kernel had made them, the process had not accepted them yet, and the close reset them with the requests in their buffers, unread.

Cause: StopAccepting closed the listener whatever waited in its queue. On a busy processor that is all that came since the accepting goroutine last ran.

Change: the accepting goroutine takes what is queued, until none comes for 2 ms or for 100 ms at most, and closes the listener itself. A connection made between the last accept and the close is still reset: TCP has no close that waits for it.

--- a/siskinpathd/entry/server.go
+++ b/siskinpathd/entry/server.go
@@ -29,6 +29,13 @@
 	acceptRetryDelay     = 50 * clock.Millisecond
 )
 
+const (
+	// acceptQueuedWait is how long no connection may come until the listener is closed, and
+	// acceptQueuedTimeout how long that may take.
+	acceptQueuedWait    = 2 * clock.Millisecond
+	acceptQueuedTimeout = 100 * clock.Millisecond
+)
+
 func init() {
 	metrics.NewGauge("caller_connections_open", func() float64 { return float64(connectionsOpen.Load()) })
 }
@@ -58,7 +65,8 @@
 	// DescribeBody returns what a header says of its request; nil if that is not known.
 	DescribeBody func(h *fasthttp.RequestHeader) bodyRequest
 
-	ln                net.Listener
+	ln                *net.TCPListener
+	accepted          chan struct{} // closed when no further connection is accepted
 	keepAliveDisabled atomic.Bool
 	stop              atomic.Pointer[place.Stop] // nil until the host stops
 
@@ -70,32 +78,59 @@
 // Bind opens the listener. It is separate from Run so that a port in use is reported
 // before anything else starts.
 func (s *Server) Bind() (err error) {
-	s.conns = map[*conn]*readError{}
+	s.conns, s.accepted = map[*conn]*readError{}, make(chan struct{})
 	s.ln, err = tcp.Listen(s.ListenAddress, tcp.Buffers{Send: sendBufferBytes, Receive: receiveBufferBytes})
 	return errors.WithMessagef(err, "callers' listener %s", s.ListenAddress)
 }
 
 // Run accepts connections until StopAccepting is called.
 func (s *Server) Run() {
+	defer close(s.accepted)
 	for {
 		nc, err := s.ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case err == nil:
+			s.accept(nc)
+		case s.isClosed():
+			s.acceptQueued()
 			return
-		}
-		if err != nil {
+		default:
 			s.Log.Warn("cannot accept a connection; retrying", "err", err)
 			s.closeOne()
 			time.Sleep(acceptRetryDelay.Duration())
-			continue
 		}
-		connectionsAccepted.Inc()
-		if !s.makeRoom() {
-			s.refuseConn(nc)
+	}
+}
+
+func (s *Server) accept(nc net.Conn) {
+	connectionsAccepted.Inc()
+	if !s.makeRoom() {
+		s.refuseConn(nc)
+		return
+	}
+	c := newConn(s, nc)
+	s.addConn(c)
+	go c.serve()
+}
+
+// acceptQueued accepts the connections that the kernel has made already, and closes the
+// listener. The kernel resets those that are left.
+func (s *Server) acceptQueued() {
+	defer func() { _ = s.ln.Close() }()
+	end := time.Now().Add(acceptQueuedTimeout.Duration())
+	for {
+		asked := time.Now()
+		if asked.After(end) || s.ln.SetDeadline(asked.Add(acceptQueuedWait.Duration())) != nil {
+			return
+		}
+		nc, err := s.ln.Accept()
+		if err == nil {
+			s.accept(nc)
 			continue
 		}
-		c := newConn(s, nc)
-		s.addConn(c)
-		go c.serve()
+		if time.Since(asked) < 2*acceptQueuedWait.Duration() {
+			return
+		} // else the deadline may have passed before the kernel was asked
 	}
 }
 
@@ -111,12 +146,20 @@
 	}
 }
 
-// StopAccepting closes the listener. Open connections continue.
+// StopAccepting closes the listener after the connections that have been made. Open connections
+// continue.
 func (s *Server) StopAccepting() {
 	s.mu.Lock()
 	s.closed = true
 	s.mu.Unlock()
-	_ = s.ln.Close()
+	_ = s.ln.SetDeadline(time.Unix(1, 0)) // interrupts Accept
+	<-s.accepted
+}
+
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
 }
 
 // InFlight returns the number of requests that are being read or have not been answered.
--- a/siskinpathd/tcp/listen.go
+++ b/siskinpathd/tcp/listen.go
@@ -16,7 +16,7 @@
 }
 
 // Listen listens on an address. The connections have the given buffers.
-func Listen(address string, buffers Buffers) (net.Listener, error) {
+func Listen(address string, buffers Buffers) (*net.TCPListener, error) {
 	cfg := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
 		controlErr := c.Control(func(fd uintptr) {
 			// Accepted connections inherit both.
@@ -30,5 +30,9 @@
 		}
 		return err
 	}}
-	return cfg.Listen(context.Background(), "tcp", address)
+	ln, err := cfg.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return ln.(*net.TCPListener), nil
 }
