http1: a 101 that no request has asked for is no response

What callers saw: an upstream that spoils replies sends 101 Switching Protocols in place of one.

Cause: the reader of replies takes 101 for a final status. It can only be one for a client that has asked for another protocol, and hosts take Upgrade out of every request.

Change: package http1 refuses the status, so that all readers do: requests, status checks, the store's clients, siskinctl. The attempt ends as a lost connection, the connection is closed.

--- a/core/http1/head.go
+++ b/core/http1/head.go
@@ -15,6 +15,7 @@
 var (
 	ErrStatusLine = errors.New("status line of the response is malformed")
 	ErrStatus     = errors.New("status of the response is not a number from 100 to 999")
+	ErrSwitching  = errors.New("response switches to another protocol, which no request has asked for")
 	ErrFieldName  = errors.New("name of a response field is empty or holds a blank, a control byte or another invalid byte")
 	ErrFieldValue = errors.New("value of a response field holds a control byte")
 )
@@ -22,6 +23,9 @@
 const (
 	// minFinalStatus is the smallest status of a final response.
 	minFinalStatus = 200
+	// switchingProtocols is the status of a response that ends HTTP on its connection (RFC 9110,
+	// section 15.2.2). It is interim to a client that has not asked for that.
+	switchingProtocols = "101"
 	// maxStatus is the largest status with three digits.
 	maxStatus = 999
 )
@@ -43,8 +47,8 @@
 	return nil
 }
 
-// CheckHead returns an error for a head that is none of a response. head includes the empty
-// line at its end.
+// CheckHead returns an error for a head that is none of a response to a request without Upgrade,
+// as all requests of this host are. head includes the empty line at its end.
 func CheckHead(head []byte) error {
 	line, fields := cutLine(head)
 	if err := checkStatusLine(line); err != nil {
@@ -66,6 +70,9 @@
 	if !isText(reason) {
 		return ErrStatusLine
 	}
+	if string(code) == switchingProtocols {
+		return ErrSwitching
+	}
 	return nil
 }
 
--- a/core/http1/http1_test.go
+++ b/core/http1/http1_test.go
@@ -26,6 +26,8 @@
 	{"HTTP/1.1 000 OK\r\nA: b", ErrStatus},
 	{"HTTP/1.1 099 OK", ErrStatus},
 	{"HTTP/1.1 20 OK", ErrStatus},
+	{"HTTP/1.1 101 Switching Protocols\r\nUpgrade: a", ErrSwitching},
+	{"HTTP/1.0 101", ErrSwitching},
 	{"HTTP/1.1 2000 OK", ErrStatus},
 	{"HTTP/1.1 2x0 OK", ErrStatus},
 	{"HTTP/1.1 +20 OK", ErrStatus},
--- a/siskinpathd/upstream/attempt.go
+++ b/siskinpathd/upstream/attempt.go
@@ -300,7 +300,7 @@
 		if err = resp.Header.Read(c.r); err != nil {
 			return err
 		}
-		if resp.StatusCode() >= fasthttp.StatusOK || resp.StatusCode() == fasthttp.StatusSwitchingProtocols {
+		if resp.StatusCode() >= fasthttp.StatusOK {
 			return nil
 		}
 		resp.Header.Reset()
--- a/siskinpathd/upstream/no_reply_test.go
+++ b/siskinpathd/upstream/no_reply_test.go
@@ -13,14 +13,17 @@
 	"siskinpath/core/route"
 )
 
-// TestBytesThatAreNoReply guards against a status 000 passed on as 200, and fields whose names
-// hold a blank or a control byte.
+// TestBytesThatAreNoReply guards against a status 000 passed on as 200, a 101 passed on as a final
+// reply, and fields whose names hold a blank or a control byte.
 func TestBytesThatAreNoReply(t *testing.T) {
 	const length = "Content-Length: 0\r\n"
 	for name, format := range map[string]string{ // %s is a field with the ID of the request
 		"status 000":                         "HTTP/1.1 000 OK\r\n%s" + length + "\r\n",
 		"status 000, connection closed":      "HTTP/1.1 000 OK\r\n%sConnection: close\r\n" + length + "\r\n",
 		"status 099":                         "HTTP/1.1 099 OK\r\n%s" + length + "\r\n",
+		"status 101 that no one asked for":   "HTTP/1.1 101 Switching Protocols\r\n%s" + length + "\r\n",
+		"status 101 after an interim reply":  "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 101 X\r\n%sUpgrade: a\r\n\r\n",
+		"status 101 before a reply":          "HTTP/1.1 101 X\r\n\r\nHTTP/1.1 200 OK\r\n%s" + length + "\r\n",
 		"status of four digits":              "HTTP/1.1 2000 OK\r\n%s" + length + "\r\n",
 		"blank in a name":                    "HTTP/1.1 200 OK\r\n%sA b: c\r\n" + length + "\r\n",
 		"blank after the name of the length": "HTTP/1.1 200 OK\r\n%sContent-Length : 5\r\n" + length + "\r\n",
