place, entry: names and comments of the stop

lastSend becomes sendUntil, as it returns a time and not a send; the answers at the end of the grace get a function of their own. No change of behaviour.

--- a/core/place/stop.go
+++ b/core/place/stop.go
@@ -21,8 +21,8 @@
 	LongUntil clock.Millis
 }
 
-// Excludes reports whether a request that is sent now is certain not to be sent because of the
-// stop, whatever its route. giveUp is its latest answer.
+// Excludes reports whether a request may not be sent now, whatever the usual time of its route.
+// giveUp is the latest time of its answer.
 func (s Stop) Excludes(now, giveUp clock.Millis, idempotent bool) bool {
 	return s.At > 0 && giveUp > s.At && (!idempotent || now >= s.LongUntil)
 }
@@ -30,15 +30,15 @@
 // Outlasted reports whether a request that is sent now may still be unanswered when this
 // host stops. Of the request, only Route, Target, GiveUp and Idempotent are used.
 func (p *Placer) Outlasted(now clock.Millis, r Request) bool {
-	return p.limitedByStop(r) && now >= p.lastSend(r)
+	return p.limitedByStop(r) && now >= p.sendUntil(r)
 }
 
 // limitedByStop reports whether this host may stop before the latest answer to r.
 func (p *Placer) limitedByStop(r Request) bool { return p.stop.At > 0 && r.GiveUp > p.stop.At }
 
-// lastSend returns from when on r, which is limited by the stop, is not sent. One that may
-// run more than once is sent as long as it is likely to be answered.
-func (p *Placer) lastSend(r Request) clock.Millis {
+// sendUntil returns until when r, which is limited by the stop, is sent. One that may run more
+// than once is sent as long as it is likely to be answered.
+func (p *Placer) sendUntil(r Request) clock.Millis {
 	if !r.Idempotent {
 		return 0
 	}
@@ -66,8 +66,8 @@
 	return p.takeActions()
 }
 
-// Close ends all requests of this host, which ends itself. What happens at an upstream that has
-// one is not known any more.
+// Close ends all requests when this host ends: with Unknown if an upstream or another host has
+// the request, as it may still run there.
 func (p *Placer) Close(now clock.Millis) []Action {
 	p.init()
 	var open []*request
--- a/core/place/timer.go
+++ b/core/place/timer.go
@@ -50,7 +50,7 @@
 func (p *Placer) wakeAt(r *request) clock.Millis {
 	at := r.phaseTimer()
 	if r.waits() && p.limitedByStop(r.Request) {
-		at = min(at, p.lastSend(r.Request))
+		at = min(at, p.sendUntil(r.Request))
 	}
 	return at
 }
--- a/siskinpathd/entry/conn.go
+++ b/siskinpathd/entry/conn.go
@@ -58,14 +58,14 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	received transfer      // of the request that is being read
-	sent     transfer      // of the response that is being written
-	removed  chan struct{} // closed when the connection has been closed and forgotten
-	aborted  atomic.Bool   // this host has closed it before the end of a request or response
-	body     atomic.Bool   // a body is being read
-	stopped  atomic.Bool   // its body is not read any more, as the client was too slow or with refused
-	refused  atomic.Bool   // this host stops before it could answer the request
-	reading  atomic.Pointer[bodyRequest]
+	received transfer                    // of the request that is being read
+	sent     transfer                    // of the response that is being written
+	removed  chan struct{}               // closed when the connection has been closed and forgotten
+	aborted  atomic.Bool                 // this host has closed it before the end of a request or response
+	body     atomic.Bool                 // a body is being read
+	stopped  atomic.Bool                 // the body is not read any more: the client was too slow, or refused is set
+	refused  atomic.Bool                 // this host stops before it could answer the request
+	reading  atomic.Pointer[bodyRequest] // the request whose body is or was last read
 
 	writeMu sync.Mutex // held while a response, or 100 Continue between two, is written
 
--- a/siskinpathd/entry/drain.go
+++ b/siskinpathd/entry/drain.go
@@ -71,10 +71,7 @@
 		}
 		if !closed && elapsed >= fractionOf(grace, stopFraction)-closeMargin {
 			closed = true
-			n.server.RefuseBodies(true)
-			for _, d := range n.allDispatchers() {
-				d.close()
-			}
+			n.answerHeld()
 		}
 		if elapsed >= fractionOf(grace, stopFraction) {
 			if left := n.InFlight(); left > 0 {
@@ -87,6 +84,14 @@
 	}
 }
 
+// answerHeld answers the requests that have no answer when this host ends.
+func (n *Node) answerHeld() {
+	n.server.RefuseBodies(true)
+	for _, d := range n.allDispatchers() {
+		d.close()
+	}
+}
+
 func fractionOf(span clock.Millis, part float64) clock.Millis {
 	return clock.Millis(float64(span) * part)
 }
--- a/siskinpathd/entry/server.go
+++ b/siskinpathd/entry/server.go
@@ -61,7 +61,6 @@
 	// Handle returns the final response to a request of the caller at an address. ctx is
 	// cancelled when the caller has disconnected.
 	Handle func(ctx context.Context, req *fasthttp.Request, caller string) *Response
-
 	// DescribeBody returns what a header says of its request; nil if that is not known.
 	DescribeBody func(h *fasthttp.RequestHeader) bodyRequest
 
