entry: a host that stops does not wait for hosts that take no bytes

Callers would have seen: connections that end without an answer when a host is killed at the end of its grace.

Cause: at the signal an allocator closes its streams to the hosts that ask it for slots, one after another, and the close of a stream waits up to 1 s for a host that takes no bytes. Nothing that the host holds is refused before that: six hosts that stand still use up a grace of 6 s.

Change: the streams are closed beside the drain.

--- a/siskinpathd/entry/slots.go
+++ b/siskinpathd/entry/slots.go
@@ -209,13 +209,14 @@
 	}
 }
 
-// leave ends the exchange with all hosts that ask this one, so that they ask another one.
+// leave ends the exchange with all hosts that ask this one, so that they ask another one. It
+// does not wait for hosts that take no bytes.
 func (x *slotExchange) leave() {
 	x.mu.Lock()
 	peers := maps.Clone(x.peers)
 	x.mu.Unlock()
 	for _, s := range peers {
-		s.Close()
+		go s.Close()
 	}
 }
 
